--- /dev/null
+++ b/cmd/wigeonusher/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/coord/intent/intent.go
@@ -0,0 +1,80 @@
+// Package intent makes a call run at most once, over all instances, by letting
+// the platform's log decide who may dispatch it.
+package intent
+
+import (
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// Kinds of entries that the ledger folds.
+const (
+	KindIntent  platform.Kind = "intent.claim"
+	KindOutcome platform.Kind = "intent.outcome"
+)
+
+// Key identifies a call that must run at most once.
+type Key struct {
+	Account string `json:"account"`
+	Service string `json:"service"`
+	// Token is the caller's idempotency key, or a generated one.
+	Token string `json:"token"`
+}
+
+// Intent announces that its writer means to dispatch the call.
+type Intent struct {
+	Key Key `json:"key"`
+	// Attempt is unique to the announcing request.
+	Attempt string `json:"attempt"`
+	// Fingerprint is a digest of method, path and body. A key that comes
+	// again with another fingerprint is refused.
+	Fingerprint string `json:"fingerprint"`
+}
+
+// Outcome closes an intent. Only the writer of the accepted intent may.
+type Outcome struct {
+	Key     Key    `json:"key"`
+	Attempt string `json:"attempt"`
+	// Abandoned says that the writer has not dispatched and never will: the
+	// key is free again.
+	Abandoned bool `json:"abandoned,omitempty"`
+	// Status and Body are the endpoint's answer, if it gave one. A long body
+	// is left out and Truncated is set.
+	Status    int    `json:"status,omitempty"`
+	Body      []byte `json:"body,omitempty"`
+	Truncated bool   `json:"truncated,omitempty"`
+}
+
+// State is what the ledger knows of a key.
+type State string
+
+// States of a key.
+const (
+	// Free keys have no accepted intent.
+	Free State = "free"
+	// Claimed keys have an accepted intent without an outcome.
+	Claimed State = "claimed"
+	// Done keys have an outcome.
+	Done State = "done"
+)
+
+// Status is the ledger's knowledge of one key.
+type Status struct {
+	State       State
+	Writer      platform.InstanceID
+	Attempt     string
+	Fingerprint string
+	// Fencing is the number of the accepted intent's position.
+	Fencing uint64
+	Outcome Outcome
+}
+
+// Decision is the fold's verdict on one intent.
+type Decision struct {
+	Attempt  string
+	Key      Key
+	Accepted bool
+	// Fencing is the position number of the intent, if accepted.
+	Fencing uint64
+	// Holder is the status of the key that a refused intent met.
+	Holder Status
+}
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,3 @@
+// Package node assembles an instance of the system from the parts of the
+// other modules.
+package node
--- /dev/null
+++ b/policy/placement/placement.go
@@ -0,0 +1,68 @@
+// Package placement chooses the endpoint that runs a request, in named steps:
+// filters drop candidates, scorers rate them, a picker chooses.
+package placement
+
+import (
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+)
+
+// Candidate is an endpoint that may run the request.
+type Candidate struct {
+	ID      platform.EndpointID
+	Zone    platform.Zone
+	Address string
+	Slots   int
+	// Running and Queued are the endpoint's last report, ReportAge old.
+	Running   int
+	Queued    int
+	ReportAge time.Duration
+	// Sent counts this instance's own dispatches since that report, and
+	// PeerSent those that peers told of.
+	Sent     int
+	PeerSent int
+	// InFlight counts this instance's dispatches that have not ended.
+	InFlight int
+	// PrefixTokens estimates how many tokens of the prompt the endpoint holds
+	// in its prefix cache.
+	PrefixTokens int
+	// FirstTokenMillis is the smoothed time to the first token, in milliseconds.
+	FirstTokenMillis float64
+	// FailureRate is the smoothed share of failed dispatches, in [0, 1].
+	FailureRate float64
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	Ref          document.Ref
+	Zone         platform.Zone
+	PromptTokens int
+	// Avoid lists endpoints that the request must not meet again.
+	Avoid []platform.EndpointID
+}
+
+// Filter drops candidates that must not run the request.
+type Filter interface {
+	// Filter returns the candidates that may stay. It must not modify its input.
+	Filter(request Request, candidates []Candidate) []Candidate
+}
+
+// Scorer rates candidates.
+type Scorer interface {
+	// Score returns one cost per candidate, in milliseconds of expected wait
+	// and work; lower is better.
+	Score(request Request, candidates []Candidate) []float64
+}
+
+// Random is the source of random numbers in [0, n), given by the caller.
+type Random interface {
+	IntN(n int) int
+}
+
+// Picker chooses one of the candidates by their summed scores.
+type Picker interface {
+	// Pick returns the index of the chosen candidate; candidates is not empty.
+	Pick(random Random, candidates []Candidate, scores []float64) int
+}
