--- a/coord/config/fold.go
+++ b/coord/config/fold.go
@@ -4,49 +4,64 @@
 	"encoding/json"
 	"maps"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// Fold turns the control stream into the document in force. It is
-// deterministic: equal entries in equal order give equal documents and equal
-// verdicts. It is not safe for concurrent use.
+// Fold turns the control stream into the document in force. It implements
+// fold.Part: equal entries in equal order give equal documents and equal
+// verdicts.
 type Fold struct {
-	validate Validator
-	next     platform.Offset
-	document *Document
+	validate  Validator
+	onVerdict func(Verdict)
+	document  *Document
 }
 
-// NewFold returns a fold of the empty document, at the start of the stream.
-func NewFold(validate Validator) *Fold {
+// NewFold returns a fold of the empty document. onVerdict, if not nil, is
+// called for every entry that concerns the configuration.
+func NewFold(validate Validator, onVerdict func(Verdict)) *Fold {
+	if onVerdict == nil {
+		onVerdict = func(Verdict) {}
+	}
 	return &Fold{
-		validate: validate,
-		next:     1,
-		document: &Document{Sections: map[SectionName]Section{}},
+		validate:  validate,
+		onVerdict: onVerdict,
+		document:  &Document{Sections: map[SectionName]Section{}},
 	}
 }
 
-// Next returns the offset of the record that the fold wants next.
-func (f *Fold) Next() platform.Offset { return f.next }
+// Name implements fold.Part.
+func (f *Fold) Name() string { return "config" }
 
 // Document returns the document in force. Callers must not modify it.
 func (f *Fold) Document() *Document { return f.document }
 
-// Apply folds the entries of one record and returns a verdict for each that
-// concerns the configuration. Records below [Fold.Next] are ignored.
-func (f *Fold) Apply(offset platform.Offset, entries []platform.Entry) []Verdict {
-	if offset < f.next {
-		return nil
+// Apply implements fold.Part.
+func (f *Fold) Apply(position platform.Position, entry platform.Entry) {
+	if entry.Kind != KindProposal {
+		return
 	}
-	f.next = offset + 1
-	var verdicts []Verdict
-	for i, entry := range entries {
-		if entry.Kind != KindProposal {
-			continue
-		}
-		position := platform.Position{Offset: offset, Index: i}
-		verdicts = append(verdicts, f.applyProposal(position, entry))
+	f.onVerdict(f.applyProposal(position, entry))
+}
+
+// Snapshot implements fold.Part.
+func (f *Fold) Snapshot() (json.RawMessage, error) {
+	snapshot, err := json.Marshal(f.document)
+	return snapshot, eris.Wrap(err, "config: encode snapshot")
+}
+
+// Restore implements fold.Part.
+func (f *Fold) Restore(snapshot json.RawMessage) error {
+	var document Document
+	if err := json.Unmarshal(snapshot, &document); err != nil {
+		return eris.Wrap(err, "config: decode snapshot")
+	}
+	if document.Sections == nil {
+		document.Sections = map[SectionName]Section{}
 	}
-	return verdicts
+	f.document = &document
+	return nil
 }
 
 func (f *Fold) applyProposal(position platform.Position, entry platform.Entry) Verdict {
