Stand-ins of the outside systems

Log, instance list, rating service, weight store, model engine and plain service, each an HTTP server on a loopback address behind one switch of faults. Connections can be silenced one by one because the listener wraps them; answers are lost by running the handler against a discarding writer. Engine answers carry a header and words that follow from request and version, so that a reader can prove an answer whole and its own.

Ruled out: answers derived from the attempt, which a resumed stream could not continue on another engine.

--- /dev/null
+++ b/standin/engine/chat.go
@@ -0,0 +1,113 @@
+package engine
+
+import (
+	"encoding/json"
+	"regexp"
+	"strings"
+)
+
+// ChatRequest is the part of an OpenAI chat request that the engine reads.
+type ChatRequest struct {
+	Model         string        `json:"model"`
+	Messages      []Message     `json:"messages"`
+	MaxTokens     int           `json:"max_tokens,omitempty"`
+	Stream        bool          `json:"stream,omitempty"`
+	StreamOptions StreamOptions `json:"stream_options,omitzero"`
+	Logprobs      bool          `json:"logprobs,omitempty"`
+}
+
+// StreamOptions are the options of a streamed answer.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role string `json:"role"`
+	// Content is a string; other content counts as empty.
+	Content json.RawMessage `json:"content"`
+}
+
+// Text returns the message's content.
+func (m Message) Text() string {
+	var text string
+	if json.Unmarshal(m.Content, &text) != nil {
+		return ""
+	}
+	return text
+}
+
+// Chat is a whole answer, or one frame of a streamed one.
+type Chat struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is the one choice of an answer: Message if whole, Delta in a stream.
+type Choice struct {
+	Index        int       `json:"index"`
+	Message      *Content  `json:"message,omitempty"`
+	Delta        *Content  `json:"delta,omitempty"`
+	Logprobs     *Logprobs `json:"logprobs,omitempty"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+// Content is text of the assistant.
+type Content struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Logprobs holds the log probabilities of tokens.
+type Logprobs struct {
+	Content []TokenLogprob `json:"content"`
+}
+
+// TokenLogprob is the natural logarithm of one token's probability.
+type TokenLogprob struct {
+	Token   string  `json:"token"`
+	Logprob float64 `json:"logprob"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+const (
+	objectWhole = "chat.completion"
+	objectFrame = "chat.completion.chunk"
+	roleAnswer  = "assistant"
+)
+
+// finished is the finish reason of a whole answer.
+var finished = "stop"
+
+var classMark = regexp.MustCompile(`\[class=([^\]\s]+)\]`)
+
+// prompt joins the contents of all messages.
+func (r ChatRequest) prompt() string {
+	texts := make([]string, 0, len(r.Messages))
+	for _, message := range r.Messages {
+		texts = append(texts, message.Text())
+	}
+	return strings.Join(texts, " ")
+}
+
+// classOf returns the task class that a prompt names last, or "".
+func classOf(prompt string) string {
+	marks := classMark.FindAllStringSubmatch(prompt, -1)
+	if len(marks) == 0 {
+		return ""
+	}
+	return marks[len(marks)-1][1]
+}
+
+// ClassMark returns the text that tells an engine the task class of a prompt.
+func ClassMark(class string) string { return "[class=" + class + "]" }
--- /dev/null
+++ b/standin/instancelist/server.go
@@ -0,0 +1,167 @@
+package instancelist
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/standin/server"
+)
+
+// DefaultTimeToLive is how long a row stays without renewal.
+const DefaultTimeToLive = 3 * time.Second
+
+// Config sets the list up. Zero fields take the defaults.
+type Config struct {
+	Seed       uint64
+	TimeToLive time.Duration
+	// Lag is how old the listing may be that readers see.
+	Lag time.Duration
+	Now func() time.Time
+}
+
+// InstanceRow announces an instance of the system.
+type InstanceRow struct {
+	platform.ListedInstance
+	Leaving bool `json:"leaving"`
+}
+
+type endpointEntry struct {
+	row     platform.ListedEndpoint
+	renewed time.Time
+}
+
+type instanceEntry struct {
+	row     platform.ListedInstance
+	renewed time.Time
+}
+
+// Server is the instance list.
+type Server struct {
+	*server.Server
+	config Config
+
+	mu        sync.Mutex
+	endpoints map[platform.EndpointID]endpointEntry
+	instances map[platform.InstanceID]instanceEntry
+	published platform.InstanceListing
+	when      time.Time // of the publication
+}
+
+// New returns an empty list.
+func New(config Config) *Server {
+	if config.TimeToLive == 0 {
+		config.TimeToLive = DefaultTimeToLive
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	s := &Server{
+		Server:    server.New(config.Seed),
+		config:    config,
+		endpoints: map[platform.EndpointID]endpointEntry{},
+		instances: map[platform.InstanceID]instanceEntry{},
+		published: platform.InstanceListing{Version: uint64(config.Now().UnixMilli())},
+	}
+	s.Router.GET("/v1/instances", s.handleList)
+	s.Router.PUT("/v1/endpoints/:id", s.handleEndpoint)
+	s.Router.PUT("/v1/instances/:id", s.handleInstance)
+	return s
+}
+
+// Listing returns what readers see now.
+func (s *Server) Listing() platform.InstanceListing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	if now.Sub(s.when) >= s.config.Lag {
+		s.publish(now)
+	}
+	return s.published
+}
+
+// PutEndpoint adds or renews an endpoint from inside the process.
+func (s *Server) PutEndpoint(row platform.ListedEndpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoints[row.ID] = endpointEntry{row: row, renewed: s.config.Now()}
+}
+
+// PutInstance adds, renews or withdraws an instance from inside the process.
+func (s *Server) PutInstance(row InstanceRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if row.Leaving {
+		delete(s.instances, row.ID)
+		return
+	}
+	s.instances[row.ID] = instanceEntry{row: row.ListedInstance, renewed: s.config.Now()}
+}
+
+// publish makes the rows of now what readers see.
+func (s *Server) publish(now time.Time) {
+	s.expire(now)
+	listing := platform.InstanceListing{
+		Version:   s.published.Version,
+		Endpoints: make([]platform.ListedEndpoint, 0, len(s.endpoints)),
+		Instances: make([]platform.ListedInstance, 0, len(s.instances)),
+	}
+	for _, entry := range s.endpoints {
+		listing.Endpoints = append(listing.Endpoints, entry.row)
+	}
+	for _, entry := range s.instances {
+		listing.Instances = append(listing.Instances, entry.row)
+	}
+	slices.SortFunc(listing.Endpoints, func(a, b platform.ListedEndpoint) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(listing.Instances, func(a, b platform.ListedInstance) int { return cmp.Compare(a.ID, b.ID) })
+	same := slices.Equal(listing.Endpoints, s.published.Endpoints) && slices.Equal(listing.Instances, s.published.Instances)
+	if !same {
+		listing.Version++
+	}
+	s.published = listing
+	s.when = now
+}
+
+func (s *Server) expire(now time.Time) {
+	limit := s.config.TimeToLive
+	maps.DeleteFunc(s.endpoints, func(_ platform.EndpointID, entry endpointEntry) bool {
+		return now.Sub(entry.renewed) > limit
+	})
+	maps.DeleteFunc(s.instances, func(_ platform.InstanceID, entry instanceEntry) bool {
+		return now.Sub(entry.renewed) > limit
+	})
+}
+
+func (s *Server) handleList(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.Listing())
+}
+
+func (s *Server) handleEndpoint(c echo.Context) error {
+	var row platform.ListedEndpoint
+	if err := server.Decode(c, &row); err != nil {
+		return err
+	}
+	if string(row.ID) != c.Param("id") {
+		return echo.NewHTTPError(http.StatusBadRequest, "id differs from path")
+	}
+	s.PutEndpoint(row)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) handleInstance(c echo.Context) error {
+	var row InstanceRow
+	if err := server.Decode(c, &row); err != nil {
+		return err
+	}
+	if string(row.ID) != c.Param("id") {
+		return echo.NewHTTPError(http.StatusBadRequest, "id differs from path")
+	}
+	s.PutInstance(row)
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/ratings/server.go
@@ -0,0 +1,129 @@
+package ratings
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/standin/answer"
+	"github.com/wigeonusher/wigeonusher/standin/server"
+)
+
+// Defaults of a [Config].
+const (
+	DefaultDelay = 200 * time.Millisecond
+	DefaultShare = 0.9
+
+	maxPageRatings = 1000
+)
+
+// Config sets the rating service up. Zero fields take the defaults.
+type Config struct {
+	Seed uint64
+	// Delay is how long an answer waits for its rating.
+	Delay time.Duration
+	// Share is the share of answers, in [0, 1], that are rated at all.
+	Share float64
+	Now   func() time.Time
+}
+
+type rated struct {
+	rating platform.Rating
+	ready  time.Time
+}
+
+// Server is the rating service.
+type Server struct {
+	*server.Server
+	config Config
+
+	mu          sync.Mutex
+	bySubmitter map[platform.InstanceID][]rated
+}
+
+// New returns a rating service without ratings.
+func New(config Config) *Server {
+	if config.Delay == 0 {
+		config.Delay = DefaultDelay
+	}
+	if config.Share == 0 {
+		config.Share = DefaultShare
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	s := &Server{
+		Server:      server.New(config.Seed),
+		config:      config,
+		bySubmitter: map[platform.InstanceID][]rated{},
+	}
+	s.Router.POST("/v1/answers", s.handleSubmit)
+	s.Router.GET("/v1/ratings", s.handleRatings)
+	return s
+}
+
+// Submitted returns the number of answers that will be rated.
+func (s *Server) Submitted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, list := range s.bySubmitter {
+		total += len(list)
+	}
+	return total
+}
+
+func (s *Server) handleSubmit(c echo.Context) error {
+	var submitted platform.RatedAnswer
+	if err := server.Decode(c, &submitted); err != nil {
+		return err
+	}
+	parsed, err := answer.ParseHeader(submitted.Answer)
+	if err == nil && s.Faults.Draw(s.config.Share) {
+		s.add(platform.InstanceID(c.QueryParam("submitter")), platform.Rating{
+			RequestID: submitted.RequestID,
+			Score:     parsed.Quality,
+		})
+	}
+	return c.NoContent(http.StatusAccepted)
+}
+
+func (s *Server) add(submitter platform.InstanceID, rating platform.Rating) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := rated{rating: rating, ready: s.config.Now().Add(s.config.Delay)}
+	s.bySubmitter[submitter] = append(s.bySubmitter[submitter], entry)
+}
+
+type page struct {
+	Ratings []platform.Rating `json:"ratings"`
+	Next    uint64            `json:"next"`
+}
+
+func (s *Server) handleRatings(c echo.Context) error {
+	cursor, err := strconv.ParseUint("0"+c.QueryParam("cursor"), 10, 62)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "cursor is not a number")
+	}
+	return c.JSON(http.StatusOK, s.page(platform.InstanceID(c.QueryParam("submitter")), cursor))
+}
+
+func (s *Server) page(submitter platform.InstanceID, cursor uint64) page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.bySubmitter[submitter]
+	result := page{Ratings: []platform.Rating{}, Next: min(cursor, uint64(len(all)))}
+	now := s.config.Now()
+	for _, entry := range all[result.Next:] {
+		if entry.ready.After(now) || len(result.Ratings) == maxPageRatings {
+			break
+		}
+		result.Ratings = append(result.Ratings, entry.rating)
+		result.Next++
+	}
+	return result
+}
--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/standin/faults"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	maxBodyBytes  = 8 << 20
+)
+
+// Server is the HTTP side of a stand-in.
+type Server struct {
+	// Router takes the stand-in's routes.
+	Router *echo.Echo
+	// Faults makes the stand-in misbehave.
+	Faults *faults.Switch
+
+	mu       sync.Mutex
+	listener *faults.Listener
+	http     *http.Server
+	stopped  bool
+	done     chan struct{}
+	onStop   []func()
+}
+
+// New returns a server without routes other than those of its faults.
+func New(seed uint64) *Server {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	s := &Server{
+		Router: router,
+		Faults: faults.NewSwitch(seed),
+		done:   make(chan struct{}),
+	}
+	s.Faults.OnCrash(s.stop)
+	router.Use(limitBody, s.Faults.Middleware())
+	s.Faults.Register(router)
+	return s
+}
+
+// Handler returns the stand-in for use without a socket. Faults of connections
+// have no effect there.
+func (s *Server) Handler() http.Handler { return s.Router }
+
+// Listen serves on a loopback address until [Server.Close]. Port 0 takes a
+// free one.
+func (s *Server) Listen(address string) error {
+	if err := CheckLoopback(address); err != nil {
+		return err
+	}
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "server: listen")
+	}
+	s.mu.Lock()
+	s.listener = s.Faults.Listen(inner)
+	s.http = &http.Server{Handler: s.Router, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
+	listener, served := s.listener, s.http
+	s.mu.Unlock()
+	go func() { _ = served.Serve(listener) }()
+	return nil
+}
+
+// Address returns the IP number and port that the stand-in serves on, or ""
+// before [Server.Listen].
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return ""
+	}
+	return s.listener.Addr().String()
+}
+
+// URL returns the base URL of the stand-in.
+func (s *Server) URL() string { return "http://" + s.Address() }
+
+// Done is closed when the stand-in has stopped, by [Server.Close] or a crash.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// OnStop adds a function that runs once when the stand-in stops.
+func (s *Server) OnStop(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onStop = append(s.onStop, f)
+}
+
+// Close stops the stand-in abruptly: connections are closed, calls cut off.
+func (s *Server) Close() error {
+	s.stop()
+	return nil
+}
+
+func (s *Server) stop() {
+	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		return
+	}
+	s.stopped = true
+	listener, served, hooks := s.listener, s.http, s.onStop
+	s.mu.Unlock()
+	close(s.done)
+	s.Faults.Close()
+	if listener != nil {
+		_ = listener.Close()
+		listener.CloseConnections()
+		_ = served.Close()
+	}
+	for _, hook := range hooks {
+		hook()
+	}
+}
+
+// CheckLoopback reports an error unless the address has a loopback IP number.
+func CheckLoopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return eris.Wrapf(err, "server: address %q", address)
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || !ip.IsLoopback() {
+		return eris.Errorf("server: address %q is not a loopback IP number", address)
+	}
+	return nil
+}
+
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		request := c.Request()
+		request.Body = http.MaxBytesReader(c.Response(), request.Body, maxBodyBytes)
+		return next(c)
+	}
+}
--- /dev/null
+++ b/standin/service/server.go
@@ -0,0 +1,232 @@
+package service
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/standin/endpoint"
+	"github.com/wigeonusher/wigeonusher/standin/faults"
+)
+
+// Headers of calls.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderAttemptID      = "X-Attempt-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderFencing        = "X-Fencing-Number"
+)
+
+// Defaults of a [Config].
+const (
+	DefaultSlots    = 8
+	DefaultWork     = 5 * time.Millisecond
+	DefaultMaxQueue = 256
+)
+
+// Config sets a service up. Zero fields take the defaults.
+type Config struct {
+	Seed uint64
+	endpoint.Identity
+	// Slots is the number of calls that run side by side.
+	Slots int
+	// MaxQueue bounds the calls that wait.
+	MaxQueue int
+	// Work is how long a call runs.
+	Work time.Duration
+	// ChecksFencing makes a call fail whose fencing number is below one that
+	// came with the same idempotency key.
+	ChecksFencing bool
+	Now           func() time.Time
+}
+
+// Run is one call that took effect.
+type Run struct {
+	Endpoint  platform.EndpointID `json:"endpoint"`
+	RequestID string              `json:"request_id"`
+	Key       string              `json:"key,omitempty"`
+	Method    string              `json:"method"`
+	Path      string              `json:"path"`
+	Fencing   uint64              `json:"fencing,omitempty"`
+	At        time.Time           `json:"at"`
+}
+
+// Repeatable reports whether the call may run more than once.
+func (r Run) Repeatable() bool {
+	return r.Method == http.MethodGet || r.Method == http.MethodHead
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	RequestID string `json:"request_id"`
+	Key       string `json:"key,omitempty"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	// Run numbers the calls of this service, from 1.
+	Run int `json:"run"`
+	// Echo is the body of the call, up to 4 KiB of it.
+	Echo string `json:"echo,omitempty"`
+}
+
+// LoadReport is the service's load at a moment.
+type LoadReport struct {
+	ID       platform.EndpointID `json:"id"`
+	Running  int                 `json:"running"`
+	Queued   int                 `json:"queued"`
+	Leaving  bool                `json:"leaving"`
+	AtMillis int64               `json:"at_unix_ms"`
+}
+
+// Server is one endpoint of a plain service.
+type Server struct {
+	*endpoint.Server
+	config Config
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	queued  int
+	runs    []Run
+	fencing map[string]uint64
+}
+
+const maxEcho = 4 << 10
+
+// New returns an idle service.
+func New(config Config) *Server {
+	config = config.withDefaults()
+	s := &Server{
+		Server:  endpoint.New(config.Seed, config.Identity, config.Now),
+		config:  config,
+		slots:   make(chan struct{}, config.Slots),
+		fencing: map[string]uint64{},
+	}
+	s.Router.GET("/load", s.handleLoad)
+	s.Router.GET("/runs", s.handleRuns)
+	s.Router.Any("/*", s.handleCall)
+	return s
+}
+
+// Runs returns all calls that took effect, in order.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.runs...)
+}
+
+func (s *Server) handleCall(c echo.Context) error {
+	request := c.Request()
+	if s.RefusesNew(request.Header.Get(HeaderRequestID)) {
+		return faults.Refuse(c, "leaving")
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "body cut off")
+	}
+	fencing, err := fencingOf(request)
+	if err != nil {
+		return err
+	}
+	key := request.Header.Get(HeaderIdempotencyKey)
+	if !s.admit(key, fencing) {
+		c.Response().Header().Set(faults.HeaderNotRun, "true")
+		return c.JSON(http.StatusConflict, faults.Problem{Title: "old fencing number", Status: http.StatusConflict})
+	}
+	if !s.acquire(request) {
+		return faults.Refuse(c, "queue full")
+	}
+	defer func() { <-s.slots }()
+	if err := s.Faults.Sleep(request.Context(), s.config.Work/2); err != nil {
+		return faults.Refuse(c, "caller left before the call ran")
+	}
+	number := s.run(request, key, fencing)
+	// From here on the call has taken effect, whatever becomes of its caller.
+	if err := s.Faults.Sleep(request.Context(), s.config.Work/2); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return c.JSON(http.StatusOK, Reply{
+		RequestID: request.Header.Get(HeaderRequestID),
+		Key:       key,
+		Method:    request.Method,
+		Path:      request.URL.Path,
+		Run:       number,
+		Echo:      string(body[:min(len(body), maxEcho)]),
+	})
+}
+
+// acquire waits for a slot. It reports false if too many calls wait already or
+// the caller leaves.
+func (s *Server) acquire(request *http.Request) bool {
+	s.mu.Lock()
+	if s.queued >= s.config.MaxQueue {
+		s.mu.Unlock()
+		return false
+	}
+	s.queued++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.queued--
+		s.mu.Unlock()
+	}()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) run(request *http.Request, key string, fencing uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, Run{
+		Endpoint:  s.config.ID,
+		RequestID: request.Header.Get(HeaderRequestID),
+		Key:       key,
+		Method:    request.Method,
+		Path:      request.URL.Path,
+		Fencing:   fencing,
+		At:        s.config.Now(),
+	})
+	return len(s.runs)
+}
+
+// admit refuses numbers below the highest seen for the key.
+func (s *Server) admit(key string, fencing uint64) bool {
+	if !s.config.ChecksFencing || key == "" {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fencing < s.fencing[key] {
+		return false
+	}
+	s.fencing[key] = fencing
+	return true
+}
+
+func (s *Server) handleLoad(c echo.Context) error {
+	s.mu.Lock()
+	queued := s.queued
+	s.mu.Unlock()
+	return c.JSON(http.StatusOK, LoadReport{
+		ID:       s.config.ID,
+		Running:  len(s.slots),
+		Queued:   queued,
+		Leaving:  s.Leaving(),
+		AtMillis: s.config.Now().UnixMilli(),
+	})
+}
+
+type runsPage struct {
+	Runs []Run           `json:"runs"`
+	Late []endpoint.Late `json:"late"`
+}
+
+func (s *Server) handleRuns(c echo.Context) error {
+	return c.JSON(http.StatusOK, runsPage{Runs: s.Runs(), Late: s.Late()})
+}
