--- /dev/null
+++ b/node/dispatch/request.go
@@ -0,0 +1,51 @@
+// Package dispatch runs a chat request: it plans which model versions to try,
+// passes every try through the gate, places it on an endpoint, and retries
+// what may be retried.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/outcome"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/wire/engine"
+	"github.com/wigeonusher/wigeonusher/wire/openai"
+)
+
+// Request is an admitted chat request.
+type Request struct {
+	ID      string
+	Account document.AccountID
+	Class   document.TaskClass
+	// Model is the model asked for; empty leaves the choice to the cascade.
+	Model document.ModelName
+	// Pins gives the version of each model that the request may use.
+	Pins     map[document.ModelName]document.VersionName
+	Body     *openai.Request
+	Prompt   string
+	Deadline time.Time
+	// Attempt follows the request over all its dispatches.
+	Attempt outcome.Attempt
+}
+
+// Sink takes the frames of the answer that the caller gets.
+type Sink interface {
+	// Frame passes on one frame. An error means that the caller has gone.
+	Frame(ref document.Ref, chunk *openai.Chunk) error
+}
+
+// Use counts what one dispatch consumed.
+type Use struct {
+	Ref          document.Ref
+	PromptTokens int
+	AnswerTokens int
+}
+
+// Result is what became of a request that was dispatched.
+type Result struct {
+	// Ref answered the request; Answer is nil if the answer did not come whole.
+	Ref    document.Ref
+	Answer *engine.Answer
+	// Uses lists all dispatches that produced tokens.
+	Uses []Use
+}
--- /dev/null
+++ b/wire/engine/load.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+const maxReportBytes = 64 << 10
+
+// LoadReport is what an endpoint says of itself.
+type LoadReport struct {
+	ID      string   `json:"id"`
+	Running int      `json:"running"`
+	Queued  int      `json:"queued"`
+	Leaving bool     `json:"leaving"`
+	Loaded  []string `json:"loaded"`
+	// AtUnixMillis is when the report was true, in milliseconds since 1970.
+	AtUnixMillis int64 `json:"at_unix_ms"`
+}
+
+// Load asks an endpoint for its load.
+func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
+	var report LoadReport
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return report, eris.Wrap(err, "engine: build request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return report, eris.Wrap(err, "engine: load report")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return report, &StatusError{Status: response.StatusCode}
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
+	return report, eris.Wrap(err, "engine: decode load report")
+}
