Add the outbox: group commit with one append in flight

Appends must not grow with the number of entries, and an append whose answer is lost must not be repeated blindly. The outbox is a pure state machine: entries gather while an append is in flight or MinInterval has not passed; an unknown outcome is settled by reading back from an end that was known before the entries were first appended, then tried again under the same IDs.

Ruled out: treating a failed read-back as 'not found' (would be a blind retry), and removing unsettled entries on request only: Withdraw succeeds just for entries that no append can have carried, so its success is proof.

--- a/coord/outbox/outbox.go
+++ b/coord/outbox/outbox.go
@@ -1,8 +1,7 @@
-// Package outbox brings entries into a stream of the platform's log, by group
-// commit with one append in flight.
 package outbox
 
 import (
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -10,8 +9,13 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// ErrFull reports that the outbox holds as many entries as it may.
-var ErrFull = eris.New("outbox: full")
+// Errors of [Outbox.Add].
+var (
+	// ErrFull reports that the outbox holds as many entries as it may.
+	ErrFull = eris.New("outbox: full")
+	// ErrTooLarge reports an entry that no record can carry.
+	ErrTooLarge = eris.New("outbox: entry exceeds the size of a record")
+)
 
 // Config bounds an outbox.
 type Config struct {
@@ -24,62 +28,225 @@
 	// doubles from failure to failure and carries jitter.
 	RetryBase time.Duration
 	RetryCap  time.Duration
+	// StallAfter is the age at which an append without an answer makes the
+	// log count as unavailable; 0 means never.
+	StallAfter time.Duration
 }
 
-// BatchID numbers the append attempts of one outbox.
-type BatchID uint64
+// maxDoublings keeps the doubled pause from overflowing; the cap is reached
+// before.
+const maxDoublings = 20
+
+// Random is a source of random numbers in [0, 1).
+type Random interface{ Float64() float64 }
 
-// Event is something that happened. The types are [Tick], [AppendResult] and
-// [ReadResult].
-type Event interface{ isEvent() }
+// phase is what the outbox is doing.
+type phase uint8
 
-// Tick says that time has passed.
-type Tick struct{}
+const (
+	idle      phase = iota // nothing in flight, the next append is free to start
+	appending              // an append is in flight
+	reading                // a read-back is in flight
+	pausing                // after a failure, until resumeAt
+)
 
-// AppendResult is the answer to an [Append] effect.
-type AppendResult struct {
-	Batch  BatchID
-	Offset platform.Offset
-	// Err is nil, platform.ErrUnavailable or platform.ErrOutcomeUnknown.
-	Err error
+// Outbox holds entries of one stream until the log has them. It is not safe
+// for concurrent use.
+type Outbox struct {
+	cfg    Config
+	random Random
+	queue  queue
+
+	phase    phase
+	batch    BatchID
+	since    time.Time // start of the append or read-back in flight
+	started  time.Time // start of the last append
+	resumeAt time.Time
+	failures int
+	// mustRead is set from an append of unknown outcome until a read-back
+	// has reached the end of the stream.
+	mustRead bool
+
+	// end is the highest end of the stream that is known; from is an end that
+	// was known before any exposed entry was first appended.
+	end  platform.Offset
+	from platform.Offset
 }
 
-// ReadResult is the answer to a [ReadBack] effect.
-type ReadResult struct {
-	Batch BatchID
-	// Found lists the IDs that the stream holds.
-	Found []string
-	// Complete tells whether the stream was read to its end.
-	Complete bool
-	Err      error
+// New returns an empty outbox.
+func New(cfg Config, random Random) *Outbox {
+	return &Outbox{cfg: cfg, random: random, queue: newQueue(), end: 1, from: 1}
 }
 
-func (Tick) isEvent()         {}
-func (AppendResult) isEvent() {}
-func (ReadResult) isEvent()   {}
+// Add takes an entry over. An ID that is already held is taken once. The
+// errors are [ErrFull], [ErrTooLarge] and that of an entry that cannot be
+// encoded. The entry leaves with a later Step.
+func (o *Outbox) Add(entry platform.Entry) error {
+	if o.queue.has(entry.ID) {
+		return nil
+	}
+	size, err := encodedSize(entry)
+	if err != nil {
+		return err
+	}
+	if size+recordOverhead > platform.MaxRecordBytes {
+		return ErrTooLarge
+	}
+	if len(o.queue.items) >= o.cfg.MaxEntries || o.queue.bytes+size > o.cfg.MaxBytes {
+		return ErrFull
+	}
+	o.queue.push(entry, size)
+	return nil
+}
 
-// Effect is something for the caller to do. The types are [Append],
-// [ReadBack] and [Settled].
-type Effect interface{ isEffect() }
+// Step takes an event in and returns what is to be done.
+func (o *Outbox) Step(now time.Time, event Event) []Effect {
+	var effects []Effect
+	switch event := event.(type) {
+	case AppendResult:
+		effects = o.onAppend(now, event)
+	case ReadResult:
+		effects = o.onRead(now, event)
+	case EndSeen:
+		o.end = max(o.end, event.Next)
+	}
+	return append(effects, o.proceed(now)...)
+}
 
-// Append asks for one append of the entries, in order.
-type Append struct {
-	Batch   BatchID
-	Entries []platform.Entry
+// Observe settles entries that somebody has seen in the log.
+func (o *Outbox) Observe(ids []string) []Effect {
+	return settled(o.queue.remove(ids, always))
 }
 
-// ReadBack asks to read the stream from the offset on and to look for the IDs.
-type ReadBack struct {
-	Batch BatchID
-	From  platform.Offset
-	IDs   []string
+// Remove drops entries, whether or not the log has them or will have them.
+func (o *Outbox) Remove(ids ...string) { o.queue.remove(ids, always) }
+
+// Withdraw drops those of the entries that certainly are not in the log and
+// never will be, and returns their IDs.
+func (o *Outbox) Withdraw(ids ...string) []string { return o.queue.remove(ids, neverLogged) }
+
+// Len returns the number of entries held.
+func (o *Outbox) Len() int { return len(o.queue.items) }
+
+// Held returns the entries held, in order of arrival.
+func (o *Outbox) Held() []platform.Entry {
+	entries := make([]platform.Entry, 0, len(o.queue.items))
+	for _, h := range o.queue.items {
+		entries = append(entries, h.entry)
+	}
+	return entries
 }
 
-// Settled says that the entries are in the log and no longer held.
-type Settled struct {
-	IDs []string
+// Wake returns the time at which a Tick is due. It reports false if none is:
+// the outbox is empty or waits for an answer.
+func (o *Outbox) Wake() (time.Time, bool) {
+	switch {
+	case o.phase == pausing:
+		return o.resumeAt, true
+	case o.phase == idle && o.Len() > 0:
+		return o.started.Add(o.cfg.MinInterval), true
+	default:
+		return time.Time{}, false
+	}
 }
 
-func (Append) isEffect()   {}
-func (ReadBack) isEffect() {}
-func (Settled) isEffect()  {}
+func (o *Outbox) onAppend(now time.Time, result AppendResult) []Effect {
+	if o.phase != appending || result.Batch != o.batch {
+		return nil
+	}
+	if result.Err == nil {
+		ids := o.queue.inFlight()
+		o.queue.land(true)
+		o.phase, o.failures = idle, 0
+		o.end = max(o.end, result.Offset+1)
+		return settled(o.queue.remove(ids, always))
+	}
+	o.failures++
+	if errors.Is(result.Err, platform.ErrUnavailable) {
+		o.queue.land(false)
+		o.pause(now)
+		return nil
+	}
+	o.queue.land(true)
+	o.mustRead = true
+	return o.readBack(now)
+}
+
+func (o *Outbox) onRead(now time.Time, result ReadResult) []Effect {
+	if o.phase != reading || result.Batch != o.batch {
+		return nil
+	}
+	effects := settled(o.queue.remove(result.Found, always))
+	if result.Err != nil {
+		o.failures++
+		o.pause(now)
+		return effects
+	}
+	advanced := result.Next > o.from
+	o.from = max(o.from, result.Next)
+	o.end = max(o.end, o.from)
+	if !result.Complete && advanced {
+		return append(effects, o.readBack(now)...)
+	}
+	o.mustRead = !result.Complete
+	if !o.mustRead && len(o.queue.exposed()) == 0 {
+		o.phase, o.failures = idle, 0
+		return effects
+	}
+	o.pause(now)
+	return effects
+}
+
+// proceed starts what is due.
+func (o *Outbox) proceed(now time.Time) []Effect {
+	if o.phase == pausing && !now.Before(o.resumeAt) {
+		if o.mustRead && len(o.queue.exposed()) > 0 {
+			return o.readBack(now)
+		}
+		o.mustRead = false
+		o.phase = idle
+	}
+	if o.phase != idle || o.Len() == 0 || now.Before(o.started.Add(o.cfg.MinInterval)) {
+		return nil
+	}
+	return o.append(now)
+}
+
+func (o *Outbox) append(now time.Time) []Effect {
+	if len(o.queue.exposed()) == 0 {
+		o.from = o.end
+	}
+	o.batch++
+	o.phase, o.since, o.started = appending, now, now
+	return []Effect{Append{Batch: o.batch, Entries: o.queue.depart(o.queue.head())}}
+}
+
+func (o *Outbox) readBack(now time.Time) []Effect {
+	ids := o.queue.exposed()
+	if len(ids) == 0 {
+		o.mustRead = false
+		o.phase = idle
+		return nil
+	}
+	o.batch++
+	o.phase, o.since = reading, now
+	return []Effect{ReadBack{Batch: o.batch, From: o.from, IDs: ids}}
+}
+
+// pause waits before the next try, for the base pause doubled with each
+// failure up to the cap; half of it is jitter.
+func (o *Outbox) pause(now time.Time) {
+	pause := o.cfg.RetryCap
+	if doublings := max(o.failures-1, 0); doublings < maxDoublings {
+		pause = min(pause, o.cfg.RetryBase<<doublings)
+	}
+	jittered := pause/2 + time.Duration(o.random.Float64()*float64(pause/2))
+	o.phase, o.resumeAt = pausing, now.Add(jittered)
+}
+
+func settled(ids []string) []Effect {
+	if len(ids) == 0 {
+		return nil
+	}
+	return []Effect{Settled{IDs: ids}}
+}
