--- /dev/null
+++ b/node/logwriter/logwriter.go
@@ -0,0 +1,232 @@
+// Package logwriter runs an outbox against the platform's log: it carries out
+// the outbox's effects and feeds the answers back.
+package logwriter
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/outbox"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+const (
+	// callTimeout bounds one append or read of the log.
+	callTimeout = 5 * time.Second
+	// readBackLimit is the number of records read at once.
+	readBackLimit = 256
+	// resultBuffer holds answers until the loop takes them.
+	resultBuffer = 4
+)
+
+// Writer owns the outbox of one stream. Its methods may be called from several
+// goroutines.
+type Writer struct {
+	log       platform.Log
+	stream    platform.Stream
+	onSettled func(ids []string)
+
+	mu  sync.Mutex
+	box *outbox.Outbox
+
+	wake    chan struct{}
+	results chan outbox.Event
+}
+
+// New returns a writer. onSettled, if not nil, is called with the IDs of
+// entries that are in the log.
+func New(log platform.Log, stream platform.Stream, config outbox.Config, onSettled func(ids []string)) *Writer {
+	if onSettled == nil {
+		onSettled = func([]string) {}
+	}
+	return &Writer{
+		log:       log,
+		stream:    stream,
+		onSettled: onSettled,
+		box:       outbox.New(config, globalRandom{}),
+		wake:      make(chan struct{}, 1),
+		results:   make(chan outbox.Event, resultBuffer),
+	}
+}
+
+type globalRandom struct{}
+
+func (globalRandom) Float64() float64 { return rand.Float64() }
+
+// Add hands an entry over. The errors are those of outbox.Outbox.Add.
+func (w *Writer) Add(entry platform.Entry) error {
+	w.mu.Lock()
+	err := w.box.Add(entry)
+	w.mu.Unlock()
+	w.nudge()
+	return err
+}
+
+// Withdraw takes back entries that no append can have carried, and returns
+// their IDs.
+func (w *Writer) Withdraw(ids ...string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.Withdraw(ids...)
+}
+
+// Observe settles entries that were seen in the log.
+func (w *Writer) Observe(ids []string) {
+	w.mu.Lock()
+	effects := w.box.Observe(ids)
+	w.mu.Unlock()
+	w.report(effects)
+}
+
+// Health returns what the outbox can tell about the log.
+func (w *Writer) Health(now time.Time) outbox.Health {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.Health(now)
+}
+
+// Len returns the number of entries held.
+func (w *Writer) Len() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.Len()
+}
+
+// Held returns the entries held.
+func (w *Writer) Held() []platform.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.Held()
+}
+
+// Run works until the context ends. Entries held then stay in the outbox.
+func (w *Writer) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var event outbox.Event = outbox.Tick{}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.wake:
+		case <-timer.C:
+		case event = <-w.results:
+		}
+		w.step(ctx, event)
+		if wake, due := w.nextWake(); due {
+			timer.Reset(time.Until(wake))
+		}
+	}
+}
+
+// Flush waits until the outbox is empty or the context ends.
+func (w *Writer) Flush(ctx context.Context) error {
+	const poll = 10 * time.Millisecond
+	for w.Len() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(poll):
+		}
+	}
+	return nil
+}
+
+func (w *Writer) nextWake() (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.Wake()
+}
+
+func (w *Writer) step(ctx context.Context, event outbox.Event) {
+	w.mu.Lock()
+	effects := w.box.Step(time.Now(), event)
+	w.mu.Unlock()
+	w.report(effects)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case outbox.Append:
+			go w.append(ctx, effect)
+		case outbox.ReadBack:
+			go w.readBack(ctx, effect)
+		}
+	}
+}
+
+func (w *Writer) report(effects []outbox.Effect) {
+	for _, effect := range effects {
+		if settled, ok := effect.(outbox.Settled); ok {
+			w.onSettled(settled.IDs)
+		}
+	}
+}
+
+func (w *Writer) append(ctx context.Context, effect outbox.Append) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result := outbox.AppendResult{Batch: effect.Batch}
+	payload, err := platform.EncodeEntries(effect.Entries)
+	if err != nil {
+		result.Err = platform.ErrUnavailable
+	} else {
+		result.Offset, result.Err = w.log.Append(ctx, w.stream, payload)
+	}
+	w.answer(result)
+}
+
+func (w *Writer) readBack(ctx context.Context, effect outbox.ReadBack) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result := outbox.ReadResult{Batch: effect.Batch, Next: effect.From}
+	for !result.Complete && result.Err == nil {
+		w.readPage(ctx, effect, &result)
+	}
+	w.answer(result)
+}
+
+func (w *Writer) readPage(ctx context.Context, effect outbox.ReadBack, result *outbox.ReadResult) {
+	page, err := w.log.Read(ctx, w.stream, result.Next, readBackLimit)
+	if eris.Is(err, platform.ErrTruncated) && page.First > result.Next {
+		result.Next = page.First
+		return
+	}
+	if err != nil {
+		result.Err = err
+		return
+	}
+	for _, record := range page.Records {
+		result.Found = append(result.Found, matching(record, effect.IDs)...)
+	}
+	result.Next = page.Next
+	result.Complete = page.Next >= page.End
+}
+
+func matching(record platform.Record, ids []string) []string {
+	entries, err := platform.DecodeEntries(record.Payload)
+	if err != nil {
+		return nil
+	}
+	var found []string
+	for _, entry := range entries {
+		if slices.Contains(ids, entry.ID) {
+			found = append(found, entry.ID)
+		}
+	}
+	return found
+}
+
+// answer hands a result to the loop. The buffer suffices because the outbox
+// has one call in flight.
+func (w *Writer) answer(event outbox.Event) { w.results <- event }
+
+func (w *Writer) nudge() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/node/settings/check.go
@@ -0,0 +1,179 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/finding"
+)
+
+// SessionKeyBytes is the length of the decoded session key.
+const SessionKeyBytes = 32
+
+// Default returns settings with all that has a default.
+func Default() Settings {
+	return Settings{
+		Name:     "wigeonusher",
+		LogLevel: "info",
+		Limits: Limits{
+			BodyBytes:      4 << 20,
+			HeaderBytes:    32 << 10,
+			Connections:    4096,
+			QueuedRequests: 1024,
+			HeldBills:      100_000,
+			Sessions:       100_000,
+		},
+		Timing: Timing{
+			HeartbeatMillis:      500,
+			LoadPollMillis:       500,
+			ListPollMillis:       1000,
+			ProgressMillis:       10_000,
+			DrainLagMillis:       3000,
+			DrainMillis:          60_000,
+			BillIntervalMillis:   200,
+			IntentIntervalMillis: 10,
+		},
+	}
+}
+
+// Load reads settings from a JSON file over the defaults, and checks them. The
+// error is a [finding.List] if the file could be read.
+func Load(path string) (Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "settings: read file")
+	}
+	return Parse(path, body)
+}
+
+// Parse decodes settings over the defaults and checks them. The error is a
+// [finding.List]; name stands for the input in places of findings.
+func Parse(name string, body []byte) (Settings, error) {
+	settings := Default()
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		var findings finding.List
+		findings.Add(name+":"+lineOf(body, err, decoder), err.Error(), "see docs/CONFIG.md")
+		return Settings{}, findings
+	}
+	findings := settings.Check()
+	return settings, findings.Err()
+}
+
+// lineOf returns the line at which decoding stopped.
+func lineOf(body []byte, err error, decoder *json.Decoder) string {
+	offset := decoder.InputOffset()
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		offset = wrongType.Offset
+	}
+	offset = min(offset, int64(len(body)))
+	return strconv.Itoa(1 + bytes.Count(body[:offset], []byte("\n")))
+}
+
+// Check returns all that is wrong with the settings.
+func (s Settings) Check() finding.List {
+	var findings finding.List
+	if s.Name == "" {
+		findings.Add("/name", "must not be empty", "")
+	}
+	if s.Zone == "" {
+		findings.Add("/zone", "must not be empty", "name the availability zone the instance runs in")
+	}
+	checkAddress(&findings, "/caller_address", s.CallerAddress)
+	checkAddress(&findings, "/peer_address", s.PeerAddress)
+	checkAddress(&findings, "/admin_address", s.AdminAddress)
+	for i, seed := range s.Seeds {
+		checkAddress(&findings, "/seeds/"+strconv.Itoa(i), seed)
+	}
+	checkURL(&findings, "/platform/log", s.Platform.Log, true)
+	checkURL(&findings, "/platform/instances", s.Platform.Instances, true)
+	checkURL(&findings, "/platform/ratings", s.Platform.Ratings, false)
+	checkURL(&findings, "/platform/weights", s.Platform.Weights, false)
+	if key, err := hex.DecodeString(s.SessionKey); err != nil || len(key) != SessionKeyBytes {
+		findings.Add("/session_key", "must be 32 bytes in hex", "use the same key on all instances of the fleet")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		findings.Add("/log_level", "unknown level "+strconv.Quote(s.LogLevel), "use debug, info, warn or error")
+	}
+	s.Limits.check(&findings)
+	s.Timing.check(&findings)
+	checkTLS(&findings, "/caller_tls", s.CallerTLS)
+	checkTLS(&findings, "/peer_tls", s.PeerTLS)
+	return findings
+}
+
+func (l Limits) check(findings *finding.List) {
+	positive(findings, "/limits/body_bytes", int(l.BodyBytes))
+	positive(findings, "/limits/header_bytes", l.HeaderBytes)
+	positive(findings, "/limits/connections", l.Connections)
+	positive(findings, "/limits/queued_requests", l.QueuedRequests)
+	positive(findings, "/limits/held_bills", l.HeldBills)
+	positive(findings, "/limits/sessions", l.Sessions)
+}
+
+func (t Timing) check(findings *finding.List) {
+	positive(findings, "/timing/heartbeat_ms", t.HeartbeatMillis)
+	positive(findings, "/timing/load_poll_ms", t.LoadPollMillis)
+	positive(findings, "/timing/list_poll_ms", t.ListPollMillis)
+	positive(findings, "/timing/progress_ms", t.ProgressMillis)
+	positive(findings, "/timing/drain_ms", t.DrainMillis)
+	positive(findings, "/timing/bill_interval_ms", t.BillIntervalMillis)
+	positive(findings, "/timing/intent_interval_ms", t.IntentIntervalMillis)
+	if t.DrainLagMillis < 0 || t.DrainLagMillis > t.DrainMillis {
+		findings.Add("/timing/drain_lag_ms", "must be in [0, drain_ms]", "")
+	}
+}
+
+func positive(findings *finding.List, place string, value int) {
+	if value <= 0 {
+		findings.Add(place, "must be above 0", "")
+	}
+}
+
+func checkAddress(findings *finding.List, place, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		findings.Add(place, "must be an IP number with a port, not "+strconv.Quote(address), "for example 127.0.0.1:8080")
+	}
+}
+
+func checkURL(findings *finding.List, place, raw string, required bool) {
+	if raw == "" {
+		if required {
+			findings.Add(place, "must not be empty", "for example http://127.0.0.1:7000")
+		}
+		return
+	}
+	parsed, err := url.Parse(raw)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || net.ParseIP(parsed.Hostname()) == nil {
+		findings.Add(place, "must be an http or https URL with an IP number", "for example http://127.0.0.1:7000")
+	}
+}
+
+func checkTLS(findings *finding.List, place string, tls *TLS) {
+	if tls == nil {
+		return
+	}
+	if tls.CertFile == "" {
+		findings.Add(place+"/cert_file", "must not be empty", "")
+	}
+	if tls.KeyFile == "" {
+		findings.Add(place+"/key_file", "must not be empty", "")
+	}
+}
