Add hold: copies of entries at a peer until the log has them

A bill is due when the last byte leaves, and its append may take minutes. A second instance holds a copy in the meantime and appends it if the first one is gone, under the same ID, so that a wrong belief costs a repeated append and nothing else.

The replicator keeps one message in flight and groups entries, goes on to the next peer when one fails, and releases an answer without a copy at the deadline, counted. Ruled out: retrying a failed peer at once when it is the only one, which would loop as fast as it refuses.

--- /dev/null
+++ b/coord/hold/example_test.go
@@ -0,0 +1,38 @@
+package hold_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/hold"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// An instance has its bill copied to a peer, and dies before it could append
+// the bill. The peer does it.
+func Example() {
+	now := time.Unix(0, 0)
+	sender := hold.NewReplicator(hold.ReplicatorConfig{
+		Deadline:    200 * time.Millisecond,
+		CopyTimeout: 80 * time.Millisecond,
+		MaxTracked:  100,
+		MaxBatch:    100,
+	})
+	receiver := hold.New(hold.Config{MaxPerPeer: 100, MaxEntries: 100, MaxBytes: 1 << 20})
+	bill, _ := platform.NewEntry("request-1", "bill", "instance-1", 12)
+
+	sender.Step(now, hold.Peers{IDs: []platform.InstanceID{"instance-2"}})
+	protect := hold.Protect{Stream: platform.StreamBills, Entries: []platform.Entry{bill}}
+	message := sender.Step(now, protect)[0].(hold.Copy)
+	held := receiver.Hold("instance-1", message.Stream, message.Entries)
+	answer := sender.Step(now, hold.CopyResult{Copy: message.ID, Held: held})
+	fmt.Println("copied before the last byte:", answer[0].(hold.Release).Copied)
+
+	gone := func(id platform.InstanceID) bool { return id == "instance-1" }
+	for _, orphan := range receiver.Orphans(now, gone) {
+		fmt.Println("to append for", orphan.From, "on", orphan.Stream, len(orphan.Entries))
+	}
+	// Output:
+	// copied before the last byte: true
+	// to append for instance-1 on bills 1
+}
