--- /dev/null
+++ b/policy/placement/load_table.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// LoadTable merges the load reports of endpoints with this instance's own
+// dispatches since. Many goroutines may use it: its state is in shards, each
+// under its own lock.
+type LoadTable struct {
+	shards [loadShards]loadShard
+}
+
+const loadShards = 16
+
+type loadShard struct {
+	mu        sync.Mutex
+	endpoints map[platform.EndpointID]*endpointLoad
+}
+
+// NewLoadTable returns an empty table.
+func NewLoadTable() *LoadTable {
+	table := &LoadTable{}
+	for i := range table.shards {
+		table.shards[i].endpoints = make(map[platform.EndpointID]*endpointLoad)
+	}
+	return table
+}
+
+// Report takes a load report of an endpoint, from this instance's own poll or
+// from a peer's digest. Age is the report's age at now; a report that is not
+// newer than the one held is dropped. It reports whether the report was taken.
+func (t *LoadTable) Report(now time.Time, endpoint platform.EndpointID, running, queued int, age time.Duration) bool {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	load := shard.load(endpoint)
+	at := now.Add(-max(0, age))
+	if load.reported && !at.After(load.reportedAt) {
+		return false
+	}
+	load.reported = true
+	load.reportedAt = at
+	load.running = max(0, running)
+	load.queued = max(0, queued)
+	return true
+}
+
+// Dispatched counts a request that this instance sends to the endpoint.
+func (t *LoadTable) Dispatched(now time.Time, endpoint platform.EndpointID) {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	load := shard.load(endpoint)
+	load.inFlight++
+	load.history.add(now, 1, 0)
+}
+
+// Finished counts the end of a request counted by [LoadTable.Dispatched].
+// FirstToken is the time that its first token took, 0 if there was none.
+func (t *LoadTable) Finished(now time.Time, endpoint platform.EndpointID, firstToken time.Duration, failed bool) {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	load := shard.load(endpoint)
+	if load.inFlight > 0 {
+		load.inFlight--
+		load.history.add(now, 0, 1)
+	}
+	load.failures.add(now, failed)
+	if firstToken > 0 {
+		load.firstToken.add(now, firstToken)
+	}
+}
+
+// Fill completes the candidate with what the table knows of it.
+func (t *LoadTable) Fill(now time.Time, candidate *Candidate) {
+	shard := t.shard(candidate.ID)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	load, ok := shard.endpoints[candidate.ID]
+	if !ok {
+		candidate.ReportAge = NoReportAge
+		return
+	}
+	load.fill(now, candidate)
+}
+
+// Forget drops an endpoint that is gone.
+func (t *LoadTable) Forget(endpoint platform.EndpointID) {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	delete(shard.endpoints, endpoint)
+}
+
+// Snapshot returns the reports that are no older than maxAge, for the digest
+// to peers. Their order is not defined.
+func (t *LoadTable) Snapshot(now time.Time, maxAge time.Duration) []LoadReport {
+	var reports []LoadReport
+	for i := range t.shards {
+		reports = t.shards[i].snapshot(now, maxAge, reports)
+	}
+	return reports
+}
+
+// LoadReport is one endpoint's load as it was Age ago.
+type LoadReport struct {
+	Endpoint platform.EndpointID
+	Running  int
+	Queued   int
+	Age      time.Duration
+}
+
+func (t *LoadTable) shard(endpoint platform.EndpointID) *loadShard {
+	return &t.shards[xxhash.Sum64String(string(endpoint))%loadShards]
+}
+
+func (s *loadShard) load(endpoint platform.EndpointID) *endpointLoad {
+	load, ok := s.endpoints[endpoint]
+	if !ok {
+		load = &endpointLoad{}
+		s.endpoints[endpoint] = load
+	}
+	return load
+}
+
+func (s *loadShard) snapshot(now time.Time, maxAge time.Duration, reports []LoadReport) []LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for endpoint, load := range s.endpoints {
+		age := max(0, now.Sub(load.reportedAt))
+		if !load.reported || age > maxAge {
+			continue
+		}
+		reports = append(reports, LoadReport{Endpoint: endpoint, Running: load.running, Queued: load.queued, Age: age})
+	}
+	return reports
+}
+
+// NoReportAge is the age given to endpoints that never reported.
+const NoReportAge = time.Hour
+
+// endpointLoad is the state of one endpoint.
+type endpointLoad struct {
+	reported   bool
+	reportedAt time.Time
+	running    int
+	queued     int
+	inFlight   int
+	history    history
+	failures   failureRate
+	firstToken smoothedDelay
+}
+
+func (l *endpointLoad) fill(now time.Time, candidate *Candidate) {
+	candidate.InFlight = l.inFlight
+	candidate.FailureRate = l.failures.at(now)
+	candidate.FirstTokenMillis = l.firstToken.at(now)
+	candidate.ReportAge = NoReportAge
+	if !l.reported {
+		return
+	}
+	candidate.Running = l.running
+	candidate.Queued = l.queued
+	candidate.ReportAge = min(NoReportAge, max(0, now.Sub(l.reportedAt)))
+	candidate.Sent, candidate.Ended = l.history.since(now, l.reportedAt)
+}
+
+// failureRate is a share of failures that forgets with time, so that an
+// endpoint that is passed over gets another chance.
+type failureRate struct {
+	at0   time.Time
+	value float64
+}
+
+const (
+	failureHalfLife = 5 * time.Second
+	failureWeight   = 0.3
+)
+
+func (f *failureRate) add(now time.Time, failed bool) {
+	value := f.at(now)
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	f.value = value + failureWeight*(sample-value)
+	f.at0 = now
+}
+
+func (f *failureRate) at(now time.Time) float64 {
+	return f.value * decay(now.Sub(f.at0), failureHalfLife)
+}
+
+// smoothedDelay is an exponentially weighted mean that expires.
+type smoothedDelay struct {
+	last   time.Time
+	millis float64
+}
+
+const (
+	delayWeight = 0.2
+	delayExpiry = 15 * time.Second
+)
+
+func (d *smoothedDelay) add(now time.Time, sample time.Duration) {
+	millis := float64(sample) / float64(time.Millisecond)
+	previous := d.at(now)
+	if previous == 0 {
+		previous = millis
+	}
+	d.millis = previous + delayWeight*(millis-previous)
+	d.last = now
+}
+
+func (d *smoothedDelay) at(now time.Time) float64 {
+	if now.Sub(d.last) > delayExpiry {
+		return 0
+	}
+	return d.millis
+}
+
+// decay returns what is left of 1 after the time given.
+func decay(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(max(0, elapsed)) / float64(halfLife))
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -1,5 +1,3 @@
-// Package placement chooses the endpoint that runs a request, in named steps:
-// filters drop candidates, scorers rate them, a picker chooses.
 package placement
 
 import (
@@ -25,6 +23,8 @@
 	PeerSent int
 	// InFlight counts this instance's dispatches that have not ended.
 	InFlight int
+	// Ended counts this instance's dispatches that ended since the report.
+	Ended int
 	// PrefixTokens estimates how many tokens of the prompt the endpoint holds
 	// in its prefix cache.
 	PrefixTokens int
--- /dev/null
+++ b/policy/placement/prefix_hashes.go
@@ -0,0 +1,30 @@
+package placement
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// bytesPerToken is the mean length of a token of text, in bytes.
+	bytesPerToken = 4
+	// maxHashedBlocks bounds the work and memory spent on one prompt.
+	maxHashedBlocks = 256
+)
+
+// EstimateTokens returns the estimated number of tokens of a text.
+func EstimateTokens(text string) int {
+	return (len(text) + bytesPerToken - 1) / bytesPerToken
+}
+
+// PrefixHashes returns one hash per whole block of the prompt. Each covers the
+// prompt from its start to the end of the block, so equal hashes mean equal
+// prefixes. Blocks past a fixed bound are left out.
+func PrefixHashes(prompt string, blockTokens int) []uint64 {
+	size := max(1, blockTokens) * bytesPerToken
+	count := min(len(prompt)/size, maxHashedBlocks)
+	hashes := make([]uint64, 0, count)
+	digest := xxhash.New()
+	for i := range count {
+		_, _ = digest.WriteString(prompt[i*size : (i+1)*size])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
--- /dev/null
+++ b/policy/placement/prefix_index.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// PrefixIndex guesses which prompt prefixes an endpoint holds in its cache. It
+// is fed by this instance's own dispatches and by the engines' cache events,
+// and keeps the most recently used blocks of each endpoint. Many goroutines
+// may use it: its state is in shards, each under its own lock.
+type PrefixIndex struct {
+	blockTokens int
+	maxBlocks   int
+	shards      [prefixShards]prefixShard
+}
+
+const prefixShards = 16
+
+// Defaults of [PrefixConfig].
+const (
+	DefaultBlockTokens = 64
+	DefaultMaxBlocks   = 4096
+)
+
+// PrefixConfig holds the sizes of a [PrefixIndex]. Zero fields take the
+// defaults.
+type PrefixConfig struct {
+	// BlockTokens is the number of tokens in a block.
+	BlockTokens int
+	// MaxBlocks bounds the blocks kept for one endpoint.
+	MaxBlocks int
+}
+
+type prefixShard struct {
+	mu        sync.Mutex
+	endpoints map[platform.EndpointID]*simplelru.LRU[uint64, struct{}]
+}
+
+// NewPrefixIndex returns an empty index.
+func NewPrefixIndex(cfg PrefixConfig) *PrefixIndex {
+	index := &PrefixIndex{blockTokens: cfg.BlockTokens, maxBlocks: cfg.MaxBlocks}
+	if index.blockTokens <= 0 {
+		index.blockTokens = DefaultBlockTokens
+	}
+	if index.maxBlocks <= 0 {
+		index.maxBlocks = DefaultMaxBlocks
+	}
+	for i := range index.shards {
+		index.shards[i].endpoints = make(map[platform.EndpointID]*simplelru.LRU[uint64, struct{}])
+	}
+	return index
+}
+
+// BlockTokens returns the number of tokens in a block.
+func (x *PrefixIndex) BlockTokens() int { return x.blockTokens }
+
+// Observe notes that the endpoint holds the blocks, given in prompt order.
+func (x *PrefixIndex) Observe(endpoint platform.EndpointID, hashes []uint64) {
+	shard := x.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	blocks := x.blocks(shard, endpoint)
+	// The first block is added last: it is the last to be evicted, because the
+	// later ones are worthless without it.
+	for i := len(hashes) - 1; i >= 0; i-- {
+		blocks.Add(hashes[i], struct{}{})
+	}
+}
+
+// Evict notes that the endpoint no longer holds the blocks.
+func (x *PrefixIndex) Evict(endpoint platform.EndpointID, hashes []uint64) {
+	shard := x.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	blocks, ok := shard.endpoints[endpoint]
+	if !ok {
+		return
+	}
+	for _, hash := range hashes {
+		blocks.Remove(hash)
+	}
+}
+
+// Match returns how many tokens of the prompt the endpoint is believed to hold.
+func (x *PrefixIndex) Match(endpoint platform.EndpointID, hashes []uint64) int {
+	shard := x.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	blocks, ok := shard.endpoints[endpoint]
+	if !ok {
+		return 0
+	}
+	held := 0
+	for held < len(hashes) && blocks.Contains(hashes[held]) {
+		held++
+	}
+	return held * x.blockTokens
+}
+
+// Forget drops all that is known of an endpoint, as after a restart.
+func (x *PrefixIndex) Forget(endpoint platform.EndpointID) {
+	shard := x.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	delete(shard.endpoints, endpoint)
+}
+
+func (x *PrefixIndex) shard(endpoint platform.EndpointID) *prefixShard {
+	return &x.shards[xxhash.Sum64String(string(endpoint))%prefixShards]
+}
+
+func (x *PrefixIndex) blocks(shard *prefixShard, endpoint platform.EndpointID) *simplelru.LRU[uint64, struct{}] {
+	blocks, ok := shard.endpoints[endpoint]
+	if ok {
+		return blocks
+	}
+	blocks, err := simplelru.NewLRU[uint64, struct{}](x.maxBlocks, nil)
+	if err != nil {
+		panic(eris.Wrap(err, "placement: size of the prefix index"))
+	}
+	shard.endpoints[endpoint] = blocks
+	return blocks
+}
--- /dev/null
+++ b/policy/placement/scheduler.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoCandidate reports a request that no candidate may run.
+var ErrNoCandidate = eris.New("placement: no candidate may run the request")
+
+// Config lists the steps of a [Scheduler].
+type Config struct {
+	// Filters run in order; the next sees what the one before left.
+	Filters []Filter
+	// Scorers are summed.
+	Scorers []Scorer
+	// Picker chooses by the sums; [LeastScore] if nil.
+	Picker Picker
+}
+
+// Scheduler runs the steps. It keeps no state of its own, so many goroutines
+// may share one, each with a Random of its own.
+type Scheduler struct {
+	filters []Filter
+	scorers []Scorer
+	picker  Picker
+}
+
+// New returns a scheduler with the steps given.
+func New(cfg Config) *Scheduler {
+	picker := cfg.Picker
+	if picker == nil {
+		picker = LeastScore{}
+	}
+	return &Scheduler{filters: cfg.Filters, scorers: cfg.Scorers, picker: picker}
+}
+
+// Pick chooses the candidate that runs the request. The error is
+// [ErrNoCandidate].
+func (s *Scheduler) Pick(random Random, request Request, candidates []Candidate) (Candidate, error) {
+	for _, filter := range s.filters {
+		candidates = filter.Filter(request, candidates)
+	}
+	if len(candidates) == 0 {
+		return Candidate{}, ErrNoCandidate
+	}
+	scores := s.sum(request, candidates)
+	return candidates[s.picker.Pick(random, candidates, scores)], nil
+}
+
+func (s *Scheduler) sum(request Request, candidates []Candidate) []float64 {
+	sums := make([]float64, len(candidates))
+	for _, scorer := range s.scorers {
+		for i, score := range scorer.Score(request, candidates) {
+			sums[i] += score
+		}
+	}
+	return sums
+}
--- /dev/null
+++ b/policy/placement/score_load.go
@@ -0,0 +1,43 @@
+package placement
+
+import "math"
+
+// Load rates candidates by the expected wait for a slot.
+type Load struct {
+	// ServiceMillis is the mean time that a request holds a slot.
+	ServiceMillis float64
+}
+
+// batchShare is the part of the service time that a full batch adds to a
+// request, against an empty one.
+const batchShare = 0.02
+
+// Score implements [Scorer].
+func (s Load) Score(_ Request, candidates []Candidate) []float64 {
+	scores := make([]float64, len(candidates))
+	for i, load := range estimates(candidates, s.ServiceMillis) {
+		scores[i] = s.waitMillis(load, float64(candidates[i].slots()))
+	}
+	return scores
+}
+
+// waitMillis returns the expected wait for a slot plus the slowdown by the
+// requests that share the batch.
+func (s Load) waitMillis(load estimate, slots float64) float64 {
+	ahead := expectedExcess(load.outstanding-(slots-1), load.variance)
+	wait := ahead * s.ServiceMillis / slots
+	slowdown := batchShare * s.ServiceMillis * load.outstanding / slots
+	return wait + slowdown
+}
+
+// expectedExcess returns E[max(0, X)] of a normal X.
+func expectedExcess(mean, variance float64) float64 {
+	if variance <= 0 {
+		return max(0, mean)
+	}
+	deviation := math.Sqrt(variance)
+	z := mean / deviation
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	below := math.Erfc(-z/math.Sqrt2) / 2
+	return deviation*density + mean*below
+}
