--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -1,5 +1,3 @@
-// Package quota shares the limits of client accounts among instances by
-// demand.
 package quota
 
 import (
