session: births, signed tokens, bounded table, log codec

A session's versions are computed once, at birth, from its ID and the state of configuration and roll-outs, and travel as a signed token, in tables and in batches through the log. Remembering only the revision, as first thought, was ruled out: the roll-out's grants at the birth are not in the configuration, so a later reader could not recompute the pins.

Two births of one session settle on the lowest by (revision, time, pins).

--- /dev/null
+++ b/policy/session/session_test.go
@@ -0,0 +1,217 @@
+package session_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/session"
+)
+
+var (
+	testKey = []byte("0123456789abcdef0123456789abcdef")
+	t0      = time.UnixMilli(1_700_000_000_000)
+)
+
+func sampleBirth() session.Birth {
+	return session.Birth{
+		Account:        "acct",
+		Session:        "s-1",
+		Revision:       5 << 10,
+		Pins:           map[document.ModelName]document.VersionName{"small": "v1", "large": "v7"},
+		BornUnixMillis: t0.UnixMilli(),
+	}
+}
+
+func TestTokenRoundTripAndTampering(t *testing.T) {
+	birth := sampleBirth()
+	token := session.Sign(testKey, birth)
+	got, err := session.Verify(testKey, token)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, birth)
+	for i := range token {
+		damaged := []byte(token)
+		damaged[i] ^= 1
+		_, err := session.Verify(testKey, string(damaged))
+		assert.Assert(t, errors.Is(err, session.ErrToken), "byte %d", i)
+	}
+	_, err = session.Verify([]byte("another key"), token)
+	assert.Assert(t, errors.Is(err, session.ErrToken))
+}
+
+func TestSignRefusesBirthsBeyondTheLimits(t *testing.T) {
+	birth := sampleBirth()
+	for i := range session.MaxPins {
+		birth.Pins[document.ModelName(fmt.Sprint("m", i))] = "v"
+	}
+	assert.Equal(t, session.Sign(testKey, birth), "")
+}
+
+func TestTableAdoptKeepsTheLowestBirth(t *testing.T) {
+	first, second := sampleBirth(), sampleBirth()
+	second.Revision++
+	second.Pins["small"] = "v2"
+	for _, order := range [][]session.Birth{{first, second}, {second, first}} {
+		table := session.NewTable(10, 2, time.Hour)
+		table.Adopt(order[0], t0)
+		assert.DeepEqual(t, table.Adopt(order[1], t0), first)
+		found, ok := table.Lookup("acct", "s-1", t0)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, found, first)
+	}
+}
+
+func TestTableIsBoundedAndForgetsIdleBirths(t *testing.T) {
+	table := session.NewTable(8, 1, time.Minute)
+	for i := range 20 {
+		birth := sampleBirth()
+		birth.Session = session.ID(fmt.Sprint(i))
+		table.Adopt(birth, t0.Add(time.Duration(i)*time.Second))
+	}
+	assert.Equal(t, table.Len(), 8)
+	_, ok := table.Lookup("acct", "3", t0.Add(20*time.Second))
+	assert.Assert(t, !ok)
+	_, ok = table.Lookup("acct", "12", t0.Add(20*time.Second))
+	assert.Assert(t, ok)
+	// The births 13 to 19 were last used at 13 s to 19 s, 12 at 20 s.
+	assert.Equal(t, table.Sweep(t0.Add(75*time.Second)), 2)
+	_, ok = table.Lookup("acct", "15", t0.Add(76*time.Second))
+	assert.Assert(t, !ok)
+}
+
+func TestNewBirthObeysGrantsAndState(t *testing.T) {
+	serving := document.Version{State: document.VersionServing}
+	withdrawn := document.Version{State: document.VersionWithdrawn}
+	models := map[document.ModelName]document.Model{"m": {
+		Stable:   "v2",
+		Versions: map[document.VersionName]document.Version{"v1": serving, "v2": serving, "v3": serving, "v4": withdrawn},
+	}}
+	cases := []struct {
+		name      string
+		grant     document.Grant
+		candidate document.VersionName
+		want      document.VersionName
+	}{
+		{"stable", document.Grant{Model: "m"}, "", "v2"},
+		{"candidate", document.Grant{Model: "m"}, "v3", "v3"},
+		{"candidate not granted", document.Grant{Model: "m", Versions: []document.VersionName{"v2"}}, "v3", "v2"},
+		{"candidate withdrawn", document.Grant{Model: "m"}, "v4", "v2"},
+		{"stable not granted", document.Grant{Model: "m", Versions: []document.VersionName{"v4", "v1"}}, "", "v1"},
+		{"nothing serving granted", document.Grant{Model: "m", Versions: []document.VersionName{"v4"}}, "", ""},
+		{"unknown model", document.Grant{Model: "n"}, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			policy := &document.Policy{
+				Accounts: map[document.AccountID]document.Account{"a": {Allow: []document.Grant{c.grant}}},
+				Models:   models,
+			}
+			birth := session.NewBirth(policy, fixedExposer(c.candidate), "a", "s", t0)
+			assert.Equal(t, birth.Pins["m"], c.want)
+			_, pinned := birth.Pins["m"]
+			assert.Equal(t, pinned, c.want != "")
+		})
+	}
+}
+
+// fixedExposer exposes every session to one version; none if it is empty.
+type fixedExposer document.VersionName
+
+func (f fixedExposer) Expose(document.ModelName, session.ID) (document.VersionName, bool) {
+	return document.VersionName(f), f != ""
+}
+
+func TestNewBirthExposesOnlyModelsNamed(t *testing.T) {
+	serving := document.Version{State: document.VersionServing}
+	versions := map[document.VersionName]document.Version{"v1": serving, "v2": serving}
+	policy := &document.Policy{
+		Accounts: map[document.AccountID]document.Account{"a": {Allow: []document.Grant{{Model: "m"}, {Model: "n"}}}},
+		Models: map[document.ModelName]document.Model{
+			"m": {Stable: "v1", Versions: versions},
+			"n": {Stable: "v1", Versions: versions},
+		},
+	}
+	birth := session.NewBirth(policy, fixedExposer("v2"), "a", "s", t0, "n")
+	assert.DeepEqual(t, birth.Pins, map[document.ModelName]document.VersionName{"m": "v1", "n": "v2"})
+}
+
+func TestBornEntryRoundTrip(t *testing.T) {
+	births := []session.Birth{sampleBirth()}
+	entry, err := session.NewBornEntry("id", "i-1", births)
+	assert.NilError(t, err)
+	assert.Equal(t, entry.Kind, session.KindBorn)
+	got, err := session.DecodeBorn(entry.Body)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, births)
+	for _, body := range []string{``, `{}`, `{"births":[{}]}`, `[]`} {
+		_, err := session.DecodeBorn(json.RawMessage(body))
+		assert.Assert(t, errors.Is(err, session.ErrBorn), body)
+	}
+}
+
+func FuzzVerify(f *testing.F) {
+	f.Add(session.Sign(testKey, sampleBirth()))
+	f.Add("")
+	f.Add("AQ")
+	f.Fuzz(func(t *testing.T, token string) {
+		birth, err := session.Verify(testKey, token)
+		if err == nil {
+			assert.Equal(t, session.Sign(testKey, birth), token)
+		}
+	})
+}
+
+func FuzzUnmarshalBirth(f *testing.F) {
+	encoded, _ := sampleBirth().MarshalBinary()
+	f.Add(encoded)
+	f.Add([]byte{1, 0, 0, 0, 0})
+	f.Add([]byte{1, 0x80, 0x00, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var birth session.Birth
+		if birth.UnmarshalBinary(data) != nil {
+			return
+		}
+		again, err := birth.MarshalBinary()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, data)
+	})
+}
+
+func FuzzDecodeBorn(f *testing.F) {
+	entry, _ := session.NewBornEntry("id", "i-1", []session.Birth{sampleBirth()})
+	f.Add([]byte(entry.Body))
+	f.Add([]byte(`{"births":[{"account":"a","session":"s","pins":null}]}`))
+	f.Add([]byte(`{"births":null}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		births, err := session.DecodeBorn(body)
+		if err != nil {
+			return
+		}
+		_, err = session.NewBornEntry("id", "i-1", births)
+		assert.NilError(t, err)
+	})
+}
+
+func BenchmarkVerify(b *testing.B) {
+	token := session.Sign(testKey, sampleBirth())
+	b.ReportMetric(float64(len(token)), "token-bytes")
+	for b.Loop() {
+		if _, err := session.Verify(testKey, token); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkTableAdopt(b *testing.B) {
+	table := session.NewTable(100_000, 64, time.Hour)
+	birth := sampleBirth()
+	for i := 0; b.Loop(); i++ {
+		birth.Session = session.ID(fmt.Sprint("session-number-", i))
+		table.Adopt(birth, t0)
+	}
+}
