session: ask for exposure only of allowed candidates

Cause: a session whose account may not use the candidate spent a grant and then got the stable version anyway. The exposer now gets the check first.

--- a/policy/session/birth.go
+++ b/policy/session/birth.go
@@ -30,16 +30,18 @@
 type Exposer interface {
 	// Expose returns the candidate version if the session shall use it, and
 	// then spends exposure for its first request. It returns false if there
-	// is no running roll-out of the model, if the session is outside the
-	// present share, or if no exposure is left.
-	Expose(model document.ModelName, session ID) (document.VersionName, bool)
+	// is no running roll-out of the model, if the candidate is not allowed,
+	// if the session is outside the present share, or if no exposure is left.
+	Expose(model document.ModelName, session ID, allowed func(document.VersionName) bool) (document.VersionName, bool)
 }
 
 // NoExposure is an [Exposer] that exposes no session.
 type NoExposure struct{}
 
 // Expose implements [Exposer].
-func (NoExposure) Expose(document.ModelName, ID) (document.VersionName, bool) { return "", false }
+func (NoExposure) Expose(document.ModelName, ID, func(document.VersionName) bool) (document.VersionName, bool) {
+	return "", false
+}
 
 // NewBirth pins a version of every model that the account may use. Models with
 // a roll-out may pin the candidate if they are in exposable; with no
@@ -66,7 +68,10 @@
 	for _, name := range allowedModels(allow) {
 		model := policy.Models[name]
 		if len(exposable) == 0 || slices.Contains(exposable, name) {
-			if candidate, ok := expose(model, allow, exposer, name, id); ok {
+			allowed := func(version document.VersionName) bool {
+				return serving(model, version) && covered(allow, name, version)
+			}
+			if candidate, ok := exposer.Expose(name, id, allowed); ok && allowed(candidate) {
 				birth.Pins[name] = candidate
 				continue
 			}
@@ -159,21 +164,6 @@
 	return names
 }
 
-// expose asks for a candidate and drops one that may not be used.
-func expose(
-	model document.Model,
-	grants []document.Grant,
-	exposer Exposer,
-	name document.ModelName,
-	id ID,
-) (document.VersionName, bool) {
-	candidate, ok := exposer.Expose(name, id)
-	if !ok || !serving(model, candidate) || !covered(grants, name, candidate) {
-		return "", false
-	}
-	return candidate, true
-}
-
 // settledVersion returns the stable version, or, if the account may not use
 // it, the first serving version that its grants list.
 func settledVersion(
--- a/policy/session/session_test.go
+++ b/policy/session/session_test.go
@@ -122,7 +122,7 @@
 // fixedExposer exposes every session to one version; none if it is empty.
 type fixedExposer document.VersionName
 
-func (f fixedExposer) Expose(document.ModelName, session.ID) (document.VersionName, bool) {
+func (f fixedExposer) Expose(document.ModelName, session.ID, func(document.VersionName) bool) (document.VersionName, bool) {
 	return document.VersionName(f), f != ""
 }
 
