--- a/coord/config/fold.go
+++ b/coord/config/fold.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 
@@ -10,8 +11,8 @@
 )
 
 // Fold turns the control stream into the document in force. It implements
-// fold.Part: equal entries in equal order give equal documents and equal
-// verdicts.
+// fold.Part and fold.Checker: equal entries in equal order give equal
+// documents and equal verdicts.
 type Fold struct {
 	validate  Validator
 	onVerdict func(Verdict)
@@ -51,40 +52,52 @@
 	return snapshot, eris.Wrap(err, "config: encode snapshot")
 }
 
-// Restore implements fold.Part.
-func (f *Fold) Restore(snapshot json.RawMessage) error {
-	var document Document
-	if err := json.Unmarshal(snapshot, &document); err != nil {
-		return eris.Wrap(err, "config: decode snapshot")
+// Check implements fold.Checker. The errors are [ErrMalformedSnapshot] and
+// [ErrWouldRevert].
+func (f *Fold) Check(snapshot json.RawMessage) error {
+	document, err := f.decodeSnapshot(snapshot)
+	if err != nil {
+		return err
 	}
-	if document.Sections == nil {
-		document.Sections = map[SectionName]Section{}
+	return f.document.checkSuccessor(document)
+}
+
+// Restore implements fold.Part. The error is [ErrMalformedSnapshot].
+func (f *Fold) Restore(snapshot json.RawMessage) error {
+	document, err := f.decodeSnapshot(snapshot)
+	if err != nil {
+		return err
 	}
-	f.document = &document
+	f.document = document
 	return nil
 }
 
 func (f *Fold) applyProposal(position platform.Position, entry platform.Entry) Verdict {
-	verdict := Verdict{EntryID: entry.ID, Revision: f.document.Revision, Result: Malformed}
-	var proposal Proposal
-	if err := json.Unmarshal(entry.Body, &proposal); err != nil || proposal.Section == "" {
+	verdict := Verdict{
+		EntryID:  entry.ID,
+		Position: position,
+		Result:   Malformed,
+		Revision: f.document.Revision,
+	}
+	proposal, findings := DecodeProposal(entry.Body)
+	if len(findings) > 0 {
+		verdict.Findings = findings
 		return verdict
 	}
 	verdict.Section = proposal.Section
 	verdict.Author = proposal.Author
 	verdict.Reason = proposal.Reason
-	current, exists := f.document.Sections[proposal.Section]
-	if current.Revision != proposal.Base {
+	if f.document.Base(proposal.Section) != proposal.Base {
 		verdict.Result = Conflicted
-		if exists {
+		if current, exists := f.document.Sections[proposal.Section]; exists {
 			verdict.Current = &current
 		}
 		return verdict
 	}
-	candidate := f.with(proposal, Revision(position.Number()))
-	if findings := f.validate(candidate); len(findings) > 0 {
+	candidate := f.document.with(proposal, Revision(position.Number()))
+	if findings := f.check(candidate); len(findings) > 0 {
 		verdict.Result = Invalid
-		verdict.Findings = findings
+		verdict.Findings = findings[:min(len(findings), MaxFindings)]
 		return verdict
 	}
 	f.document = candidate
@@ -93,13 +106,30 @@
 	return verdict
 }
 
-func (f *Fold) with(proposal Proposal, revision Revision) *Document {
-	sections := maps.Clone(f.document.Sections)
-	sections[proposal.Section] = Section{
+// with returns the document after the proposal.
+func (d *Document) with(proposal Proposal, revision Revision) *Document {
+	next := &Document{
+		Revision: revision,
+		Sections: maps.Clone(d.Sections),
+		Removed:  maps.Clone(d.Removed),
+	}
+	if proposal.removes() {
+		delete(next.Sections, proposal.Section)
+		if next.Removed == nil {
+			next.Removed = map[SectionName]Revision{}
+		}
+		next.Removed[proposal.Section] = revision
+		return next
+	}
+	delete(next.Removed, proposal.Section)
+	next.Sections[proposal.Section] = Section{
 		Revision: revision,
 		Author:   proposal.Author,
 		Reason:   proposal.Reason,
 		Body:     proposal.Body,
 	}
-	return &Document{Revision: revision, Sections: sections}
+	return next
 }
+
+// removes reports whether the proposal removes its section.
+func (p Proposal) removes() bool { return bytes.Equal(p.Body, []byte("null")) }
--- a/coord/fold/part.go
+++ b/coord/fold/part.go
@@ -1,5 +1,3 @@
-// Package fold runs deterministic state machines over a stream of the
-// platform's log.
 package fold
 
 import (
@@ -18,9 +16,17 @@
 	Name() string
 	// Apply folds one entry.
 	Apply(position platform.Position, entry platform.Entry)
-	// Snapshot encodes the whole state.
+	// Snapshot encodes the whole state. Equal states give equal bytes.
 	Snapshot() (json.RawMessage, error)
 	// Restore replaces the state by a snapshot's. On an error the state is
 	// unchanged.
 	Restore(snapshot json.RawMessage) error
 }
+
+// Checker is a [Part] that can tell whether a snapshot goes back behind its
+// state.
+type Checker interface {
+	// Check returns an error if restoring the snapshot would undo something
+	// that the part has accepted. It changes nothing.
+	Check(snapshot json.RawMessage) error
+}
--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -1,5 +1,3 @@
-// Package membership keeps what an instance believes of its peers and of the
-// endpoints. All of it is a hint: it decides speed, never permission.
 package membership
 
 import (
@@ -13,6 +11,9 @@
 
 // Beliefs about a peer.
 const (
+	// Unheard peers are known by hearsay only: from the instance list, a
+	// seed or another peer.
+	Unheard Liveness = "unheard"
 	Alive   Liveness = "alive"
 	Suspect Liveness = "suspect"
 	Dead    Liveness = "dead"
--- /dev/null
+++ b/coord/membership/rank.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// score is the rendezvous weight of a member for a key.
+func score(key, member string) uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	// Digest's writes never fail.
+	_, _ = hash.WriteString(key)
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.WriteString(member)
+	return hash.Sum64()
+}
+
+// rankPeers orders peers by falling score for the key, equal scores by ID.
+func rankPeers(key string, peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return compareScores(key, string(a.ID), string(b.ID))
+	})
+}
+
+func compareScores(key, a, b string) int {
+	if order := cmp.Compare(score(key, b), score(key, a)); order != 0 {
+		return order
+	}
+	return cmp.Compare(a, b)
+}
+
+// Rank returns the live instances of the zone, self included unless it
+// leaves, in order of rendezvous score for the key.
+func (p *Peers) Rank(key string, zone platform.Zone) []Peer {
+	ranked := p.Live(zone)
+	rankPeers(key, ranked)
+	return ranked
+}
+
+// FleetRank returns this instance's place, from 0, in an order over all
+// instances: first the best-ranked instance of every zone, zones in order of
+// their own score, then the second of every zone, and so on. It is the delay,
+// in steps, of work that one instance of the fleet should do.
+func (p *Peers) FleetRank(key string) int {
+	zones := p.zones()
+	slices.SortFunc(zones, func(a, b platform.Zone) int {
+		return compareScores(key, string(a), string(b))
+	})
+	zoneRank := slices.Index(zones, p.self.Zone)
+	inZone := slices.IndexFunc(p.Rank(key, p.self.Zone), func(peer Peer) bool {
+		return peer.ID == p.self.ID
+	})
+	if inZone < 0 {
+		inZone = len(p.peers)
+	}
+	return inZone*len(zones) + zoneRank
+}
+
+// zones returns all zones with an instance that is live, and the own one.
+func (p *Peers) zones() []platform.Zone {
+	zones := []platform.Zone{p.self.Zone}
+	for _, entry := range p.peers {
+		if entry.Liveness == Alive && !slices.Contains(zones, entry.Zone) {
+			zones = append(zones, entry.Zone)
+		}
+	}
+	return zones
+}
