--- /dev/null
+++ b/node/cluster/cluster.go
@@ -0,0 +1,236 @@
+// Package cluster keeps an instance in touch with its peers: it exchanges
+// digests, answers the peer protocol, and tells who is believed alive.
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/membership"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/wire/peer"
+	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
+)
+
+// Gossip is a part of the instance that tells peers something in every digest
+// and hears the same from them. Its methods may be called from several
+// goroutines.
+type Gossip interface {
+	// Fill adds to a digest that is about to be sent.
+	Fill(now time.Time, digest *peerpb.Digest)
+	// Heard takes in a peer's digest. It is called once per digest, in the
+	// order of the peer's sequence numbers.
+	Heard(now time.Time, digest *peerpb.Digest)
+}
+
+// Cluster is an instance's view of its peers. Its methods may be called from
+// several goroutines.
+type Cluster struct {
+	client   *peer.Client
+	interval time.Duration
+	log      *logrus.Entry
+
+	mu     sync.Mutex
+	peers  *membership.Peers
+	random *rand.Rand
+
+	gossips []Gossip
+}
+
+// New returns a cluster that knows the instance itself.
+func New(self membership.Peer, interval time.Duration, client *peer.Client, log *logrus.Entry) *Cluster {
+	config := membership.DefaultPeersConfig()
+	config.Interval = interval
+	return &Cluster{
+		client:   client,
+		interval: interval,
+		log:      log,
+		peers:    membership.NewPeers(self, config),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// Join adds parts that gossip. It must be called before [Cluster.Run].
+func (c *Cluster) Join(gossips ...Gossip) { c.gossips = append(c.gossips, gossips...) }
+
+// Introduce adds a peer known by hearsay.
+func (c *Cluster) Introduce(known membership.KnownPeer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers.Introduce(time.Now(), known)
+}
+
+// Self returns this instance.
+func (c *Cluster) Self() membership.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers.Self()
+}
+
+// Live returns the instances of this instance's zone believed alive, self
+// included.
+func (c *Cluster) Live() []membership.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers.Live(c.peers.Self().Zone)
+}
+
+// Rank orders the live instances of this instance's zone for a key.
+func (c *Cluster) Rank(key string) []membership.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers.Rank(key, c.peers.Self().Zone)
+}
+
+// FleetRank returns this instance's place, from 0, among all instances for a
+// key.
+func (c *Cluster) FleetRank(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers.FleetRank(key)
+}
+
+// All returns all peers, without self.
+func (c *Cluster) All() []membership.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers.All()
+}
+
+// Gone reports whether an instance is believed dead or left, or is unknown.
+func (c *Cluster) Gone(id platform.InstanceID) bool {
+	for _, known := range c.All() {
+		if known.ID == id {
+			return known.Liveness == membership.Dead || known.Liveness == membership.Left
+		}
+	}
+	return id != c.Self().ID
+}
+
+// SetControlNext notes the offset that this instance wants next of the control
+// stream.
+func (c *Cluster) SetControlNext(next platform.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers.SetControlNext(next)
+}
+
+// Run exchanges digests until the context ends.
+func (c *Cluster) Run(ctx context.Context) error {
+	ticker := time.NewTicker(c.interval)
+	defer ticker.Stop()
+	for {
+		c.heartbeat(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave tells all peers of the zone that this instance leaves.
+func (c *Cluster) Leave(ctx context.Context) {
+	c.mu.Lock()
+	c.peers.Leave()
+	digest := c.digest(time.Now())
+	c.mu.Unlock()
+	var group sync.WaitGroup
+	for _, target := range c.All() {
+		group.Go(func() { _, _ = c.client.Exchange(ctx, target.Address, digest) })
+	}
+	group.Wait()
+}
+
+func (c *Cluster) heartbeat(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	c.peers.Tick(now)
+	targets := c.peers.Targets(now, c.random)
+	c.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	digest := c.Digest()
+	for _, target := range targets {
+		go c.exchange(ctx, target, digest)
+	}
+}
+
+func (c *Cluster) exchange(ctx context.Context, target membership.Peer, digest *peerpb.Digest) {
+	reply, err := c.client.Exchange(ctx, target.Address, digest)
+	if err != nil {
+		c.log.WithError(err).WithField("peer", target.ID).Debug("heartbeat failed")
+		return
+	}
+	c.Hear(reply)
+}
+
+// Digest returns the next digest of this instance.
+func (c *Cluster) Digest() *peerpb.Digest {
+	c.mu.Lock()
+	digest := c.digest(time.Now())
+	c.mu.Unlock()
+	now := time.Now()
+	for _, gossip := range c.gossips {
+		gossip.Fill(now, digest)
+	}
+	return digest
+}
+
+func (c *Cluster) digest(time.Time) *peerpb.Digest {
+	own := c.peers.Digest(c.random)
+	digest := &peerpb.Digest{
+		Instance:    string(own.ID),
+		Zone:        string(own.Zone),
+		Address:     own.Address,
+		Sequence:    own.Sequence,
+		Leaving:     own.Leaving,
+		ControlNext: uint64(own.ControlNext),
+	}
+	for _, known := range own.Peers {
+		digest.Peers = append(digest.Peers, &peerpb.KnownPeer{
+			Instance: string(known.ID),
+			Zone:     string(known.Zone),
+			Address:  known.Address,
+		})
+	}
+	return digest
+}
+
+// Hear takes in a peer's digest.
+func (c *Cluster) Hear(digest *peerpb.Digest) {
+	now := time.Now()
+	c.mu.Lock()
+	news := c.peers.Heard(now, decodeDigest(digest))
+	c.mu.Unlock()
+	if !news || digest.Leaving {
+		return
+	}
+	for _, gossip := range c.gossips {
+		gossip.Heard(now, digest)
+	}
+}
+
+func decodeDigest(digest *peerpb.Digest) membership.Digest {
+	decoded := membership.Digest{
+		ID:          platform.InstanceID(digest.Instance),
+		Zone:        platform.Zone(digest.Zone),
+		Address:     digest.Address,
+		Sequence:    digest.Sequence,
+		Leaving:     digest.Leaving,
+		ControlNext: platform.Offset(digest.ControlNext),
+	}
+	for _, known := range digest.Peers {
+		decoded.Peers = append(decoded.Peers, membership.KnownPeer{
+			ID:      platform.InstanceID(known.Instance),
+			Zone:    platform.Zone(known.Zone),
+			Address: known.Address,
+		})
+	}
+	return decoded
+}
--- /dev/null
+++ b/node/cluster/handler.go
@@ -0,0 +1,51 @@
+package cluster
+
+import (
+	"context"
+
+	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
+)
+
+// Records answers reads of records that this instance holds.
+type Records interface {
+	ReadRecords(request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error)
+}
+
+// Copies keeps copies of peers' entries.
+type Copies interface {
+	HoldEntries(request *peerpb.HoldEntriesRequest) (*peerpb.HoldEntriesReply, error)
+}
+
+// Sessions answers look-ups of sessions.
+type Sessions interface {
+	LookupSession(request *peerpb.LookupSessionRequest) (*peerpb.LookupSessionReply, error)
+}
+
+// Handler answers the peer protocol.
+type Handler struct {
+	Cluster  *Cluster
+	Records  Records
+	Copies   Copies
+	Sessions Sessions
+}
+
+// Exchange implements peer.Handler.
+func (h *Handler) Exchange(_ context.Context, digest *peerpb.Digest) (*peerpb.Digest, error) {
+	h.Cluster.Hear(digest)
+	return h.Cluster.Digest(), nil
+}
+
+// ReadRecords implements peer.Handler.
+func (h *Handler) ReadRecords(_ context.Context, request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
+	return h.Records.ReadRecords(request)
+}
+
+// HoldEntries implements peer.Handler.
+func (h *Handler) HoldEntries(_ context.Context, request *peerpb.HoldEntriesRequest) (*peerpb.HoldEntriesReply, error) {
+	return h.Copies.HoldEntries(request)
+}
+
+// LookupSession implements peer.Handler.
+func (h *Handler) LookupSession(_ context.Context, request *peerpb.LookupSessionRequest) (*peerpb.LookupSessionReply, error) {
+	return h.Sessions.LookupSession(request)
+}
