Tailer: keeps a fold moving forward from the log and from peers

Cause: many instances must follow one stream, and the log must not serve each of them. A pure state machine chooses what to read from where: the best-ranked instances of a zone read the log, the others follow peers, and everyone falls back on whoever is further on.

--- a/coord/fold/assembler.go
+++ b/coord/fold/assembler.go
@@ -88,6 +88,12 @@
 // maxRejected bounds the digests remembered of refused snapshots.
 const maxRejected = 64
 
+// Reset drops all that was collected. What was rejected stays so.
+func (a *Assembler) Reset() {
+	a.partial = nil
+	a.base, a.digest, a.encoded = 0, "", nil
+}
+
 func (a *Assembler) addChunk(chunk Chunk) {
 	if chunk.Base <= a.base || a.rejected[chunk.Digest] {
 		return
--- a/coord/tail/config.go
+++ b/coord/tail/config.go
@@ -31,6 +31,12 @@
 	// Silence is how long a follower goes without an answer from any source
 	// before it reads the log.
 	Silence time.Duration
+	// ZoneProbe is the time in which, on average, one of the zone's followers
+	// looks at the log itself, in case its readers are cut off from it.
+	ZoneProbe time.Duration
+	// HintLag is how long a peer may be ahead before a reader of the log reads
+	// that peer as well.
+	HintLag time.Duration
 	// RetryBase and RetryCap bound the pause after a failed read. It doubles
 	// from failure to failure, and jitter takes up to half of it off.
 	RetryBase time.Duration
@@ -66,9 +72,11 @@
 		ReadTimeout:    3 * time.Second,
 		FollowInterval: 3 * time.Second,
 		Silence:        6 * time.Second,
+		ZoneProbe:      3 * time.Second,
+		HintLag:        time.Second,
 		RetryBase:      200 * time.Millisecond,
 		RetryCap:       5 * time.Second,
-		SnapshotGap:    512,
+		SnapshotGap:    1024,
 		Bootstrap:      PeerFirst,
 	}
 }
@@ -81,6 +89,8 @@
 	c.ReadTimeout = cmp.Or(c.ReadTimeout, defaults.ReadTimeout)
 	c.FollowInterval = cmp.Or(c.FollowInterval, defaults.FollowInterval)
 	c.Silence = cmp.Or(c.Silence, defaults.Silence)
+	c.ZoneProbe = cmp.Or(c.ZoneProbe, defaults.ZoneProbe)
+	c.HintLag = cmp.Or(c.HintLag, defaults.HintLag)
 	c.RetryBase = cmp.Or(c.RetryBase, defaults.RetryBase)
 	c.RetryCap = cmp.Or(c.RetryCap, defaults.RetryCap)
 	c.SnapshotGap = cmp.Or(c.SnapshotGap, defaults.SnapshotGap)
