--- a/coord/intent/intent.go
+++ b/coord/intent/intent.go
@@ -1,5 +1,3 @@
-// Package intent makes a call run at most once, over all instances, by letting
-// the platform's log decide who may dispatch it.
 package intent
 
 import (
@@ -10,6 +8,9 @@
 const (
 	KindIntent  platform.Kind = "intent.claim"
 	KindOutcome platform.Kind = "intent.outcome"
+	// KindAdvance states nothing. It is appended to let a full ledger expire
+	// keys while no calls are taken, see [Ledger.Full].
+	KindAdvance platform.Kind = "intent.advance"
 )
 
 // Key identifies a call that must run at most once.
@@ -34,9 +35,14 @@
 type Outcome struct {
 	Key     Key    `json:"key"`
 	Attempt string `json:"attempt"`
+	// Fingerprint repeats the intent's.
+	Fingerprint string `json:"fingerprint,omitempty"`
 	// Abandoned says that the writer has not dispatched and never will: the
 	// key is free again.
 	Abandoned bool `json:"abandoned,omitempty"`
+	// Unknown says that the writer has dispatched and will never know whether
+	// the call ran. It closes the key for good.
+	Unknown bool `json:"unknown,omitempty"`
 	// Status and Body are the endpoint's answer, if it gave one. A long body
 	// is left out and Truncated is set.
 	Status    int    `json:"status,omitempty"`
@@ -68,11 +74,28 @@
 	Outcome Outcome
 }
 
+// Reason tells why an intent was accepted or refused.
+type Reason string
+
+// Reasons of a decision.
+const (
+	// KeyWasFree accepts the intent.
+	KeyWasFree Reason = "key_was_free"
+	// KeyClaimed refuses it: another intent has no outcome yet.
+	KeyClaimed Reason = "key_claimed"
+	// KeyDone refuses it: the call has an outcome.
+	KeyDone Reason = "key_done"
+	// KeyReused refuses it: the key belongs to a call with another fingerprint.
+	KeyReused Reason = "key_reused"
+)
+
 // Decision is the fold's verdict on one intent.
 type Decision struct {
 	Attempt  string
+	Writer   platform.InstanceID
 	Key      Key
 	Accepted bool
+	Reason   Reason
 	// Fencing is the position number of the intent, if accepted.
 	Fencing uint64
 	// Holder is the status of the key that a refused intent met.
--- /dev/null
+++ b/coord/intent/snapshot.go
@@ -0,0 +1,112 @@
+package intent
+
+import (
+	"cmp"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// snapshot is the encoding of a [Ledger].
+type snapshot struct {
+	Since platform.Offset `json:"since"`
+	Last  platform.Offset `json:"last"`
+	Rows  []snapshotRow   `json:"rows"`
+}
+
+// snapshotRow is the encoding of one key, the rows in order of Touched.
+type snapshotRow struct {
+	Key         string              `json:"key"`
+	Touched     uint64              `json:"touched"`
+	Fencing     uint64              `json:"fencing,omitempty"`
+	Writer      platform.InstanceID `json:"writer,omitempty"`
+	Attempt     string              `json:"attempt,omitempty"`
+	Fingerprint string              `json:"fingerprint,omitempty"`
+	State       State               `json:"state"`
+	Decided     uint64              `json:"decided,omitempty"`
+	Status      int32               `json:"status,omitempty"`
+	Body        []byte              `json:"body,omitempty"`
+	Truncated   bool                `json:"truncated,omitempty"`
+	Unknown     bool                `json:"unknown,omitempty"`
+}
+
+// Snapshot implements fold.Part. Equal ledgers have equal snapshots.
+func (l *Ledger) Snapshot() (json.RawMessage, error) {
+	s := snapshot{Since: l.since, Last: l.last, Rows: make([]snapshotRow, 0, len(l.rows))}
+	for key, r := range l.rows {
+		s.Rows = append(s.Rows, encodeRow(key, r))
+	}
+	slices.SortFunc(s.Rows, func(a, b snapshotRow) int { return cmp.Compare(a.Touched, b.Touched) })
+	encoded, err := json.Marshal(s)
+	return encoded, eris.Wrap(err, "intent: encode snapshot")
+}
+
+// Restore implements fold.Part.
+func (l *Ledger) Restore(encoded json.RawMessage) error {
+	var s snapshot
+	if err := json.Unmarshal(encoded, &s); err != nil {
+		return eris.Wrap(err, "intent: decode snapshot")
+	}
+	restored := NewLedger(l.cfg, l.onDecision)
+	restored.since, restored.last = s.Since, s.Last
+	for i, row := range s.Rows {
+		if i > 0 && row.Touched <= s.Rows[i-1].Touched {
+			return eris.Errorf("intent: snapshot row %d is out of order", i)
+		}
+		if err := restored.restoreRow(row); err != nil {
+			return eris.Wrapf(err, "intent: snapshot row %d", i)
+		}
+	}
+	slices.SortFunc(restored.bodies.items, func(a, b touch) int { return cmp.Compare(a.number, b.number) })
+	*l = *restored
+	return nil
+}
+
+func encodeRow(key digest, r *row) snapshotRow {
+	return snapshotRow{
+		Key:         hex.EncodeToString(key[:]),
+		Touched:     r.touched,
+		Fencing:     r.fencing,
+		Writer:      r.writer,
+		Attempt:     r.attempt,
+		Fingerprint: r.fingerprint,
+		State:       r.state,
+		Decided:     r.decided,
+		Status:      r.status,
+		Body:        r.body,
+		Truncated:   r.truncated,
+		Unknown:     r.unknown,
+	}
+}
+
+func (l *Ledger) restoreRow(row snapshotRow) error {
+	decoded, err := hex.DecodeString(row.Key)
+	if err != nil || len(decoded) != len(digest{}) {
+		return eris.Errorf("key %q is not a digest", row.Key)
+	}
+	if row.State != Free && row.State != Claimed && row.State != Done {
+		return eris.Errorf("state %q is not known", row.State)
+	}
+	key := digest(decoded)
+	if l.rows[key] != nil {
+		return eris.Errorf("key %q repeats", row.Key)
+	}
+	r := l.touch(key, row.Touched)
+	r.fencing = row.Fencing
+	r.writer = intern(row.Writer)
+	r.attempt = row.Attempt
+	r.fingerprint = row.Fingerprint
+	r.state = row.State
+	r.decided = row.Decided
+	r.status = row.Status
+	r.truncated = row.Truncated
+	r.unknown = row.Unknown
+	if len(row.Body) > 0 {
+		l.keepBody(touch{key: key, number: row.Decided}, r, row.Body)
+	}
+	return nil
+}
