--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -1,5 +1,3 @@
-// Package claim gives one instance at a time charge of a resource, with a
-// fencing number that grows from holder to holder.
 package claim
 
 import (
