--- /dev/null
+++ b/coord/retry/backoff.go
@@ -0,0 +1,45 @@
+package retry
+
+import "time"
+
+// Random is the source of random numbers in [0, n), given by the caller.
+type Random interface {
+	Int64N(n int64) int64
+}
+
+// Backoff gives the waits before retries.
+type Backoff struct {
+	// Base bounds the first wait; each further bound is twice the one before.
+	Base time.Duration
+	// Max bounds all waits.
+	Max time.Duration
+}
+
+// Defaults of [Backoff], used for zero fields.
+const (
+	DefaultBase = 50 * time.Millisecond
+	DefaultMax  = 2 * time.Second
+)
+
+// Wait returns the wait before the retry of the given number, from 0: uniform
+// between zero and the bound.
+func (b Backoff) Wait(random Random, number int) time.Duration {
+	return time.Duration(random.Int64N(int64(b.bound(number)) + 1))
+}
+
+func (b Backoff) bound(number int) time.Duration {
+	base, limit := b.Base, b.Max
+	if base <= 0 {
+		base = DefaultBase
+	}
+	if limit <= 0 {
+		limit = DefaultMax
+	}
+	for range number {
+		if base >= limit/2 {
+			return limit
+		}
+		base *= 2
+	}
+	return min(base, limit)
+}
