--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -1,5 +1,3 @@
-// Package admission decides at once whether a request can be served in time,
-// and tells the refused when to come back.
 package admission
 
 import (
@@ -31,6 +29,10 @@
 	Work time.Duration
 	// Left is the time until the deadline.
 	Left time.Duration
+	// Weight is the account's share when capacity is short; 1 if 0.
+	Weight float64
+	// Priority orders the requests of one account; the highest goes first.
+	Priority int
 }
 
 // Refusal is the error of a refused request.
