--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -24,7 +24,8 @@
 // CacheEvent says that a prefix was stored or evicted.
 type CacheEvent struct {
 	// Prefix is the hex xxHash64 of the prompt's first Tokens words, joined
-	// by single spaces.
+	// by single spaces. A prompt's words are those of its messages in order,
+	// each message's role before its content.
 	Prefix string `json:"prefix"`
 	Tokens int    `json:"tokens"`
 	Stored bool   `json:"stored"`
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -91,11 +91,11 @@
 
 var classMark = regexp.MustCompile(`\[class=([^\]\s]+)\]`)
 
-// prompt joins the contents of all messages.
+// prompt joins the roles and contents of all messages.
 func (r ChatRequest) prompt() string {
-	texts := make([]string, 0, len(r.Messages))
+	texts := make([]string, 0, 2*len(r.Messages))
 	for _, message := range r.Messages {
-		texts = append(texts, message.Text())
+		texts = append(texts, message.Role, message.Text())
 	}
 	return strings.Join(texts, " ")
 }
