--- a/node/control/control.go
+++ b/node/control/control.go
@@ -4,67 +4,95 @@
 package control
 
 import (
-	"sync"
 	"sync/atomic"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/claim"
 	"github.com/wigeonusher/wigeonusher/coord/config"
 	"github.com/wigeonusher/wigeonusher/coord/fold"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/follow"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 )
 
+// maxAudit is the number of verdicts kept for the status page.
+const maxAudit = 256
+
 // Control is the state of the control stream. Its methods may be called from
 // several goroutines.
 type Control struct {
-	mu     sync.Mutex
-	stream *fold.Stream
+	*follow.State
 	config *config.Fold
+	claims *claim.Fold
+	audit  *config.Audit
+	logger *logrus.Entry
 
 	policy atomic.Pointer[document.Policy]
 }
 
-// New returns the state at the start of the stream. onVerdict is called for
-// every verdict on a proposal, in order.
-func New(onVerdict func(config.Verdict)) *Control {
-	c := &Control{config: config.NewFold(document.Validate, onVerdict)}
-	c.stream = fold.NewStream(c.config)
+// New returns the state at the start of the stream.
+func New(logger *logrus.Entry) *Control {
+	c := &Control{audit: config.NewAudit(maxAudit), logger: logger}
+	c.config = config.NewFold(document.Validate, c.onVerdict)
+	c.claims = claim.NewFold(nil)
+	stream := fold.NewStream(c.config, c.claims)
+	stream.OnReport(c.onReport)
+	c.State = follow.NewState(stream, c.publish, nil)
 	return c
 }
 
 // Policy returns the policy in force, nil before the first.
 func (c *Control) Policy() *document.Policy { return c.policy.Load() }
 
-// Next returns the offset wanted next.
-func (c *Control) Next() platform.Offset {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stream.Next()
+// Holding returns who is in charge of a resource.
+func (c *Control) Holding(resource claim.Resource) (holding claim.Holding) {
+	c.Do(func() { holding = c.claims.Holding(resource) })
+	return holding
 }
 
-// Apply folds records. Records that are not the next one are ignored.
-func (c *Control) Apply(records []platform.Record) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, record := range records {
-		c.stream.Apply(record)
-	}
-	c.publish()
+// Holds reports whether the instance is in charge of the resource, and under
+// which fencing number.
+func (c *Control) Holds(resource claim.Resource, instance platform.InstanceID) (fencing uint64, ok bool) {
+	c.Do(func() { fencing, ok = c.claims.Holds(resource, instance) })
+	return fencing, ok
+}
+
+// Verdicts returns the last verdicts on proposals, oldest first.
+func (c *Control) Verdicts() (verdicts []config.Verdict) {
+	c.Do(func() { verdicts = c.audit.Verdicts() })
+	return verdicts
+}
+
+func (c *Control) onVerdict(verdict config.Verdict) {
+	c.audit.Add(verdict)
+	c.logger.WithFields(logrus.Fields{
+		"section":  verdict.Section,
+		"author":   verdict.Author,
+		"result":   verdict.Result,
+		"revision": verdict.Revision,
+	}).Info("configuration verdict")
+}
+
+func (c *Control) onReport(report fold.Report) {
+	c.logger.WithFields(logrus.Fields{
+		"offset": report.Position.Offset,
+		"entry":  report.EntryID,
+		"reason": report.Reason,
+	}).Warn("control stream entry skipped")
 }
 
 // publish swaps the policy if the document has moved on. A document in force
 // has passed the same check, so it always parses.
 func (c *Control) publish() {
-	document := c.config.Document()
 	current := c.policy.Load()
-	if document.Revision == 0 || (current != nil && current.Revision == document.Revision) {
+	inForce := c.config.Document()
+	if inForce.Revision == 0 || (current != nil && current.Revision == inForce.Revision) {
 		return
 	}
-	c.swap(document)
-}
-
-func (c *Control) swap(doc *config.Document) {
-	policy, findings := document.Parse(doc)
+	policy, findings := document.Parse(inForce)
 	if len(findings) > 0 {
+		c.logger.WithError(findings).Error("document in force does not parse")
 		return
 	}
 	c.policy.Store(policy)
--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -4,65 +4,65 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/wire/engine"
 )
 
-// listTimeout bounds one read of the instance list.
-const listTimeout = 2 * time.Second
+const (
+	// listTimeout bounds one read of the instance list.
+	listTimeout = 2 * time.Second
+	// loadTimeout bounds one load report.
+	loadTimeout = time.Second
+)
+
+// Peers tells which instances share the work of polling.
+type Peers interface {
+	Self() membership.Peer
+	Live() []membership.Peer
+	Introduce(known membership.KnownPeer)
+}
+
+// Loader asks an endpoint for its load.
+type Loader interface {
+	Load(ctx context.Context, address string) (engine.LoadReport, error)
+}
+
+// Config describes a directory.
+type Config struct {
+	List   platform.InstanceList
+	Loader Loader
+	Peers  Peers
+	// ListInterval is the time between reads of the instance list,
+	// LoadInterval that between polls of an endpoint's load.
+	ListInterval time.Duration
+	LoadInterval time.Duration
+}
 
 // Directory is what an instance knows of the endpoints. Its methods may be
 // called from several goroutines.
 type Directory struct {
-	list     platform.InstanceList
-	interval time.Duration
+	config Config
 
-	mu      sync.RWMutex
-	listing platform.InstanceListing
+	mu        sync.RWMutex
+	endpoints *membership.Endpoints
+	listed    bool
 
 	loads    *placement.LoadTable
 	prefixes *placement.PrefixIndex
 }
 
-// New returns an empty directory that reads the list at the interval.
-func New(list platform.InstanceList, interval time.Duration) *Directory {
+// New returns an empty directory.
+func New(config Config) *Directory {
 	return &Directory{
-		list:     list,
-		interval: interval,
-		loads:    placement.NewLoadTable(),
-		prefixes: placement.NewPrefixIndex(placement.PrefixConfig{}),
-	}
-}
-
-// Run reads the list until the context ends.
-func (d *Directory) Run(ctx context.Context) error {
-	ticker := time.NewTicker(d.interval)
-	defer ticker.Stop()
-	for {
-		d.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-func (d *Directory) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	listing, err := d.list.Listing(ctx)
-	if err != nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if listing.Version > d.listing.Version {
-		d.listing = listing
+		config:    config,
+		endpoints: membership.NewEndpoints(membership.EndpointsConfig{}),
+		loads:     placement.NewLoadTable(),
+		prefixes:  placement.NewPrefixIndex(placement.PrefixConfig{}),
 	}
 }
 
@@ -71,14 +71,35 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var usable []platform.ListedEndpoint
-	for _, endpoint := range d.listing.Endpoints {
-		if endpoint.State == platform.ListedLive && slices.Contains(pools, endpoint.Pool) {
-			usable = append(usable, endpoint)
+	for _, pool := range pools {
+		for _, endpoint := range d.endpoints.Usable(pool) {
+			usable = append(usable, endpoint.ListedEndpoint)
 		}
 	}
 	return usable
 }
 
+// All returns all endpoints with what is believed of them.
+func (d *Directory) All() []membership.Endpoint {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.endpoints.All()
+}
+
+// Listed reports whether the instance list has answered at least once.
+func (d *Directory) Listed() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.listed
+}
+
+// MayDispatch reports whether the endpoint may get new work now.
+func (d *Directory) MayDispatch(endpoint platform.EndpointID) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.endpoints.MayDispatch(endpoint)
+}
+
 // Candidate returns what placement needs to know of an endpoint.
 func (d *Directory) Candidate(now time.Time, endpoint platform.ListedEndpoint, slots int, prefix []uint64) placement.Candidate {
 	candidate := placement.Candidate{
@@ -106,4 +127,18 @@
 // Finished notes the end of a dispatch; firstToken is 0 if there was none.
 func (d *Directory) Finished(now time.Time, endpoint platform.EndpointID, firstToken time.Duration, failed bool) {
 	d.loads.Finished(now, endpoint, firstToken, failed)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if failed {
+		d.endpoints.Failed(now, endpoint)
+		return
+	}
+	d.endpoints.Succeeded(now, endpoint)
+}
+
+// Leaving notes that the endpoint itself refused work because it leaves.
+func (d *Directory) Leaving(endpoint platform.EndpointID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endpoints.SaidLeaving(endpoint)
 }
--- /dev/null
+++ b/node/directory/poll.go
@@ -0,0 +1,114 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/membership"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/placement"
+)
+
+// RunList reads the instance list until the context ends.
+func (d *Directory) RunList(ctx context.Context) error {
+	return every(ctx, d.config.ListInterval, d.readList)
+}
+
+// RunLoads polls this instance's share of the zone's endpoints until the
+// context ends.
+func (d *Directory) RunLoads(ctx context.Context) error {
+	return every(ctx, d.config.LoadInterval, d.pollLoads)
+}
+
+func every(ctx context.Context, interval time.Duration, work func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Directory) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := d.config.List.Listing(ctx)
+	now := time.Now()
+	if err != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.endpoints.Tick(now)
+		return
+	}
+	d.mu.Lock()
+	d.endpoints.Listed(now, listing)
+	d.listed = true
+	d.mu.Unlock()
+	for _, instance := range listing.Instances {
+		d.config.Peers.Introduce(membership.KnownPeer{ID: instance.ID, Zone: instance.Zone, Address: instance.Address})
+	}
+}
+
+// pollLoads asks the endpoints of the share, all at once.
+func (d *Directory) pollLoads(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, endpoint := range d.share() {
+		group.Go(func() { d.pollOne(ctx, endpoint) })
+	}
+	group.Wait()
+}
+
+// share returns the endpoints of this zone that this instance polls.
+func (d *Directory) share() []membership.Endpoint {
+	self := d.config.Peers.Self()
+	zone := map[platform.EndpointID]membership.Endpoint{}
+	var ids []platform.EndpointID
+	for _, endpoint := range d.All() {
+		if endpoint.Zone == self.Zone && endpoint.Belief != membership.EndpointLeaving {
+			zone[endpoint.ID] = endpoint
+			ids = append(ids, endpoint.ID)
+		}
+	}
+	var peers []platform.InstanceID
+	for _, peer := range d.config.Peers.Live() {
+		peers = append(peers, peer.ID)
+	}
+	var share []membership.Endpoint
+	for _, id := range placement.PollShare(self.ID, peers, ids) {
+		share = append(share, zone[id])
+	}
+	return share
+}
+
+func (d *Directory) pollOne(ctx context.Context, endpoint membership.Endpoint) {
+	asked := time.Now()
+	report, err := d.config.Loader.Load(ctx, endpoint.Address)
+	now := time.Now()
+	if err != nil {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.endpoints.Failed(now, endpoint.ID)
+		return
+	}
+	if report.ID != "" && report.ID != string(endpoint.ID) {
+		return
+	}
+	age := now.Sub(asked)
+	if report.AtUnixMillis > 0 {
+		age = max(age, now.Sub(time.UnixMilli(report.AtUnixMillis)))
+	}
+	d.loads.Report(now, endpoint.ID, report.Running, report.Queued, age)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endpoints.Succeeded(now, endpoint.ID)
+	if report.Leaving {
+		d.endpoints.SaidLeaving(endpoint.ID)
+	}
+}
--- /dev/null
+++ b/node/follow/state.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"sync"
+
+	"github.com/wigeonusher/wigeonusher/coord/fold"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// State guards a stream of parts by a lock. It implements [Fold].
+type State struct {
+	mu      sync.Mutex
+	stream   *fold.Stream
+	changed  func()
+	restored func()
+}
+
+// NewState returns a state of the stream. changed is called after every change,
+// and restored before that if the change was a snapshot; both under the lock.
+// Either may be nil.
+func NewState(stream *fold.Stream, changed, restored func()) *State {
+	nothing := func() {}
+	if changed == nil {
+		changed = nothing
+	}
+	if restored == nil {
+		restored = nothing
+	}
+	return &State{stream: stream, changed: changed, restored: restored}
+}
+
+// Do runs a function under the lock, so that it may read the parts.
+func (s *State) Do(read func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read()
+}
+
+// Next implements [Fold].
+func (s *State) Next() platform.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream.Next()
+}
+
+// Apply implements [Fold].
+func (s *State) Apply(records []platform.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, record := range records {
+		s.stream.Apply(record)
+	}
+	s.changed()
+}
+
+// Restore implements [Fold].
+func (s *State) Restore(encoded []byte) error {
+	snapshot, err := fold.DecodeSnapshot(encoded)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.stream.Restore(snapshot); err != nil {
+		return err
+	}
+	s.restored()
+	s.changed()
+	return nil
+}
+
+// Snapshot implements [Fold].
+func (s *State) Snapshot() ([]byte, platform.Offset, error) {
+	snapshot, err := s.FoldSnapshot()
+	if err != nil {
+		return nil, 0, err
+	}
+	encoded, err := snapshot.Encode()
+	return encoded, snapshot.Next, err
+}
+
+// FoldSnapshot returns the state as a snapshot.
+func (s *State) FoldSnapshot() (fold.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream.Snapshot()
+}
+
+// KeeperView returns what a keeper of snapshots is told.
+func (s *State) KeeperView(first platform.Offset) fold.KeeperView {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fold.KeeperView{
+		Next:         s.stream.Next(),
+		SnapshotBase: s.stream.SnapshotBase(),
+		MismatchBase: s.stream.MismatchBase(),
+		First:        first,
+	}
+}
--- a/wire/platformhttp/log.go
+++ b/wire/platformhttp/log.go
@@ -16,21 +16,13 @@
 // Log is the client of the log service.
 type Log struct {
 	base
-	// wait is how long a read waits for a first record.
-	wait time.Duration
 }
 
-// NewLog returns a client of the log service at the base URL. Reads return at
-// once.
+// NewLog returns a client of the log service at the base URL.
 func NewLog(baseURL string, client *http.Client) *Log {
 	return &Log{base: base{url: baseURL, http: client}}
 }
 
-// Waiting returns a client whose reads wait up to the duration for a record.
-func (l *Log) Waiting(wait time.Duration) *Log {
-	return &Log{base: l.base, wait: wait}
-}
-
 type appendAnswer struct {
 	Offset platform.Offset `json:"offset"`
 }
@@ -53,10 +45,16 @@
 
 // Read implements platform.Log.
 func (l *Log) Read(ctx context.Context, stream platform.Stream, from platform.Offset, limit int) (platform.Page, error) {
+	return l.ReadWaiting(ctx, stream, from, limit, 0)
+}
+
+// ReadWaiting reads like [Log.Read] and waits up to the duration for a first
+// record.
+func (l *Log) ReadWaiting(ctx context.Context, stream platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
 	query := url.Values{}
 	query.Set("from", strconv.FormatUint(uint64(from), 10))
 	query.Set("limit", strconv.Itoa(limit))
-	query.Set("wait_ms", strconv.FormatInt(l.wait.Milliseconds(), 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	var page platform.Page
 	status, err := l.get(ctx, l.path(stream), query, &page)
 	switch {
