--- a/coord/suspect/suspect.go
+++ b/coord/suspect/suspect.go
@@ -1,5 +1,3 @@
-// Package suspect finds requests that crash the endpoints that run them, and
-// keeps them from costing a pool more than two endpoints.
 package suspect
 
 import (
@@ -36,3 +34,37 @@
 	// Refused requests have crashed [MaxCrashes] endpoints.
 	Refused Permission = "refused"
 )
+
+// Kinds of the entries that claim and end the try of a suspect.
+const (
+	KindTry platform.Kind = "suspect.try"
+	KindEnd platform.Kind = "suspect.end"
+)
+
+// Try claims the one try of a suspect. The entry's writer is the claimant.
+type Try struct {
+	Fingerprint Fingerprint         `json:"fingerprint"`
+	Pool        platform.PoolName   `json:"pool"`
+	Endpoint    platform.EndpointID `json:"endpoint"`
+}
+
+// End says how a try went. Only the end of the try's own writer counts.
+type End struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Crashed tells whether the endpoint crashed; otherwise the suspect is
+	// cleared.
+	Crashed bool `json:"crashed"`
+}
+
+// TryState is what a fold knows of a claimed try.
+type TryState string
+
+// States of a try.
+const (
+	// TryUnknown tries have not been met in the log.
+	TryUnknown TryState = "unknown"
+	// TryGranted tries may be dispatched, once, by their writer.
+	TryGranted TryState = "granted"
+	// TryDenied tries must not be dispatched.
+	TryDenied TryState = "denied"
+)
