Load generator and checker of promises

Callers that verify every answer, honour Retry-After and ask again after an unknown outcome; and a judge that folds what callers saw, what endpoints ran and what the log holds into one table.

Cause of a first failure: rows were held by pointers into a slice that grew; the judge wrote breaches of one promise into a stale copy. Rows are pointers now.

--- /dev/null
+++ b/standin/check/check_test.go
@@ -0,0 +1,153 @@
+package check_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/standin/check"
+	"github.com/wigeonusher/wigeonusher/standin/endpoint"
+	"github.com/wigeonusher/wigeonusher/standin/engine"
+	"github.com/wigeonusher/wigeonusher/standin/fixture"
+	"github.com/wigeonusher/wigeonusher/standin/observation"
+	"github.com/wigeonusher/wigeonusher/standin/service"
+)
+
+const account = "fabricator-01"
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(second int) time.Time { return start.Add(time.Duration(second) * time.Second) }
+
+func chat(id, session string) observation.Observation {
+	return observation.Observation{
+		RequestID: id, Account: account, Class: "lookup", Kind: observation.Stream, Session: session,
+		Ref: "cheap@v1", Status: 200, Result: observation.Answered, Quality: 1,
+		PromptTokens: 100, AnswerTokens: 50, FirstToken: 10 * time.Millisecond,
+	}
+}
+
+func run(id, ref string, second int) engine.Run {
+	return engine.Run{Endpoint: "small-01", RequestID: id, Ref: ref, Received: at(second), Started: at(second), End: engine.RunDone}
+}
+
+func bills(t *testing.T, offset platform.Offset, entryID string, requests ...string) platform.Record {
+	t.Helper()
+	entries := make([]platform.Entry, 0, len(requests))
+	for _, request := range requests {
+		entry, err := platform.NewEntry(entryID+request, check.KindBill, "i1", check.Bill{RequestID: request, Account: account, CostMicro: 30})
+		assert.NilError(t, err)
+		entries = append(entries, entry)
+	}
+	payload, err := platform.EncodeEntries(entries)
+	assert.NilError(t, err)
+	return platform.Record{Offset: offset, Payload: payload}
+}
+
+func booking(key string, second int) service.Run {
+	return service.Run{RequestID: "b-" + key, Key: key, Method: "POST", Path: "/bookings", At: at(second)}
+}
+
+// withdrawal is a record that withdraws cheap@v2.
+func withdrawal(t *testing.T, base config.Revision, second int) platform.Record {
+	t.Helper()
+	deployment := fixture.Sheetline()
+	model := deployment.Models[fixture.Cheap]
+	version := model.Versions[fixture.V2]
+	version.State = document.VersionWithdrawn
+	model.Versions[fixture.V2] = version
+	for _, section := range deployment.Sections() {
+		if section.Name != document.SectionModels {
+			continue
+		}
+		entry, err := platform.NewEntry("w", config.KindProposal, "tool", config.Proposal{Section: section.Name, Base: base, Body: section.Body})
+		assert.NilError(t, err)
+		payload, err := platform.EncodeEntries([]platform.Entry{entry})
+		assert.NilError(t, err)
+		return platform.Record{Offset: 2, Time: at(second), Payload: payload}
+	}
+	panic("no models section")
+}
+
+// modelsBase is the revision that the fixture's record gives to the models.
+func modelsBase() config.Revision {
+	return config.Revision(platform.Position{Offset: 1, Index: 1}.Number())
+}
+
+// clean is a history without a breach.
+func clean(t *testing.T) check.History {
+	t.Helper()
+	booked := observation.Observation{RequestID: "b-k1", Key: "k1", Account: account, Kind: observation.Booking, Status: 200, Result: observation.Answered}
+	refused := observation.Observation{RequestID: "r9", Account: account, Kind: observation.Whole, Status: 503, Result: observation.NotRun}
+	return check.History{
+		Observations: []observation.Observation{chat("r1", "s1"), chat("r2", "s1"), booked, refused},
+		EngineRuns:   []engine.Run{run("r1", "cheap@v1", 1), run("r2", "cheap@v1", 2), run("old", "cheap@v2", 11)},
+		ServiceRuns:  []service.Run{booking("k1", 1)},
+		Late:         []endpoint.Late{{Endpoint: "small-01", RequestID: "r9", After: time.Second}},
+		Bills:        []platform.Record{bills(t, 1, "a/", "r1", "r2"), bills(t, 2, "a/", "r2")},
+		Control: []platform.Record{
+			{Offset: 1, Time: at(0), Payload: fixture.Sheetline().Payload()},
+			withdrawal(t, modelsBase(), 10),
+		},
+		Strong:         document.Ref{Model: fixture.Strong, Version: fixture.V1},
+		SettleGrace:    3 * time.Second,
+		ExposureLimit:  1,
+		MarkedRequests: 1,
+	}
+}
+
+func TestCleanHistoryHolds(t *testing.T) {
+	table := check.Judge(clean(t))
+	assert.Assert(t, table.Held, "%v", table.Broken())
+	assert.Equal(t, table.Figures.BillsPerChat, 1.0)
+	assert.Equal(t, table.Figures.MeanCost, 30.0)
+	assert.Equal(t, table.Figures.StrongCost, 3*100+12*50.0)
+	var text strings.Builder
+	assert.NilError(t, table.Write(&text))
+	assert.Assert(t, !strings.Contains(text.String(), "BROKEN"))
+}
+
+func TestEachBreachIsCaught(t *testing.T) {
+	cases := []struct {
+		promise check.Promise
+		spoil   func(*check.History)
+	}{
+		{check.OwnWholeAnswer, func(h *check.History) { h.Observations[0].Result = observation.Defective }},
+		{check.RefusalsSayEnough, func(h *check.History) { h.Observations[3].Result = observation.Defective }},
+		{check.NotRunIsTrue, func(h *check.History) { h.EngineRuns = append(h.EngineRuns, run("r9", "cheap@v1", 1)) }},
+		{check.NotRunIsTrue, func(h *check.History) {
+			h.ServiceRuns = append(h.ServiceRuns, service.Run{RequestID: "r9", Method: "GET"})
+		}},
+		{check.BilledOnce, func(h *check.History) { h.Bills = h.Bills[1:] }},
+		{check.BilledAtMostOnce, func(h *check.History) { h.Bills = append(h.Bills, bills(t, 3, "b/", "r2")) }},
+		{check.BilledAtMostOnce, func(h *check.History) { h.Bills = append(h.Bills, bills(t, 3, "b/", "never-ran")) }},
+		{check.BookedAtMostOnce, func(h *check.History) { h.ServiceRuns = append(h.ServiceRuns, booking("k1", 5)) }},
+		{check.BookedIfAnswered, func(h *check.History) { h.ServiceRuns = nil }},
+		{check.SessionStays, func(h *check.History) { h.EngineRuns[1].Ref = "cheap@v2" }},
+		{check.WithdrawnIsIdle, func(h *check.History) { h.EngineRuns = append(h.EngineRuns, run("late", "cheap@v2", 14)) }},
+		{check.OnlyAllowed, func(h *check.History) {
+			h.Observations[0].Account = "fabricator-09"
+			h.EngineRuns[0].Ref = "strong@v1"
+		}},
+		{check.LeavingIsIdle, func(h *check.History) { h.Late[0].After = time.Minute }},
+		{check.ExposureBounded, func(h *check.History) {
+			h.EngineRuns[0].Faulty = true
+			h.EngineRuns[1].Faulty = true
+		}},
+		{check.CrashesBounded, func(h *check.History) { h.CrashedEndpoints = 3 }},
+	}
+	for _, c := range cases {
+		t.Run(string(c.promise), func(t *testing.T) {
+			history := clean(t)
+			c.spoil(&history)
+			table := check.Judge(history)
+			assert.Assert(t, !table.Held)
+			assert.DeepEqual(t, table.Broken(), []check.Promise{c.promise})
+		})
+	}
+}
--- /dev/null
+++ b/standin/check/figures.go
@@ -0,0 +1,116 @@
+package check
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/standin/observation"
+)
+
+// goodQuality is the least hidden quality of a good answer.
+const goodQuality = 0.9
+
+func splitRef(text string) document.Ref {
+	model, version, _ := strings.Cut(text, "@")
+	return document.Ref{Model: document.ModelName(model), Version: document.VersionName(version)}
+}
+
+func (j *judge) figures() {
+	f := &j.table.Figures
+	f.Sent = len(j.history.Observations)
+	for _, bills := range j.bills {
+		f.Bills += len(bills)
+	}
+	var firstTokens []time.Duration
+	classes := map[string]*share{}
+	chats := 0
+	billed := 0
+	for _, o := range j.history.Observations {
+		f.count(o)
+		if o.Result != observation.Answered || !o.Kind.IsChat() {
+			continue
+		}
+		chats++
+		billed += len(j.bills[o.RequestID])
+		f.MeanCost += j.costOf(o)
+		f.StrongCost += j.strongCostOf(o)
+		if classes[o.Class] == nil {
+			classes[o.Class] = &share{}
+		}
+		classes[o.Class].add(o.Quality >= goodQuality)
+		if o.Kind == observation.Stream {
+			firstTokens = append(firstTokens, o.FirstToken)
+		}
+	}
+	if chats > 0 {
+		f.BillsPerChat = float64(billed) / float64(chats)
+		f.MeanCost /= float64(chats)
+		f.StrongCost /= float64(chats)
+	}
+	f.Quality = map[string]float64{}
+	for class, s := range classes {
+		f.Quality[class] = s.value()
+	}
+	slices.Sort(firstTokens)
+	f.FirstTokenP50 = quantile(firstTokens, 0.5)
+	f.FirstTokenP95 = quantile(firstTokens, 0.95)
+	f.FirstTokenP99 = quantile(firstTokens, 0.99)
+}
+
+func (f *Figures) count(o observation.Observation) {
+	switch o.Result {
+	case observation.Answered:
+		f.Answered++
+	case observation.NotRun:
+		f.NotRun++
+	case observation.Unknown:
+		f.Unknown++
+	default:
+		f.Defective++
+	}
+}
+
+func (j *judge) costOf(o observation.Observation) float64 {
+	cost := 0.0
+	for _, bill := range j.bills[o.RequestID] {
+		cost += bill.CostMicro
+	}
+	return cost
+}
+
+func (j *judge) strongCostOf(o observation.Observation) float64 {
+	if len(j.eras) == 0 {
+		return 0
+	}
+	strong := j.history.Strong
+	price := j.eras[0].policy.Models[strong.Model].Versions[strong.Version]
+	for _, e := range j.eras {
+		if version, ok := e.policy.Models[strong.Model].Versions[strong.Version]; ok {
+			price = version
+		}
+	}
+	return price.PromptCost*float64(o.PromptTokens) + price.AnswerCost*float64(o.AnswerTokens)
+}
+
+// share counts good ones among all.
+type share struct{ good, all int }
+
+func (s *share) add(good bool) {
+	s.all++
+	if good {
+		s.good++
+	}
+}
+
+func (s *share) value() float64 { return float64(s.good) / float64(s.all) }
+
+// quantile returns a quantile of sorted durations, in milliseconds.
+func quantile(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	index := min(int(q*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[index].Microseconds()) / 1000
+}
--- /dev/null
+++ b/standin/check/table.go
@@ -0,0 +1,148 @@
+package check
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+)
+
+// Promise names one thing that must always hold.
+type Promise string
+
+// Promises, in the order of the table.
+const (
+	OwnWholeAnswer    Promise = "each answer is whole and the caller's own"
+	NotRunIsTrue      Promise = "what was refused as not run did not run"
+	BilledOnce        Promise = "each answered request is billed exactly once"
+	BilledAtMostOnce  Promise = "no request is billed twice or without having run"
+	BookedAtMostOnce  Promise = "no booking runs twice"
+	BookedIfAnswered  Promise = "no confirmed booking is lost"
+	SessionStays      Promise = "a session keeps its versions"
+	WithdrawnIsIdle   Promise = "a withdrawn version gets no new work"
+	OnlyAllowed       Promise = "accounts use only what they may"
+	LeavingIsIdle     Promise = "a leaving endpoint gets no new work after seconds"
+	ExposureBounded   Promise = "a bad version meets few requests"
+	CrashesBounded    Promise = "a crash-causing request costs two endpoints at most"
+	RefusalsSayEnough Promise = "each refusal says whether the request ran"
+)
+
+// Row is one promise and its breaches.
+type Row struct {
+	Promise Promise `json:"promise"`
+	// Checked counts the cases in which it could have been broken.
+	Checked int  `json:"checked"`
+	Broken  int  `json:"broken"`
+	Held    bool `json:"held"`
+	// Examples names up to [MaxExamples] breaches.
+	Examples []string `json:"examples,omitempty"`
+}
+
+// MaxExamples bounds the examples of a row.
+const MaxExamples = 5
+
+// Table is the judgement on a run.
+type Table struct {
+	Held    bool    `json:"held"`
+	Figures Figures `json:"figures"`
+	Rows    []*Row  `json:"promises"`
+}
+
+// Figures are the measures of a run.
+type Figures struct {
+	Sent      int `json:"sent"`
+	Answered  int `json:"answered"`
+	NotRun    int `json:"refused_not_run"`
+	Unknown   int `json:"unknown"`
+	Defective int `json:"defective"`
+
+	Bills        int     `json:"bills"`
+	BillsPerChat float64 `json:"bills_per_answered_chat"`
+	DoubleRuns   int     `json:"double_runs"`
+	// Exposed counts requests that ran on a bad version, and ExposedAnswers
+	// those answered by one.
+	Exposed        int `json:"exposed_to_bad_version"`
+	ExposedAnswers int `json:"answered_by_bad_version"`
+	// MeanCost and StrongCost are micro-units of money per answered chat
+	// request: as billed, and had the strong model answered.
+	MeanCost   float64 `json:"cost_micro_per_request"`
+	StrongCost float64 `json:"cost_micro_always_strong"`
+	// Quality is the share of good answers by task class.
+	Quality map[string]float64 `json:"good_answers_by_class"`
+
+	FirstTokenP50 float64 `json:"first_token_p50_ms"`
+	FirstTokenP95 float64 `json:"first_token_p95_ms"`
+	FirstTokenP99 float64 `json:"first_token_p99_ms"`
+}
+
+// row returns the promise's row, which it adds if it is not there.
+func (t *Table) row(promise Promise) *Row {
+	for _, row := range t.Rows {
+		if row.Promise == promise {
+			return row
+		}
+	}
+	added := &Row{Promise: promise, Held: true}
+	t.Rows = append(t.Rows, added)
+	return added
+}
+
+// breach notes that the promise was broken.
+func (r *Row) breach(format string, args ...any) {
+	r.Broken++
+	r.Held = false
+	if len(r.Examples) < MaxExamples {
+		r.Examples = append(r.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Broken returns the promises that did not hold.
+func (t *Table) Broken() []Promise {
+	var broken []Promise
+	for _, row := range t.Rows {
+		if !row.Held {
+			broken = append(broken, row.Promise)
+		}
+	}
+	return broken
+}
+
+// Write prints the table for people.
+func (t *Table) Write(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	f := t.Figures
+	fmt.Fprintf(out, "requests sent\t%d\n", f.Sent)
+	fmt.Fprintf(out, "answered\t%d\n", f.Answered)
+	fmt.Fprintf(out, "refused, not run\t%d\n", f.NotRun)
+	fmt.Fprintf(out, "outcome unknown\t%d\n", f.Unknown)
+	fmt.Fprintf(out, "answers mixed up or cut\t%d\n", f.Defective)
+	fmt.Fprintf(out, "bills\t%d\n", f.Bills)
+	fmt.Fprintf(out, "bills per answered chat\t%.3f\n", f.BillsPerChat)
+	fmt.Fprintf(out, "double runs\t%d\n", f.DoubleRuns)
+	fmt.Fprintf(out, "requests exposed to a bad version\t%d (answered by it: %d)\n", f.Exposed, f.ExposedAnswers)
+	fmt.Fprintf(out, "cost per request, micro-units\t%.1f (always strong: %.1f)\n", f.MeanCost, f.StrongCost)
+	for _, class := range sortedKeys(f.Quality) {
+		fmt.Fprintf(out, "good answers, %s\t%.3f\n", class, f.Quality[class])
+	}
+	fmt.Fprintf(out, "first token p50 / p95 / p99, ms\t%.1f / %.1f / %.1f\n", f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99)
+	fmt.Fprintf(out, "\npromise\tchecked\tbroken\n")
+	for _, row := range t.Rows {
+		mark := ""
+		if !row.Held {
+			mark = "  BROKEN"
+		}
+		fmt.Fprintf(out, "%s\t%d\t%d%s\n", row.Promise, row.Checked, row.Broken, mark)
+	}
+	if err := out.Flush(); err != nil {
+		return eris.Wrap(err, "check: write table")
+	}
+	for _, row := range t.Rows {
+		for _, example := range row.Examples {
+			if _, err := fmt.Fprintf(w, "  broken: %s: %s\n", row.Promise, example); err != nil {
+				return eris.Wrap(err, "check: write table")
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/load/call.go
@@ -0,0 +1,242 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/standin/observation"
+)
+
+// Headers of the callers' API.
+const (
+	headerRequestID    = "X-Request-Id"
+	headerKey          = "Idempotency-Key"
+	headerSession      = "Session-Id"
+	headerSessionToken = "Session-Token"
+	headerClass        = "Task-Class"
+	headerDeadline     = "Deadline-Ms"
+	headerModel        = "Wigeonusher-Model"
+	headerInstance     = "Wigeonusher-Instance"
+)
+
+const maxAnswerBytes = 8 << 20
+
+// chatBody is a chat request.
+type chatBody struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+// bookingBody is a call that must run at most once.
+type bookingBody struct {
+	Key string `json:"key"`
+}
+
+// problem is a refusal.
+type problem struct {
+	Type             string `json:"type"`
+	Detail           string `json:"detail"`
+	Outcome          string `json:"outcome"`
+	RetryAfterMillis int64  `json:"retry_after_ms"`
+}
+
+// reply is what came of one try.
+type reply struct {
+	observation observation.Observation
+	// retryAfter is when coming back helps; negative if it does not.
+	retryAfter time.Duration
+	// text is the answer, token the session's token.
+	text  string
+	token string
+}
+
+// try sends a question once, under a request ID of its own.
+func (r *runner) try(ctx context.Context, q *question, requestID string) reply {
+	address := r.balancer.choose()
+	out := reply{retryAfter: -1}
+	out.observation = observation.Observation{
+		RequestID: requestID,
+		Key:       q.key,
+		Account:   q.account.ID,
+		Class:     q.class.Name,
+		Kind:      q.kind,
+	}
+	if q.session != nil {
+		out.observation.Session = q.session.id
+	}
+	request, err := newRequest(ctx, r.mix, q, address, requestID)
+	if err != nil {
+		out.observation.Result = observation.NotRun
+		out.observation.Problem = err.Error()
+		return out
+	}
+	out.observation.Sent = time.Now()
+	response, err := r.http.Do(request)
+	if err != nil {
+		out.failed(err)
+		if out.observation.Result == observation.NotRun {
+			r.balancer.takeOut(address)
+		}
+		return out
+	}
+	defer response.Body.Close()
+	out.read(q, response)
+	out.observation.Took = time.Since(out.observation.Sent)
+	return out
+}
+
+// failed reads an error of the transport. Only a failed dial is known to have
+// sent nothing.
+func (r *reply) failed(err error) {
+	r.observation.Took = time.Since(r.observation.Sent)
+	r.observation.Result = observation.Unknown
+	r.observation.Problem = "connection-lost"
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		r.observation.Result = observation.NotRun
+		r.observation.Problem = "connection-refused"
+		r.retryAfter = 0
+	}
+}
+
+func (r *reply) read(q *question, response *http.Response) {
+	header := response.Header
+	r.observation.Status = response.StatusCode
+	r.observation.Instance = header.Get(headerInstance)
+	r.observation.Ref = header.Get(headerModel)
+	r.token = header.Get(headerSessionToken)
+	if response.StatusCode != http.StatusOK {
+		r.readProblem(response)
+		return
+	}
+	if echoed := header.Get(headerRequestID); q.kind.IsChat() && echoed != r.observation.RequestID {
+		r.defect("reply of another request")
+		return
+	}
+	switch q.kind {
+	case observation.Stream:
+		r.readStream(q, response.Body)
+	case observation.Whole:
+		r.readWhole(q, response.Body)
+	default:
+		r.readService(response.Body)
+	}
+}
+
+func (r *reply) defect(what string) {
+	r.observation.Result = observation.Defective
+	r.observation.Problem = what
+}
+
+func (r *reply) lost() {
+	r.observation.Result = observation.Unknown
+	r.observation.Problem = "connection-lost"
+}
+
+func (r *reply) readProblem(response *http.Response) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		r.lost()
+		return
+	}
+	var refusal problem
+	if json.Unmarshal(body, &refusal) != nil || refusal.Outcome == "" {
+		r.defect("refusal without an outcome, status " + strconv.Itoa(response.StatusCode))
+		return
+	}
+	r.refused(refusal)
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && r.retryAfter < 0 {
+		r.retryAfter = time.Duration(seconds) * time.Second
+	}
+}
+
+func (r *reply) refused(refusal problem) {
+	r.observation.Problem = refusal.Type
+	r.observation.Result = observation.Unknown
+	if refusal.Outcome == string(observation.NotRun) {
+		r.observation.Result = observation.NotRun
+	}
+	if refusal.RetryAfterMillis > 0 {
+		r.retryAfter = time.Duration(refusal.RetryAfterMillis) * time.Millisecond
+	}
+}
+
+func newRequest(ctx context.Context, mix *Mix, q *question, address, requestID string) (*http.Request, error) {
+	var request *http.Request
+	var err error
+	switch q.kind {
+	case observation.Read:
+		target := "http://" + address + "/services/" + mix.Service.Name + "/slots?of=" + requestID
+		request, err = http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	case observation.Booking:
+		target := "http://" + address + "/services/" + mix.Service.Name + "/bookings"
+		request, err = post(ctx, target, bookingBody{Key: q.key})
+	default:
+		request, err = post(ctx, "http://"+address+"/v1/chat/completions", chatBody{
+			Model:     q.class.Model,
+			Messages:  q.messages,
+			MaxTokens: q.tokens,
+			Stream:    q.kind == observation.Stream,
+		})
+	}
+	if err != nil {
+		return nil, err
+	}
+	setHeaders(request.Header, q, requestID)
+	return request, nil
+}
+
+func post(ctx context.Context, target string, body any) (*http.Request, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, err
+	}
+	// A transport must not send the request again on its own.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func setHeaders(header http.Header, q *question, requestID string) {
+	header.Set("Authorization", "Bearer "+q.account.Key)
+	header.Set(headerRequestID, requestID)
+	if q.key != "" {
+		header.Set(headerKey, q.key)
+	}
+	if !q.kind.IsChat() {
+		return
+	}
+	header.Set(headerClass, q.class.Name)
+	if q.class.DeadlineMillis > 0 {
+		header.Set(headerDeadline, strconv.Itoa(q.class.DeadlineMillis))
+	}
+	if q.session != nil {
+		header.Set(headerSession, q.session.id)
+		if q.session.token != "" {
+			header.Set(headerSessionToken, q.session.token)
+		}
+	}
+}
+
+// words counts the words of the messages, roles included, as engines do.
+func words(messages []message) int {
+	total := 0
+	for _, m := range messages {
+		total += 1 + len(strings.Fields(m.Content))
+	}
+	return total
+}
--- /dev/null
+++ b/standin/load/mix.go
@@ -0,0 +1,203 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/wigeonusher/wigeonusher/coord/finding"
+	"github.com/wigeonusher/wigeonusher/standin/server"
+)
+
+// Bounds of a mix.
+const (
+	MaxVirtualUsers = 5000
+	MaxRate         = 10_000
+	MaxRequests     = 5_000_000
+	MaxSeconds      = 3600
+	maxWords        = 100_000
+)
+
+// Mix describes the traffic of one run.
+type Mix struct {
+	Seed uint64 `json:"seed"`
+	// Callers lists the callers' addresses of the instances.
+	Callers  []string  `json:"callers"`
+	Accounts []Account `json:"accounts"`
+	Classes  []Class   `json:"classes"`
+	// SessionShare is the share of chat requests, in [0, 1], that begin a
+	// session; SessionTurns is the number of requests in one.
+	SessionShare float64 `json:"session_share"`
+	SessionTurns int     `json:"session_turns"`
+	// Service describes the calls of a plain service; none if nil.
+	Service *Service `json:"service,omitempty"`
+	// VirtualUsers is the number of callers that each wait for an answer
+	// before they ask again. It excludes Rate.
+	VirtualUsers int `json:"virtual_users,omitempty"`
+	// ThinkMillis is the longest pause of a virtual user, in milliseconds.
+	ThinkMillis int `json:"think_ms,omitempty"`
+	// Rate is the number of requests begun per second, whatever the answers.
+	Rate float64 `json:"rate,omitempty"`
+	// MaxRequests and MaxSeconds end the run, whichever comes first.
+	MaxRequests int `json:"max_requests"`
+	MaxSeconds  int `json:"max_seconds"`
+	// Tries is the number of times that a caller sends one request; 3 if 0.
+	Tries int `json:"tries,omitempty"`
+	// Marked puts a text into the prompts of some requests.
+	Marked *Marked `json:"marked,omitempty"`
+}
+
+// Account is a client account that sends requests.
+type Account struct {
+	ID  string `json:"id"`
+	Key string `json:"key"`
+	// Weight is the account's share of the traffic.
+	Weight float64 `json:"weight"`
+}
+
+// Class is a kind of chat request.
+type Class struct {
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight"`
+	// Model is what is asked for: "auto", a model or "model@version".
+	Model string `json:"model"`
+	// PromptWords and AnswerTokens are ranges, both ends included.
+	PromptWords  Range `json:"prompt_words"`
+	AnswerTokens Range `json:"answer_tokens"`
+	// StreamShare is the share of streamed requests, in [0, 1].
+	StreamShare float64 `json:"stream_share"`
+	// DeadlineMillis is sent with each request if it is not 0.
+	DeadlineMillis int `json:"deadline_ms,omitempty"`
+}
+
+// Range is a range of integers, both ends included.
+type Range struct {
+	Min int `json:"min"`
+	Max int `json:"max"`
+}
+
+// Service describes calls of a plain service.
+type Service struct {
+	Name string `json:"name"`
+	// Share is the share of all requests, in [0, 1].
+	Share float64 `json:"share"`
+	// ReadShare is the share of repeatable calls among them, in [0, 1].
+	ReadShare float64 `json:"read_share"`
+}
+
+// Marked describes requests with a text in their prompt, for example one that
+// crashes endpoints.
+type Marked struct {
+	Text string `json:"text"`
+	// Every is the distance between marked requests, counted in requests.
+	Every int `json:"every"`
+	// Count bounds them.
+	Count int `json:"count"`
+}
+
+// ParseMix decodes and checks a mix. The error is a [finding.List].
+func ParseMix(body []byte) (Mix, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var mix Mix
+	var findings finding.List
+	if err := decoder.Decode(&mix); err != nil {
+		findings.Add("/", err.Error(), "see docs/operators/tool.md")
+		return Mix{}, findings
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		findings.Add("/", "more than one JSON value", "")
+		return Mix{}, findings
+	}
+	return mix, mix.Check().Err()
+}
+
+// Check returns all that is wrong with the mix.
+func (m Mix) Check() finding.List {
+	var findings finding.List
+	if len(m.Callers) == 0 {
+		findings.Add("/callers", "must not be empty", "name the callers' addresses of the instances")
+	}
+	for i, address := range m.Callers {
+		if err := server.CheckLoopback(address); err != nil {
+			findings.Add("/callers/"+strconv.Itoa(i), "not a loopback IP number with a port", "the load generator drives this machine only")
+		}
+	}
+	m.checkAccounts(&findings)
+	m.checkClasses(&findings)
+	checkShare(&findings, "/session_share", m.SessionShare)
+	if m.SessionShare > 0 && m.SessionTurns < 1 {
+		findings.Add("/session_turns", "must be at least 1", "")
+	}
+	if m.Service != nil {
+		checkShare(&findings, "/service/share", m.Service.Share)
+		checkShare(&findings, "/service/read_share", m.Service.ReadShare)
+	}
+	m.checkPace(&findings)
+	return findings
+}
+
+func (m Mix) checkAccounts(findings *finding.List) {
+	if len(m.Accounts) == 0 {
+		findings.Add("/accounts", "must not be empty", "")
+	}
+	for i, account := range m.Accounts {
+		at := "/accounts/" + strconv.Itoa(i)
+		if account.Key == "" {
+			findings.Add(at+"/key", "must not be empty", "")
+		}
+		if account.Weight <= 0 {
+			findings.Add(at+"/weight", "must be above 0", "")
+		}
+	}
+}
+
+func (m Mix) checkClasses(findings *finding.List) {
+	if len(m.Classes) == 0 {
+		findings.Add("/classes", "must not be empty", "")
+	}
+	for i, class := range m.Classes {
+		at := "/classes/" + strconv.Itoa(i)
+		if class.Weight <= 0 {
+			findings.Add(at+"/weight", "must be above 0", "")
+		}
+		if class.Model == "" {
+			findings.Add(at+"/model", "must not be empty", "use auto to leave the choice to the router")
+		}
+		checkShare(findings, at+"/stream_share", class.StreamShare)
+		checkRange(findings, at+"/prompt_words", class.PromptWords)
+		checkRange(findings, at+"/answer_tokens", class.AnswerTokens)
+	}
+}
+
+func (m Mix) checkPace(findings *finding.List) {
+	if (m.VirtualUsers > 0) == (m.Rate > 0) {
+		findings.Add("/virtual_users", "exactly one of virtual_users and rate must be above 0", "")
+	}
+	checkBound(findings, "/virtual_users", float64(m.VirtualUsers), 0, MaxVirtualUsers)
+	checkBound(findings, "/rate", m.Rate, 0, MaxRate)
+	checkBound(findings, "/max_requests", float64(m.MaxRequests), 1, MaxRequests)
+	checkBound(findings, "/max_seconds", float64(m.MaxSeconds), 1, MaxSeconds)
+	if m.Marked != nil && m.Marked.Every < 1 {
+		findings.Add("/marked/every", "must be at least 1", "")
+	}
+}
+
+func checkShare(findings *finding.List, place string, share float64) {
+	checkBound(findings, place, share, 0, 1)
+}
+
+func checkRange(findings *finding.List, place string, r Range) {
+	if r.Min < 1 || r.Max < r.Min || r.Max > maxWords {
+		findings.Add(place, "must be a range from at least 1 to at most "+strconv.Itoa(maxWords), "")
+	}
+}
+
+func checkBound(findings *finding.List, place string, value, low, high float64) {
+	if value < low || value > high {
+		limits := strconv.FormatFloat(low, 'g', -1, 64) + ", " + strconv.FormatFloat(high, 'g', -1, 64)
+		findings.Add(place, "must be in ["+limits+"]", "")
+	}
+}
