Prove the outbox under lost, late and refused appends

Property test over a log in memory whose answers the generator draws; add reservations, so that work whose entry falls due at its end can be refused before it starts.

--- a/coord/outbox/doc.go
+++ b/coord/outbox/doc.go
@@ -30,4 +30,10 @@
 // The invariant is that an entry stays held until the log is known to have it,
 // or until its owner removes it. [Outbox.Withdraw] is the removal that is
 // certain: it succeeds only for entries that no append can have carried.
+//
+// # Bounds
+//
+// [Outbox.Add] reports [ErrFull] at MaxEntries or MaxBytes. Work whose entry
+// falls due only at its end, such as a bill, takes a [Reservation] before it
+// starts, and is refused then instead of losing the entry later.
 package outbox
--- a/coord/outbox/outbox.go
+++ b/coord/outbox/outbox.go
@@ -57,6 +57,9 @@
 	random Random
 	queue  queue
 
+	reservedEntries int
+	reservedBytes   int
+
 	phase    phase
 	batch    BatchID
 	since    time.Time // start of the append or read-back in flight
@@ -92,7 +95,7 @@
 	if size+recordOverhead > platform.MaxRecordBytes {
 		return ErrTooLarge
 	}
-	if len(o.queue.items) >= o.cfg.MaxEntries || o.queue.bytes+size > o.cfg.MaxBytes {
+	if !o.hasRoom(size) {
 		return ErrFull
 	}
 	o.queue.push(entry, size)
@@ -150,6 +153,12 @@
 	}
 }
 
+func (o *Outbox) hasRoom(size int) bool {
+	entries := len(o.queue.items) + o.reservedEntries
+	bytes := o.queue.bytes + o.reservedBytes
+	return entries < o.cfg.MaxEntries && bytes+size <= o.cfg.MaxBytes
+}
+
 func (o *Outbox) onAppend(now time.Time, result AppendResult) []Effect {
 	if o.phase != appending || result.Batch != o.batch {
 		return nil
--- /dev/null
+++ b/coord/outbox/outbox_test.go
@@ -0,0 +1,205 @@
+package outbox_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/outbox"
+	"github.com/wigeonusher/wigeonusher/coord/outbox/outboxtest"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// TestMain fixes the seed and the length of the searches unless flags do.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	defaults := map[string]string{"rapid.seed": "4201", "rapid.steps": "150"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		_ = flag.Set(name, value)
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	epoch  = time.Unix(0, 0)
+	config = outbox.Config{
+		MaxEntries:  40,
+		MaxBytes:    8 << 10,
+		MinInterval: 100 * time.Millisecond,
+		RetryBase:   100 * time.Millisecond,
+		RetryCap:    4 * time.Second,
+		StallAfter:  5 * time.Second,
+	}
+)
+
+func newWriter(log *outboxtest.Log) *outboxtest.Writer {
+	return &outboxtest.Writer{
+		Box:       outbox.New(config, rand.New(rand.NewPCG(1, 2))),
+		Log:       log,
+		ReadLimit: 2,
+	}
+}
+
+func entryOf(t assert.TestingT, id string) platform.Entry {
+	entry, err := platform.NewEntry(id, "test", "instance-1", "body")
+	assert.NilError(t, err)
+	return entry
+}
+
+// logged counts the entries of the log by ID.
+func logged(log *outboxtest.Log) map[string]int {
+	counts := map[string]int{}
+	for _, record := range log.All() {
+		entries, _ := platform.DecodeEntries(record.Payload)
+		for _, entry := range entries {
+			counts[entry.ID]++
+		}
+	}
+	return counts
+}
+
+// TestNothingLostNothingBlind draws faults of the log and checks that what is
+// settled is in the log, that what is withdrawn never will be, that the bounds
+// hold, and that in the end everything is in the log. An entry may be there
+// twice only if some append of it was lost.
+func TestNothingLostNothingBlind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := outboxtest.NewLog()
+		w := newWriter(log)
+		now, added := epoch, 0
+		settled, withdrawn := map[string]bool{}, map[string]bool{}
+		lost := false
+		w.OnSettled = func(ids []string) {
+			for _, id := range ids {
+				assert.Assert(t, !settled[id], "settled twice")
+				settled[id] = true
+			}
+		}
+		lastAppends, lastAppend := 0, epoch.Add(-time.Hour)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				err := w.Box.Add(entryOf(t, fmt.Sprint(added)))
+				assert.Assert(t, err == nil || w.Box.Len() == config.MaxEntries)
+				if err == nil {
+					added++
+				}
+			},
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				w.Step(now, outbox.Tick{})
+			},
+			"answer": func(t *rapid.T) {
+				fault := rapid.SampledFrom(outboxtest.Faults()).Draw(t, "fault")
+				lost = lost || fault > outboxtest.Unavailable
+				w.Answer(now, fault)
+			},
+			"land": func(t *rapid.T) {
+				if log.Late() == 0 {
+					t.Skip("nothing late")
+				}
+				log.Land(rapid.IntRange(0, log.Late()-1).Draw(t, "late"))
+			},
+			"see the end": func(*rapid.T) { w.Step(now, outbox.EndSeen{Next: log.End()}) },
+			"withdraw": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, added).Draw(t, "entry"))
+				for _, id := range w.Box.Withdraw(id) {
+					withdrawn[id] = true
+				}
+			},
+			"": func(t *rapid.T) {
+				counts := logged(log)
+				for id := range settled {
+					assert.Assert(t, counts[id] > 0, "entry %s settled but not logged", id)
+				}
+				for id, n := range counts {
+					assert.Assert(t, !withdrawn[id], "entry %s withdrawn but logged", id)
+					assert.Assert(t, lost || n == 1, "entry %s logged %d times", id, n)
+				}
+				if log.Appends > lastAppends {
+					assert.Assert(t, log.Appends == lastAppends+1)
+					assert.Assert(t, now.Sub(lastAppend) >= config.MinInterval, "appends too close")
+					lastAppends, lastAppend = log.Appends, now
+				}
+			},
+		})
+		for range 200 {
+			now = now.Add(config.RetryCap)
+			w.Step(now, outbox.Tick{})
+			w.Answer(now, outboxtest.None)
+		}
+		assert.Equal(t, w.Box.Len(), 0)
+		assert.Equal(t, len(settled)+len(withdrawn), added)
+		assert.Assert(t, w.Box.Health(now).Available)
+	})
+}
+
+// TestLateEffectAfterReadBack is the hardest single case: the read-back does
+// not find the entry, and the lost append takes effect afterwards.
+func TestLateEffectAfterReadBack(t *testing.T) {
+	log := outboxtest.NewLog()
+	w := newWriter(log)
+	assert.NilError(t, w.Box.Add(entryOf(t, "a")))
+	w.Step(epoch, outbox.Tick{})
+	w.Answer(epoch, outboxtest.LostLate)
+	w.Answer(epoch, outboxtest.None)
+	assert.Equal(t, w.Box.Len(), 1)
+	assert.Equal(t, len(w.Box.Withdraw("a")), 0)
+	log.Land(0)
+	assert.Assert(t, !w.Box.Health(epoch).Available)
+	later := epoch.Add(config.RetryCap)
+	w.Step(later, outbox.Tick{})
+	w.Answer(later, outboxtest.None)
+	assert.Equal(t, logged(log)["a"], 2)
+	assert.Equal(t, w.Box.Len(), 0)
+}
+
+// TestReservationIsKept fills the outbox around a reservation.
+func TestReservationIsKept(t *testing.T) {
+	box := outbox.New(config, rand.New(rand.NewPCG(1, 2)))
+	reservation, err := box.Reserve(200)
+	assert.NilError(t, err)
+	for i := 0; box.Add(entryOf(t, fmt.Sprint(i))) == nil; i++ {
+	}
+	assert.Equal(t, box.Len(), config.MaxEntries-1)
+	assert.NilError(t, reservation.Add(entryOf(t, "last")))
+	assert.ErrorIs(t, reservation.Add(entryOf(t, "again")), outbox.ErrReservationUsed)
+	assert.Equal(t, box.Len(), config.MaxEntries)
+}
+
+// TestAppendsAreFlat measures, in virtual time, the appends of ten seconds at
+// growing rates of entries, before a log that answers after the given time.
+func TestAppendsAreFlat(t *testing.T) {
+	for _, latency := range []time.Duration{20 * time.Millisecond, 2 * time.Second} {
+		for _, rate := range []int{10, 100, 1000, 5000} {
+			log := outboxtest.NewLog()
+			cfg := config
+			cfg.MaxEntries, cfg.MaxBytes = 100_000, 100<<20
+			w := &outboxtest.Writer{Box: outbox.New(cfg, rand.New(rand.NewPCG(1, 2))), Log: log}
+			const step = 10 * time.Millisecond
+			added, answerAt := 0, epoch
+			for at := time.Duration(0); at < 10*time.Second; at += step {
+				now := epoch.Add(at)
+				for ; added < int(at.Seconds()*float64(rate)); added++ {
+					assert.NilError(t, w.Box.Add(entryOf(t, fmt.Sprint(added))))
+				}
+				before := log.Appends
+				if w.Waiting() && !now.Before(answerAt) {
+					w.Answer(now, outboxtest.None)
+				}
+				w.Step(now, outbox.Tick{})
+				if log.Appends > before {
+					answerAt = now.Add(latency)
+				}
+			}
+			t.Logf("latency %v, %d entries/s: %d appends in 10 s", latency, rate, log.Appends)
+			assert.Assert(t, log.Appends <= int(10*time.Second/cfg.MinInterval))
+		}
+	}
+}
