--- /dev/null
+++ b/coord/fold/snapshot_test.go
@@ -0,0 +1,221 @@
+package fold_test
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/fold"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// blob is a part of a given size.
+type blob struct{ data []byte }
+
+func (b *blob) Name() string                            { return "blob" }
+func (b *blob) Apply(platform.Position, platform.Entry) {}
+func (b *blob) Snapshot() (json.RawMessage, error)      { return json.Marshal(b.data) }
+func (b *blob) Restore(state json.RawMessage) error     { return json.Unmarshal(state, &b.data) }
+
+// chunkRecords returns the records of the stream's snapshot, one per chunk.
+func chunkRecords(t assert.TestingT, stream *fold.Stream, writer platform.InstanceID, at platform.Offset) []platform.Record {
+	snapshot, err := stream.Snapshot()
+	assert.NilError(t, err)
+	entries, err := fold.Chunks(snapshot, writer)
+	assert.NilError(t, err)
+	var records []platform.Record
+	for i, entry := range entries {
+		payload, err := platform.EncodeEntries([]platform.Entry{entry})
+		assert.NilError(t, err)
+		records = append(records, platform.Record{Offset: at + platform.Offset(i), Payload: payload})
+	}
+	return records
+}
+
+// A snapshot larger than a record is complete only with all its chunks, in any
+// order and repeated, and is then what was cut.
+func TestAssemblerNeedsAllChunks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := &blob{data: make([]byte, rapid.IntRange(0, 2*fold.MaxChunkBytes).Draw(t, "bytes"))}
+		stream := fold.NewStream(part)
+		stream.Apply(record(t, 1, "x"))
+		records := chunkRecords(t, stream, "writer", 2)
+		assembler := fold.NewAssembler()
+		left := map[int]bool{}
+		for i := range records {
+			left[i] = true
+		}
+		for len(left) > 0 {
+			_, _, ok := assembler.Newest()
+			assert.Assert(t, !ok)
+			i := rapid.IntRange(0, len(records)-1).Draw(t, "chunk")
+			assembler.Add(records[i])
+			delete(left, i)
+		}
+		encoded, base, ok := assembler.Newest()
+		assert.Assert(t, ok)
+		assert.Equal(t, base, platform.Offset(2))
+		snapshot, err := fold.DecodeSnapshot(encoded)
+		assert.NilError(t, err)
+		assert.NilError(t, fold.NewStream(&blob{}).Restore(snapshot))
+	})
+}
+
+// A chunk with other data never yields a snapshot.
+func TestAssemblerRefusesDamage(t *testing.T) {
+	stream := newStream()
+	stream.Apply(record(t, 1, "x"))
+	snapshot, err := stream.Snapshot()
+	assert.NilError(t, err)
+	entries, err := fold.Chunks(snapshot, "writer")
+	assert.NilError(t, err)
+	var chunk fold.Chunk
+	assert.NilError(t, json.Unmarshal(entries[0].Body, &chunk))
+	chunk.Data[0] ^= 1
+	damaged, err := platform.NewEntry("y", fold.KindSnapshot, "writer", chunk)
+	assert.NilError(t, err)
+	payload, err := platform.EncodeEntries([]platform.Entry{damaged})
+	assert.NilError(t, err)
+	assembler := fold.NewAssembler()
+	assembler.Add(platform.Record{Offset: 2, Payload: payload})
+	_, _, ok := assembler.Newest()
+	assert.Assert(t, !ok)
+}
+
+// A snapshot that differs from the state at its own base changes nothing, is
+// reported, does not count as kept, and makes another one due at once.
+func TestMismatchedSnapshotIsReportedAndSuperseded(t *testing.T) {
+	stream, hostile := newStream(), newStream()
+	stream.Apply(record(t, 1, "true"))
+	hostile.Apply(record(t, 1, "false"))
+	var reports []fold.Report
+	stream.OnReport(func(report fold.Report) { reports = append(reports, report) })
+	for _, chunk := range chunkRecords(t, hostile, "hostile", 2) {
+		assert.Assert(t, stream.Apply(chunk))
+	}
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, reports[0].Reason, fold.SnapshotMismatched)
+	assert.Equal(t, stream.SnapshotBase(), platform.Offset(0))
+	keeper := fold.NewKeeper(time.Unix(0, 0), fold.KeeperConfig{})
+	view := fold.KeeperView{Next: stream.Next(), SnapshotBase: stream.SnapshotBase(), MismatchBase: stream.MismatchBase()}
+	assert.Assert(t, keeper.Due(time.Unix(1, 0), view, 0))
+
+	for _, chunk := range chunkRecords(t, stream, "honest", stream.Next()) {
+		assert.Assert(t, stream.Apply(chunk))
+	}
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, stream.SnapshotBase(), platform.Offset(3))
+}
+
+// keeping is one instance that keeps snapshots of a log shared with others.
+type keeping struct {
+	keeper *fold.Keeper
+	alive  bool
+}
+
+// While the retention passes, the log always has a snapshot whose following
+// records are retained, and the instances together write few.
+func TestKeepersKeepASnapshotRetained(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const retention = 4 * time.Hour
+		cfg := fold.KeeperConfig{MaxRecords: 100, MaxAge: time.Hour}
+		now := time.Unix(0, 0)
+		instances := make([]*keeping, rapid.IntRange(2, 6).Draw(t, "instances"))
+		for i := range instances {
+			instances[i] = &keeping{keeper: fold.NewKeeper(now, cfg), alive: true}
+		}
+		times := []time.Time{{}} // of the records, by offset
+		next, first, base := platform.Offset(2), platform.Offset(1), platform.Offset(0)
+		times = append(times, now)
+		written, dueEvents := 0, 0
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(10, 400).Draw(t, "seconds")) * time.Second)
+			victim := rapid.IntRange(1, len(instances)*4).Draw(t, "victim")
+			if victim < len(instances) {
+				instances[victim].alive = !instances[victim].alive
+			}
+			for range rapid.IntRange(0, 10).Draw(t, "appends") {
+				times = append(times, now)
+				next++
+			}
+			for first < next && now.Sub(times[first]) > retention {
+				first++
+			}
+			assert.Assert(t, first == 1 || base >= first, "snapshot at %d lost, log begins at %d", base, first)
+			before := written
+			for rank, instance := range instances {
+				view := fold.KeeperView{Next: next, SnapshotBase: base, First: first}
+				if instance.alive && instance.keeper.Due(now, view, rank) {
+					base = next
+					times = append(times, now)
+					next++
+					written++
+				}
+			}
+			if written > before {
+				dueEvents++
+			}
+		}
+		assert.Assert(t, written <= dueEvents, "%d snapshots on %d occasions", written, dueEvents)
+	})
+}
+
+func FuzzDecodeSnapshot(f *testing.F) {
+	stream := newStream()
+	stream.Apply(record(f, 1, "x"))
+	snapshot, err := stream.Snapshot()
+	assert.NilError(f, err)
+	encoded, err := snapshot.Encode()
+	assert.NilError(f, err)
+	f.Add(encoded)
+	f.Add([]byte(`{"next":2,"window":"AAAA","parts":[{"name":"a"},{"name":"b","state":7}]}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		decoded, err := fold.DecodeSnapshot(encoded)
+		if err != nil {
+			return
+		}
+		target := newStream()
+		before := stateOf(t, target)
+		if target.Restore(decoded) != nil {
+			assert.Equal(t, stateOf(t, target), before)
+		}
+	})
+}
+
+func FuzzStreamApply(f *testing.F) {
+	f.Add([]byte(`[{"id":"a","kind":"fold.snapshot","writer":"w","body":{"base":1,"digest":"","index":0,"count":1,"data":"AA=="}}]`))
+	f.Add([]byte(`[{"id":"a","kind":"known","writer":"w","body":1},{"id":"a","kind":"known","body":null}]`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		stream := newStream()
+		assembler := fold.NewAssembler()
+		for offset := range platform.Offset(2) {
+			assert.Assert(t, stream.Apply(platform.Record{Offset: offset + 1, Payload: payload}))
+			assembler.Add(platform.Record{Offset: offset + 1, Payload: payload})
+		}
+		assert.Equal(t, stream.Next(), platform.Offset(3))
+	})
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, kilobytes := range []int{10, 100, 600} {
+		b.Run(sizeName(kilobytes), func(b *testing.B) {
+			data := make([]byte, kilobytes<<10)
+			_, _ = rand.Read(data)
+			stream := fold.NewStream(&blob{data: data})
+			stream.Apply(record(b, 1, "x"))
+			for b.Loop() {
+				snapshot, err := stream.Snapshot()
+				assert.NilError(b, err)
+				encoded, err := snapshot.Encode()
+				assert.NilError(b, err)
+				b.ReportMetric(float64(len(encoded)), "snapshot_bytes")
+			}
+		})
+	}
+}
