--- a/coord/platform/services.go
+++ b/coord/platform/services.go
@@ -60,11 +60,14 @@
 	Announce(ctx context.Context, instance ListedInstance, leaving bool) error
 }
 
+// GoodScore is the least score of a good answer.
+const GoodScore = 0.5
+
 // Rating is the rating service's judgement of one answer.
 type Rating struct {
 	// RequestID is the request that was answered.
 	RequestID string `json:"request_id"`
-	// Score is in [0, 1]; at or above the class's target it is good enough.
+	// Score is in [0, 1]; an answer is good from [GoodScore] on.
 	Score float64 `json:"score"`
 }
 
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -7,19 +7,38 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
 // Status is what an instance tells operators about itself.
 type Status struct {
-	Instance     platform.InstanceID `json:"instance"`
-	Zone         platform.Zone       `json:"zone"`
-	Ready        bool                `json:"ready"`
-	Stopping     bool                `json:"stopping"`
-	Revision     uint64              `json:"revision"`
-	ControlNext  platform.Offset     `json:"control_next"`
-	BillsHeld    int                 `json:"bills_held"`
-	LogAvailable bool                `json:"log_available"`
+	Instance platform.InstanceID `json:"instance"`
+	Zone     platform.Zone       `json:"zone"`
+	Ready    bool                `json:"ready"`
+	Stopping bool                `json:"stopping"`
+	// Revision is that of the configuration in force.
+	Revision uint64 `json:"revision"`
+	// ControlNext and IntentsNext are the offsets wanted next of the streams.
+	ControlNext platform.Offset `json:"control_next"`
+	IntentsNext platform.Offset `json:"intents_next"`
+	// BillsHeld are own bills that the log does not have yet, BillsForPeers
+	// copies of peers' bills, BillsUncopied those whose answer went out
+	// without a copy.
+	BillsHeld     int    `json:"bills_held"`
+	BillsForPeers int    `json:"bills_for_peers"`
+	BillsUncopied uint64 `json:"bills_uncopied"`
+	// Sessions and Keys are remembered sessions and idempotency keys.
+	Sessions int `json:"sessions"`
+	Keys     int `json:"keys"`
+	// Queued are requests that wait for a slot.
+	Queued       int                   `json:"queued"`
+	LogAvailable bool                  `json:"log_available"`
+	Peers        []membership.Peer     `json:"peers"`
+	Endpoints    []membership.Endpoint `json:"endpoints"`
+	// Verdicts are the last verdicts on proposals of configuration.
+	Verdicts []config.Verdict `json:"verdicts"`
 }
 
 // Handler returns the HTTP handler; status is called for every request.
--- a/node/billing/billing.go
+++ b/node/billing/billing.go
@@ -62,6 +62,7 @@
 	writer   *logwriter.Writer
 	copier   Copier
 	peers    Peers
+	maxBills int
 
 	mu         sync.Mutex
 	replicator *hold.Replicator
@@ -98,6 +99,7 @@
 		writer:   writer,
 		copier:   copier,
 		peers:    peers,
+		maxBills: config.MaxBills,
 		replicator: hold.NewReplicator(hold.ReplicatorConfig{
 			Deadline:       config.CopyDeadline,
 			CopyTimeout:    config.CopyDeadline / 2,
@@ -173,6 +175,9 @@
 	b.step(hold.Logged{IDs: ids})
 }
 
+// Full reports whether no further bill can be held.
+func (b *Books) Full() bool { return b.writer.Len() >= b.maxBills }
+
 // HeldForPeers returns the number of copies held for peers.
 func (b *Books) HeldForPeers() int {
 	b.mu.Lock()
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/wigeonusher/wigeonusher/coord/outcome"
+	"github.com/wigeonusher/wigeonusher/node/billing"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
@@ -19,67 +22,83 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(c echo.Context) error {
-	e, trouble := s.open(c)
+	request := &dispatch.Request{}
+	e, trouble := s.open(c, &request.Attempt)
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	request, trouble := s.chatRequest(e)
-	if trouble != nil {
+	if s.Biller.Full() {
+		return s.refuse(c, problem.New(problem.LogUnavailable, http.StatusServiceUnavailable, "no further bill can be held", e.attempt).After(retryAfter))
+	}
+	if trouble := s.fill(e, request); trouble != nil {
 		return s.refuse(c, trouble)
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.Deadline)
 	defer cancel()
+	if trouble := s.bindSession(ctx, e, request); trouble != nil {
+		return s.refuse(c, trouble)
+	}
 	if request.Body.Stream {
 		return s.streamed(ctx, e, request)
 	}
 	return s.whole(ctx, e, request)
 }
 
-func (s *Server) chatRequest(e *exchange) (*dispatch.Request, *problem.Problem) {
+// fill reads the request's body and headers.
+func (s *Server) fill(e *exchange, request *dispatch.Request) *problem.Problem {
 	body, err := openai.Parse(e.body)
 	if err != nil {
-		return nil, problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
+		return problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
 	}
 	header := e.echo.Request().Header
-	class := document.TaskClass(header.Get(HeaderTaskClass))
-	if _, known := e.policy.Routing.Classes[class]; !known {
-		class = e.policy.Routing.DefaultClass
-	}
+	request.ID = e.id
+	request.Account = e.account
+	request.Body = body
+	request.Raw = e.body
+	request.Prompt = body.Prompt()
+	request.Class = classOf(e.policy, header)
+	request.Priority, _ = strconv.Atoi(header.Get(HeaderPriority))
 	fallback := defaultDeadline
-	if rule, ok := e.policy.Routing.Classes[class]; ok {
+	if rule, ok := e.policy.Routing.Classes[request.Class]; ok {
 		fallback = time.Duration(rule.DeadlineMillis) * time.Millisecond
 	}
-	request := &dispatch.Request{
-		ID:       e.id,
-		Account:  e.account,
-		Class:    class,
-		Body:     body,
-		Prompt:   body.Prompt(),
-		Pins:     stablePins(e.policy),
-		Deadline: deadlineOf(e.echo.Request(), fallback),
-	}
-	s.applyModel(request, body.Model)
-	return request, nil
+	request.Deadline = deadlineOf(e.echo.Request(), fallback)
+	if body.Model != openai.ModelAuto {
+		model, version, _ := strings.Cut(body.Model, "@")
+		request.Model = document.ModelName(model)
+		request.Version = document.VersionName(version)
+	}
+	return nil
 }
 
-// applyModel reads "auto", "model" or "model@version".
-func (s *Server) applyModel(request *dispatch.Request, asked string) {
-	if asked == openai.ModelAuto {
-		return
-	}
-	model, version, exact := strings.Cut(asked, "@")
-	request.Model = document.ModelName(model)
-	if exact {
-		request.Pins[request.Model] = document.VersionName(version)
+func classOf(policy *document.Policy, header http.Header) document.TaskClass {
+	class := document.TaskClass(header.Get(HeaderTaskClass))
+	if _, known := policy.Routing.Classes[class]; known {
+		return class
 	}
+	return policy.Routing.DefaultClass
 }
 
-func stablePins(policy *document.Policy) map[document.ModelName]document.VersionName {
-	pins := make(map[document.ModelName]document.VersionName, len(policy.Models))
-	for name, model := range policy.Models {
-		pins[name] = model.Stable
+// bindSession finds the versions that the request may use.
+func (s *Server) bindSession(ctx context.Context, e *exchange, request *dispatch.Request) *problem.Problem {
+	header := e.echo.Request().Header
+	id, token := header.Get(HeaderSession), header.Get(HeaderSessionToken)
+	if id == "" && token == "" {
+		request.Birth = s.Sessions.Single(e.account, e.id)
+		return nil
+	}
+	if len(id) > session.MaxNameBytes {
+		return problem.New(problem.Malformed, http.StatusBadRequest, "session ID too long", e.attempt)
+	}
+	birth, err := s.Sessions.Resolve(ctx, e.account, session.ID(id), token)
+	if err != nil {
+		return problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
 	}
-	return pins
+	request.Birth = birth
+	response := e.echo.Response().Header()
+	response.Set(HeaderSession, string(birth.Session))
+	response.Set(HeaderSessionToken, s.Sessions.Token(birth))
+	return nil
 }
 
 type discard struct{}
@@ -88,7 +107,7 @@
 
 func (s *Server) whole(ctx context.Context, e *exchange, request *dispatch.Request) error {
 	result, trouble := s.Dispatcher.Run(ctx, request, discard{})
-	s.bill(e, request, result)
+	s.bill(ctx, e, request, result)
 	if trouble != nil {
 		return s.refuse(e.echo, trouble)
 	}
@@ -96,61 +115,21 @@
 	if err != nil {
 		return err
 	}
-	e.echo.Response().Header().Set(HeaderModel, result.Ref.String())
+	setAnswerHeaders(e.echo.Response().Header(), result.Ref, result.Degraded)
 	return e.echo.JSONBlob(http.StatusOK, body)
 }
 
-// sseSink writes frames to the caller as server-sent events.
-type sseSink struct {
-	exchange *exchange
-	started  bool
-}
-
-// Frame implements dispatch.Sink.
-func (s *sseSink) Frame(ref document.Ref, chunk *openai.Chunk) error {
-	response := s.exchange.echo.Response()
-	if !s.started {
-		s.started = true
-		header := response.Header()
-		header.Set("Content-Type", "text/event-stream")
-		header.Set("Cache-Control", "no-store")
-		header.Set(HeaderModel, ref.String())
-		response.WriteHeader(http.StatusOK)
-	}
-	chunk.ID = s.exchange.id
-	chunk.Model = ref.String()
-	return s.event(chunk)
-}
-
-func (s *sseSink) event(message any) error {
-	encoded, err := json.Marshal(message)
-	if err != nil {
-		return err
-	}
-	return s.raw(encoded)
-}
-
-func (s *sseSink) raw(data []byte) error {
-	response := s.exchange.echo.Response()
-	frame := make([]byte, 0, len(data)+len("data: \n\n"))
-	frame = append(frame, "data: "...)
-	frame = append(frame, data...)
-	frame = append(frame, "\n\n"...)
-	if _, err := response.Write(frame); err != nil {
-		return err
+func setAnswerHeaders(header http.Header, ref document.Ref, degraded bool) {
+	header.Set(HeaderModel, ref.String())
+	if degraded {
+		header.Set(HeaderDegraded, "true")
 	}
-	response.Flush()
-	return nil
-}
-
-type streamError struct {
-	Error *problem.Problem `json:"error"`
 }
 
 func (s *Server) streamed(ctx context.Context, e *exchange, request *dispatch.Request) error {
 	sink := &sseSink{exchange: e}
 	result, trouble := s.Dispatcher.Run(ctx, request, sink)
-	s.bill(e, request, result)
+	s.bill(ctx, e, request, result)
 	if trouble == nil {
 		return sink.raw([]byte("[DONE]"))
 	}
@@ -161,19 +140,19 @@
 	return sink.event(streamError{trouble})
 }
 
-// bill books what the request used. Nothing is booked for a request that no
-// endpoint worked on.
-func (s *Server) bill(e *exchange, request *dispatch.Request, result *dispatch.Result) {
+// bill books what the request used, before its last byte goes out. Nothing is
+// booked for a request that no endpoint answered.
+func (s *Server) bill(ctx context.Context, e *exchange, request *dispatch.Request, result *dispatch.Result) {
 	if len(result.Uses) == 0 {
 		return
 	}
-	bill := Bill{
+	bill := billing.Bill{
 		RequestID: request.ID,
 		Account:   request.Account,
-		Model:     string(result.Ref.Model),
-		Version:   string(result.Ref.Version),
-		Outcome:   request.Attempt.Outcome().String(),
-		Key:       billKey(e),
+		Model:     result.Ref.Model,
+		Version:   result.Ref.Version,
+		Outcome:   outcome.Ran().String(),
+		Key:       s.billKey(e),
 	}
 	for _, use := range result.Uses {
 		version := e.policy.Models[use.Ref.Model].Versions[use.Ref.Version]
@@ -181,15 +160,16 @@
 		bill.AnswerTokens += use.AnswerTokens
 		bill.CostMicro += version.PromptCost*float64(use.PromptTokens) + version.AnswerCost*float64(use.AnswerTokens)
 	}
-	_ = s.Biller.Bill(bill)
+	_ = s.Biller.Bill(ctx, bill)
 }
 
-// billKey returns what makes the booking unique.
-func billKey(e *exchange) string {
+// billKey returns what makes the booking unique: the caller's idempotency key,
+// or a number of this instance's own, because callers may reuse request IDs.
+func (s *Server) billKey(e *exchange) string {
 	if key := e.echo.Request().Header.Get(HeaderIdempotency); key != "" {
 		return string(e.account) + "/k/" + key
 	}
-	return string(e.account) + "/r/" + e.id
+	return string(s.Instance) + "/" + strconv.FormatUint(s.attempts.Add(1), 36)
 }
 
 type modelList struct {
@@ -204,7 +184,7 @@
 
 // models serves GET /v1/models with the models that the account may use.
 func (s *Server) models(c echo.Context) error {
-	e, trouble := s.open(c)
+	e, trouble := s.open(c, &outcome.Attempt{})
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -3,8 +3,10 @@
 package caller
 
 import (
+	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,11 +15,15 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/wigeonusher/wigeonusher/coord/intent"
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/billing"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
-	"github.com/wigeonusher/wigeonusher/node/settings"
+	"github.com/wigeonusher/wigeonusher/node/once"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
@@ -29,49 +35,84 @@
 	HeaderSessionToken = "Session-Token"
 	HeaderTaskClass    = "Task-Class"
 	HeaderDeadline     = "Deadline-Ms"
+	HeaderPriority     = "Priority"
 	HeaderIdempotency  = "Idempotency-Key"
 	HeaderModel        = "Wigeonusher-Model"
 	HeaderInstance     = "Wigeonusher-Instance"
+	HeaderDegraded     = "Wigeonusher-Degraded"
+	HeaderReplayed     = "Wigeonusher-Replayed"
 )
 
+// retryAfter is when to come back after a refusal that says nothing better.
+const retryAfter = time.Second
+
 // Policies gives the policy in force.
 type Policies interface {
 	Policy() *document.Policy
 }
 
-// Biller books answered requests.
+// Biller books requests.
 type Biller interface {
-	// Bill books a request before its last byte goes out.
-	Bill(bill Bill) error
+	// Bill books a request and returns when its last byte may go out.
+	Bill(ctx context.Context, bill billing.Bill) error
+	// Full reports whether no further bill can be held.
+	Full() bool
 }
 
-// Bill is what one request cost.
-type Bill struct {
-	RequestID    string             `json:"request_id"`
-	Account      document.AccountID `json:"account"`
-	Model        string             `json:"model"`
-	Version      string             `json:"version"`
-	PromptTokens int                `json:"prompt_tokens"`
-	AnswerTokens int                `json:"answer_tokens"`
-	CostMicro    float64            `json:"cost_micro"`
-	Outcome      string             `json:"outcome"`
-	// Key makes the booking unique: the same key is booked once.
-	Key string `json:"-"`
+// Sessions finds the birth of a session.
+type Sessions interface {
+	Resolve(ctx context.Context, account document.AccountID, id session.ID, token string) (session.Birth, error)
+	Single(account document.AccountID, requestID string) session.Birth
+	Token(birth session.Birth) string
 }
 
-// Server is the callers' API of one instance.
-type Server struct {
+// Limits decides which requests are within their account's limit.
+type Limits interface {
+	Allow(account document.AccountID) (ok bool, retryAfter time.Duration)
+}
+
+// Once runs calls at most once.
+type Once interface {
+	Run(ctx context.Context, call once.Call, progress *outcome.Attempt, dispatch once.Dispatch) intent.Respond
+}
+
+// Dispatcher runs chat requests.
+type Dispatcher interface {
+	Run(ctx context.Context, request *dispatch.Request, sink dispatch.Sink) (*dispatch.Result, *problem.Problem)
+}
+
+// Services dispatches calls to plain services.
+type Services interface {
+	Service(ctx context.Context, call engine.ServiceCall, departed engine.Departure) (*engine.ServiceAnswer, error)
+}
+
+// Config lists the parts that a server uses.
+type Config struct {
 	Instance   platform.InstanceID
-	Limits     settings.Limits
+	Zone       platform.Zone
+	BodyBytes  int64
 	Policies   Policies
-	Dispatcher *dispatch.Dispatcher
-	Engines    *engine.Client
+	Dispatcher Dispatcher
 	Endpoints  dispatch.Endpoints
+	Services   Services
 	Biller     Biller
+	Sessions   Sessions
+	Limits     Limits
+	Once       Once
+	Budgets    dispatch.Budgets
+	Scheduler  *placement.Scheduler
+}
 
+// Server is the callers' API of one instance.
+type Server struct {
+	Config
 	requests atomic.Uint64
+	attempts atomic.Uint64
 }
 
+// New returns a server.
+func New(config Config) *Server { return &Server{Config: config} }
+
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	router := echo.New()
@@ -85,39 +126,49 @@
 
 // exchange is one request of a caller and the way back to it.
 type exchange struct {
-	echo     echo.Context
-	id       string
-	policy   *document.Policy
-	account  document.AccountID
-	body     []byte
-	deadline time.Time
-	attempt  *outcome.Attempt
-}
-
-// open authenticates a request and reads its body.
-func (s *Server) open(c echo.Context) (*exchange, *problem.Problem) {
-	e := &exchange{echo: c, policy: s.Policies.Policy(), attempt: &outcome.Attempt{}}
+	echo    echo.Context
+	id      string
+	policy  *document.Policy
+	account document.AccountID
+	body    []byte
+	attempt *outcome.Attempt
+}
+
+// open authenticates a request, counts it against its account's limit and
+// reads its body.
+func (s *Server) open(c echo.Context, attempt *outcome.Attempt) (*exchange, *problem.Problem) {
+	e := &exchange{echo: c, policy: s.Policies.Policy(), attempt: attempt}
 	e.id = s.requestID(c.Request())
 	header := c.Response().Header()
 	header.Set(HeaderRequestID, e.id)
 	header.Set(HeaderInstance, string(s.Instance))
 	if e.policy == nil {
-		return nil, problem.New(problem.NotReady, http.StatusServiceUnavailable, "no configuration yet", e.attempt).After(time.Second)
+		return nil, problem.New(problem.NotReady, http.StatusServiceUnavailable, "no configuration yet", attempt).After(retryAfter)
+	}
+	if !e.authenticate() {
+		return nil, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "unknown API key", attempt)
 	}
-	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-	if ok {
-		e.account, ok = e.policy.AccountForKey(key)
+	if ok, wait := s.Limits.Allow(e.account); !ok {
+		return nil, problem.New(problem.AccountLimit, http.StatusTooManyRequests, "account limit reached", attempt).After(wait)
 	}
+	if trouble := s.readBody(e); trouble != nil {
+		return nil, trouble
+	}
+	return e, nil
+}
+
+func (e *exchange) authenticate() bool {
+	key, ok := strings.CutPrefix(e.echo.Request().Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		return nil, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "unknown API key", e.attempt)
+		return false
 	}
-	trouble := s.readBody(e)
-	return e, trouble
+	e.account, ok = e.policy.AccountForKey(key)
+	return ok
 }
 
 func (s *Server) readBody(e *exchange) *problem.Problem {
 	request := e.echo.Request()
-	body, err := io.ReadAll(http.MaxBytesReader(e.echo.Response(), request.Body, s.Limits.BodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(e.echo.Response(), request.Body, s.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return problem.New(problem.TooLarge, http.StatusRequestEntityTooLarge, "body exceeds "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes", e.attempt)
@@ -141,7 +192,7 @@
 
 // deadlineOf returns the request's deadline.
 func deadlineOf(request *http.Request, fallback time.Duration) time.Time {
-	millis, err := strconv.ParseInt(request.Header.Get(HeaderDeadline), 10, 64)
+	millis, err := strconv.ParseInt(request.Header.Get(HeaderDeadline), 10, 32)
 	if err != nil || millis <= 0 {
 		return time.Now().Add(fallback)
 	}
@@ -170,3 +221,8 @@
 	}
 	_ = s.refuse(c, problem.New(kind, status, http.StatusText(status), &outcome.Attempt{}))
 }
+
+// globalRandom draws from the runtime's source.
+type globalRandom struct{}
+
+func (globalRandom) IntN(n int) int { return rand.IntN(n) }
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/config"
 	"github.com/wigeonusher/wigeonusher/coord/fold"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/follow"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 )
@@ -25,18 +26,27 @@
 	*follow.State
 	config *config.Fold
 	claims *claim.Fold
-	audit  *config.Audit
-	logger *logrus.Entry
+	// Suspects is the fold of requests that crash endpoints; it has a lock of
+	// its own.
+	Suspects *suspect.Fold
+	waiters  *waiters
+	audit    *config.Audit
+	logger   *logrus.Entry
 
 	policy atomic.Pointer[document.Policy]
 }
 
 // New returns the state at the start of the stream.
 func New(logger *logrus.Entry) *Control {
-	c := &Control{audit: config.NewAudit(maxAudit), logger: logger}
+	c := &Control{
+		Suspects: suspect.NewFold(),
+		waiters:  newWaiters(),
+		audit:    config.NewAudit(maxAudit),
+		logger:   logger,
+	}
 	c.config = config.NewFold(document.Validate, c.onVerdict)
 	c.claims = claim.NewFold(nil)
-	stream := fold.NewStream(c.config, c.claims)
+	stream := fold.NewStream(c.config, c.claims, c.Suspects, c.waiters)
 	stream.OnReport(c.onReport)
 	c.State = follow.NewState(stream, c.publish, nil)
 	return c
@@ -58,6 +68,11 @@
 	return fencing, ok
 }
 
+// Expect returns a channel that is closed once the entry is folded, and a
+// function that gives up waiting. It must be called before the entry is added
+// to an outbox.
+func (c *Control) Expect(entryID string) (<-chan struct{}, func()) { return c.waiters.expect(entryID) }
+
 // Verdicts returns the last verdicts on proposals, oldest first.
 func (c *Control) Verdicts() (verdicts []config.Verdict) {
 	c.Do(func() { verdicts = c.audit.Verdicts() })
--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -51,6 +51,7 @@
 	mu        sync.RWMutex
 	endpoints *membership.Endpoints
 	listed    bool
+	instances int
 
 	loads    *placement.LoadTable
 	prefixes *placement.PrefixIndex
@@ -93,6 +94,25 @@
 	return d.listed
 }
 
+// Instances returns the number of instances that the list shows.
+func (d *Directory) Instances() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.instances
+}
+
+// Occupancy returns the slots of a pool's usable endpoints, and the requests
+// that were last reported to run or wait there.
+func (d *Directory) Occupancy(now time.Time, pool platform.PoolName, slots int) (total, outstanding int) {
+	for _, endpoint := range d.Usable(pool) {
+		candidate := placement.Candidate{ID: endpoint.ID}
+		d.loads.Fill(now, &candidate)
+		total += slots
+		outstanding += candidate.Running + candidate.Queued
+	}
+	return total, outstanding
+}
+
 // MayDispatch reports whether the endpoint may get new work now.
 func (d *Directory) MayDispatch(endpoint platform.EndpointID) bool {
 	d.mu.RLock()
@@ -136,9 +156,11 @@
 	d.endpoints.Succeeded(now, endpoint)
 }
 
-// Leaving notes that the endpoint itself refused work because it leaves.
-func (d *Directory) Leaving(endpoint platform.EndpointID) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.endpoints.SaidLeaving(endpoint)
+// Refused looks at once whether an endpoint that refused work is leaving.
+func (d *Directory) Refused(endpoint platform.ListedEndpoint) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+		defer cancel()
+		d.pollOne(ctx, endpoint)
+	}()
 }
--- a/node/directory/poll.go
+++ b/node/directory/poll.go
@@ -48,6 +48,7 @@
 	d.mu.Lock()
 	d.endpoints.Listed(now, listing)
 	d.listed = true
+	d.instances = len(listing.Instances)
 	d.mu.Unlock()
 	for _, instance := range listing.Instances {
 		d.config.Peers.Introduce(membership.KnownPeer{ID: instance.ID, Zone: instance.Zone, Address: instance.Address})
@@ -60,7 +61,7 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for _, endpoint := range d.share() {
-		group.Go(func() { d.pollOne(ctx, endpoint) })
+		group.Go(func() { d.pollOne(ctx, endpoint.ListedEndpoint) })
 	}
 	group.Wait()
 }
@@ -87,7 +88,7 @@
 	return share
 }
 
-func (d *Directory) pollOne(ctx context.Context, endpoint membership.Endpoint) {
+func (d *Directory) pollOne(ctx context.Context, endpoint platform.ListedEndpoint) {
 	asked := time.Now()
 	report, err := d.config.Loader.Load(ctx, endpoint.Address)
 	now := time.Now()
--- a/node/dispatch/request.go
+++ b/node/dispatch/request.go
@@ -8,21 +8,26 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 )
 
-// Request is an admitted chat request.
+// Request is an authenticated chat request.
 type Request struct {
 	ID      string
 	Account document.AccountID
 	Class   document.TaskClass
 	// Model is the model asked for; empty leaves the choice to the cascade.
 	Model document.ModelName
-	// Pins gives the version of each model that the request may use.
-	Pins     map[document.ModelName]document.VersionName
+	// Version is the version asked for; empty leaves it to the session.
+	Version document.VersionName
+	// Birth gives the version of each model that the request may use.
+	Birth    session.Birth
 	Body     *openai.Request
+	Raw      []byte
 	Prompt   string
+	Priority int
 	Deadline time.Time
 	// Attempt follows the request over all its dispatches.
 	Attempt outcome.Attempt
@@ -43,9 +48,12 @@
 
 // Result is what became of a request that was dispatched.
 type Result struct {
-	// Ref answered the request; Answer is nil if the answer did not come whole.
+	// Ref answered the request; Answer is nil if no answer came whole.
 	Ref    document.Ref
 	Answer *engine.Answer
 	// Uses lists all dispatches that produced tokens.
 	Uses []Use
+	// Degraded says that a step of the cascade that should have followed was
+	// not to be had.
+	Degraded bool
 }
--- /dev/null
+++ b/node/dispatch/step.go
@@ -0,0 +1,317 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/outcome"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/coord/suspect"
+	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/policy/admission"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/gate"
+	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/wire/engine"
+	"github.com/wigeonusher/wigeonusher/wire/openai"
+	"github.com/wigeonusher/wigeonusher/wire/problem"
+)
+
+const (
+	// maxTries bounds the dispatches of one step.
+	maxTries = 3
+	// retryAfter is when to come back after a failure of the endpoints.
+	retryAfter = time.Second
+	// crashProbeTimeout bounds the look whether an endpoint that cut a
+	// connection still lives.
+	crashProbeTimeout = 500 * time.Millisecond
+)
+
+// errCallerGone reports that the sink refused a frame.
+var errCallerGone = eris.New("dispatch: caller has gone")
+
+// step is the work on one version of a request.
+type step struct {
+	dispatcher  *Dispatcher
+	request     *Request
+	ref         document.Ref
+	sink        Sink
+	result      *Result
+	pool        platform.PoolName
+	slots       int
+	fingerprint suspect.Fingerprint
+	prefix      []uint64
+	avoid       []platform.EndpointID
+	delivered   bool
+}
+
+// runStep dispatches a request to one version, again if need be.
+func (d *Dispatcher) runStep(ctx context.Context, request *Request, ref document.Ref, sink Sink, result *Result) (*engine.Answer, *problem.Problem) {
+	s := &step{dispatcher: d, request: request, ref: ref, sink: sink, result: result}
+	if trouble := s.choosePool(); trouble != nil {
+		return nil, trouble
+	}
+	s.fingerprint = suspect.NewFingerprint(string(request.Account), s.pool, request.Raw)
+	s.prefix = d.Endpoints.PrefixHashes(request.Prompt)
+	slot, trouble := s.enter(ctx)
+	if trouble != nil {
+		return nil, trouble
+	}
+	answer, trouble := s.tries(ctx)
+	if trouble != nil {
+		slot.Abort()
+		return nil, trouble
+	}
+	slot.Leave()
+	return answer, nil
+}
+
+// choosePool takes the first pool that serves the version and has endpoints.
+func (s *step) choosePool() *problem.Problem {
+	policy := s.dispatcher.Policies.Policy()
+	var pools []platform.PoolName
+	for name, pool := range policy.Pools {
+		if slices.Contains(pool.Serves, s.ref) {
+			pools = append(pools, name)
+		}
+	}
+	slices.Sort(pools)
+	for _, name := range pools {
+		if len(s.dispatcher.Endpoints.Usable(name)) > 0 {
+			s.pool, s.slots = name, policy.Pools[name].Slots
+			return nil
+		}
+	}
+	return s.noEndpoint()
+}
+
+func (s *step) noEndpoint() *problem.Problem {
+	detail := "no endpoint serves " + s.ref.String()
+	return problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, detail, &s.request.Attempt).After(retryAfter)
+}
+
+// enter waits for a slot of the pool.
+func (s *step) enter(ctx context.Context) (*admit.Slot, *problem.Problem) {
+	speed := s.dispatcher.speeds.of(s.ref)
+	slot, err := s.dispatcher.Pools.Enter(ctx, s.pool, admission.Request{
+		Account:  s.request.Account,
+		Class:    s.request.Class,
+		Work:     speed.firstToken + speed.perToken*time.Duration(answerTokens(s.request)),
+		Left:     time.Until(s.request.Deadline),
+		Weight:   s.dispatcher.Policies.Policy().Accounts[s.request.Account].Weight,
+		Priority: s.request.Priority,
+	})
+	var refusal *admission.Refusal
+	switch {
+	case err == nil:
+		return slot, nil
+	case errors.As(err, &refusal):
+		return nil, problem.New(problem.Overloaded, http.StatusTooManyRequests, string(refusal.Reason), &s.request.Attempt).After(refusal.RetryAfter)
+	default:
+		return nil, s.ended()
+	}
+}
+
+// ended is the problem of a request whose time is over.
+func (s *step) ended() *problem.Problem {
+	return problem.New(problem.DeadlinePassed, http.StatusGatewayTimeout, "deadline passed", &s.request.Attempt)
+}
+
+// tries dispatches until an answer is whole or nothing may be tried any more.
+func (s *step) tries(ctx context.Context) (*engine.Answer, *problem.Problem) {
+	d := s.dispatcher
+	accountBudget, poolBudget := d.Budgets.Account(s.request.Account), d.Budgets.Pool(s.pool)
+	accountBudget.Deposit()
+	poolBudget.Deposit()
+	for number := 0; ; number++ {
+		answer, err := s.try(ctx)
+		if err == nil {
+			return answer, nil
+		}
+		var trouble *problem.Problem
+		if errors.As(err, &trouble) {
+			return nil, trouble
+		}
+		if ctx.Err() != nil {
+			return nil, s.ended()
+		}
+		mayRetry := !s.delivered && retry.Allowed(s.request.Attempt.Outcome(), true) && number+1 < maxTries
+		if !mayRetry {
+			return nil, s.interrupted(err)
+		}
+		if !eris.Is(err, engine.ErrRefused) && !retry.WithdrawAll(time.Now(), accountBudget, poolBudget) {
+			return nil, s.interrupted(err)
+		}
+		wait := retry.Backoff{}.Wait(globalRandom{}, number)
+		select {
+		case <-ctx.Done():
+			return nil, s.ended()
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *step) interrupted(err error) *problem.Problem {
+	if s.request.Attempt.Outcome().IsNotRun() {
+		return s.noEndpoint()
+	}
+	return problem.New(problem.AnswerInterrupted, http.StatusBadGateway, eris.Cause(err).Error(), &s.request.Attempt).After(retryAfter)
+}
+
+// try dispatches once, as the suspects' verdict allows.
+func (s *step) try(ctx context.Context) (*engine.Answer, error) {
+	switch s.dispatcher.Suspects.Permission(s.fingerprint) {
+	case suspect.Refused:
+		return nil, s.crashSuspect("the request has crashed the endpoints that ran it")
+	case suspect.Isolated:
+		return s.tryAlone(ctx)
+	default:
+		candidate, err := s.place(nil)
+		if err != nil {
+			return nil, err
+		}
+		answer, _, err := s.dispatch(ctx, candidate)
+		return answer, err
+	}
+}
+
+// tryAlone dispatches a suspect once, on an endpoint where no other suspect is
+// tried, if the log grants it.
+func (s *step) tryAlone(ctx context.Context) (*engine.Answer, error) {
+	d := s.dispatcher
+	candidate, err := s.place(d.Suspects.Occupied)
+	if err != nil {
+		return nil, err
+	}
+	if !d.Suspects.Try(ctx, s.fingerprint, s.pool, candidate.ID) {
+		return nil, s.crashSuspect("the request may have crashed an endpoint and cannot be tried alone now").After(retryAfter)
+	}
+	answer, crashed, err := s.dispatch(ctx, candidate)
+	if err == nil || crashed {
+		d.Suspects.End(s.fingerprint, crashed)
+	}
+	if crashed {
+		return nil, s.crashSuspect("the request has crashed the endpoints that ran it")
+	}
+	return answer, err
+}
+
+func (s *step) crashSuspect(detail string) *problem.Problem {
+	return problem.New(problem.CrashSuspect, http.StatusUnprocessableEntity, detail, &s.request.Attempt)
+}
+
+// place passes the gate with the policy in force now, and picks an endpoint
+// that is not excluded.
+func (s *step) place(excluded func(platform.EndpointID) bool) (placement.Candidate, error) {
+	d := s.dispatcher
+	if err := gate.CheckModel(d.Policies.Policy(), s.request.Account, s.ref); err != nil {
+		return placement.Candidate{}, Refused(err, s.request)
+	}
+	now := time.Now()
+	var candidates []placement.Candidate
+	for _, endpoint := range d.Endpoints.Usable(s.pool) {
+		if excluded == nil || !excluded(endpoint.ID) {
+			candidates = append(candidates, d.Endpoints.Candidate(now, endpoint, s.slots, s.prefix))
+		}
+	}
+	picked, err := d.Scheduler.Pick(globalRandom{}, placement.Request{
+		Ref:          s.ref,
+		Zone:         d.Zone,
+		PromptTokens: placement.EstimateTokens(s.request.Prompt),
+		Avoid:        s.avoid,
+	}, candidates)
+	if err != nil {
+		return placement.Candidate{}, s.noEndpoint()
+	}
+	return picked, nil
+}
+
+// dispatch sends the request to one endpoint, once.
+func (s *step) dispatch(ctx context.Context, candidate placement.Candidate) (answer *engine.Answer, crashed bool, err error) {
+	d := s.dispatcher
+	if !d.Endpoints.MayDispatch(candidate.ID) {
+		s.avoid = append(s.avoid, candidate.ID)
+		return nil, false, engine.ErrRefused
+	}
+	var sent outcome.Attempt
+	call := engine.Call{
+		Address:   candidate.Address,
+		RequestID: s.request.ID,
+		AttemptID: d.attemptID(),
+		Ref:       s.ref,
+		Priority:  s.request.Priority,
+		Request:   s.request.Body,
+	}
+	d.Endpoints.Dispatched(time.Now(), candidate.ID, s.prefix)
+	d.Suspects.Started(s.fingerprint, candidate.ID)
+	answer, err = d.Engines.Chat(ctx, call, &sent, s.pass)
+	if err == nil {
+		s.request.Attempt.Depart()
+		s.request.Attempt.Answer()
+		s.finish(candidate, answer.FirstToken, nil)
+		d.Suspects.Finished(s.fingerprint, candidate.ID)
+		s.use(answer)
+		return answer, false, nil
+	}
+	s.avoid = append(s.avoid, candidate.ID)
+	return nil, s.failed(ctx, candidate, &sent, err), err
+}
+
+// failed sorts a failed dispatch: refused, cut off by the caller, crashed or
+// otherwise failed. It reports whether the endpoint crashed.
+func (s *step) failed(ctx context.Context, candidate placement.Candidate, sent *outcome.Attempt, err error) (crashed bool) {
+	d := s.dispatcher
+	refused := eris.Is(err, engine.ErrRefused)
+	if sent.Departed() && !refused {
+		s.request.Attempt.Depart()
+	}
+	if refused {
+		d.Endpoints.Refused(platform.ListedEndpoint{ID: candidate.ID, Address: candidate.Address})
+	}
+	if refused || ctx.Err() != nil || errors.Is(err, errCallerGone) {
+		s.finish(candidate, 0, nil)
+		d.Suspects.Finished(s.fingerprint, candidate.ID)
+		return false
+	}
+	s.finish(candidate, 0, err)
+	if eris.Is(err, engine.ErrCut) && sent.Departed() && s.gone(candidate.Address) {
+		d.Suspects.Crashed(s.fingerprint, s.pool, candidate.ID)
+		return true
+	}
+	d.Suspects.Finished(s.fingerprint, candidate.ID)
+	return false
+}
+
+// gone reports whether nothing listens at the address any more.
+func (s *step) gone(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	return !s.dispatcher.Engines.Reachable(ctx, address)
+}
+
+func (s *step) finish(candidate placement.Candidate, firstToken time.Duration, err error) {
+	s.dispatcher.Endpoints.Finished(time.Now(), candidate.ID, firstToken, err != nil)
+}
+
+func (s *step) use(answer *engine.Answer) {
+	usage := answer.Usage()
+	s.result.Uses = append(s.result.Uses, Use{
+		Ref:          s.ref,
+		PromptTokens: usage.PromptTokens,
+		AnswerTokens: usage.CompletionTokens,
+	})
+}
+
+func (s *step) pass(chunk *openai.Chunk) error {
+	s.delivered = true
+	if err := s.sink.Frame(s.ref, chunk); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
--- /dev/null
+++ b/node/feedback/feedback.go
@@ -0,0 +1,180 @@
+// Package feedback hands answers to the rating service, brings ratings back to
+// the planner and to the roll-outs, and guards the planner by a lock.
+package feedback
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/dispatch"
+	"github.com/wigeonusher/wigeonusher/policy/cascade"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+)
+
+const (
+	// maxPending bounds the answers that wait for a rating.
+	maxPending = 20_000
+	// pendingFor is how long an answer waits for a rating.
+	pendingFor = 10 * time.Minute
+	// queueLength bounds the answers that wait to be submitted; others go
+	// unrated.
+	queueLength = 1024
+	// callTimeout bounds one call of the rating service.
+	callTimeout = 2 * time.Second
+	// pollInterval is the time between polls for ratings.
+	pollInterval = 250 * time.Millisecond
+	// maxTextBytes bounds the text of a prompt or answer that is submitted.
+	maxTextBytes = 16 << 10
+)
+
+// Evidence is told how a version's answers fare.
+type Evidence interface {
+	// Rated is told of a rating.
+	Rated(ref document.Ref, good bool)
+	// Failed is told of an answer that failed.
+	Failed(ref document.Ref)
+}
+
+// Feedback is the loop from answers to decisions. Its methods may be called
+// from several goroutines.
+type Feedback struct {
+	instance platform.InstanceID
+	service  platform.RatingService
+	evidence Evidence
+	logger   *logrus.Entry
+
+	mu      sync.Mutex
+	planner cascade.Planner
+
+	pending *expirable.LRU[string, cascade.Result]
+	queue   chan platform.RatedAnswer
+}
+
+// New returns a feedback loop. service may be nil: then nothing is rated.
+func New(instance platform.InstanceID, service platform.RatingService, planner cascade.Planner, evidence Evidence, logger *logrus.Entry) *Feedback {
+	return &Feedback{
+		instance: instance,
+		service:  service,
+		evidence: evidence,
+		logger:   logger,
+		planner:  planner,
+		pending:  expirable.NewLRU[string, cascade.Result](maxPending, nil, pendingFor),
+		queue:    make(chan platform.RatedAnswer, queueLength),
+	}
+}
+
+type globalRandom struct{}
+
+func (globalRandom) Float64() float64 { return rand.Float64() }
+
+// Plan implements dispatch.Planner.
+func (f *Feedback) Plan(rule document.ClassRule, exploreShare float64, request cascade.Request) cascade.Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.planner.Plan(globalRandom{}, rule, exploreShare, request)
+}
+
+// Answered implements dispatch.Planner.
+func (f *Feedback) Answered(request *dispatch.Request, result cascade.Result, text string) {
+	f.mu.Lock()
+	f.planner.ObserveResult(result)
+	f.mu.Unlock()
+	if f.service == nil {
+		return
+	}
+	id := request.ID + "/" + result.Ref.String()
+	f.pending.Add(id, result)
+	answer := platform.RatedAnswer{
+		RequestID: id,
+		TaskClass: string(result.Class),
+		Model:     string(result.Ref.Model),
+		Version:   string(result.Ref.Version),
+		Prompt:    clip(request.Prompt),
+		Answer:    clip(text),
+	}
+	select {
+	case f.queue <- answer:
+	default:
+	}
+}
+
+// Failed is told of an answer that failed.
+func (f *Feedback) Failed(class document.TaskClass, ref document.Ref) {
+	f.mu.Lock()
+	f.planner.ObserveResult(cascade.Result{Class: class, Ref: ref, Failed: true})
+	f.mu.Unlock()
+	f.evidence.Failed(ref)
+}
+
+func clip(text string) string { return text[:min(len(text), maxTextBytes)] }
+
+// RunSubmit hands answers over until the context ends.
+func (f *Feedback) RunSubmit(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case answer := <-f.queue:
+			f.submit(ctx, answer)
+		}
+	}
+}
+
+func (f *Feedback) submit(ctx context.Context, answer platform.RatedAnswer) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := f.service.Submit(ctx, answer); err != nil {
+		f.logger.WithError(err).Debug("answer not submitted for rating")
+	}
+}
+
+// RunRatings polls for ratings until the context ends.
+func (f *Feedback) RunRatings(ctx context.Context) error {
+	if f.service == nil {
+		<-ctx.Done()
+		return nil
+	}
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var cursor uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			cursor = f.poll(ctx, cursor)
+		}
+	}
+}
+
+func (f *Feedback) poll(ctx context.Context, cursor uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ratings, next, err := f.service.Ratings(ctx, f.instance, cursor)
+	if err != nil {
+		return cursor
+	}
+	for _, rating := range ratings {
+		f.rated(rating)
+	}
+	return next
+}
+
+func (f *Feedback) rated(rating platform.Rating) {
+	result, ok := f.pending.Get(rating.RequestID)
+	if !ok {
+		return
+	}
+	f.pending.Remove(rating.RequestID)
+	good := rating.Score >= platform.GoodScore
+	f.mu.Lock()
+	f.planner.ObserveRating(cascade.Rated{Result: result, Good: good})
+	f.mu.Unlock()
+	f.evidence.Rated(result.Ref, good)
+}
--- a/node/follow/state.go
+++ b/node/follow/state.go
@@ -9,7 +9,7 @@
 
 // State guards a stream of parts by a lock. It implements [Fold].
 type State struct {
-	mu      sync.Mutex
+	mu       sync.Mutex
 	stream   *fold.Stream
 	changed  func()
 	restored func()
--- a/node/logwriter/logwriter.go
+++ b/node/logwriter/logwriter.go
@@ -90,6 +90,10 @@
 	return w.box.Health(now)
 }
 
+// Available reports whether an entry added now can be expected to reach the log
+// soon.
+func (w *Writer) Available(now time.Time) bool { return w.Health(now).Available }
+
 // Len returns the number of entries held.
 func (w *Writer) Len() int {
 	w.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -8,24 +8,12 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/wigeonusher/wigeonusher/coord/config"
-	"github.com/wigeonusher/wigeonusher/coord/outbox"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
-	"github.com/wigeonusher/wigeonusher/node/admin"
-	"github.com/wigeonusher/wigeonusher/node/caller"
-	"github.com/wigeonusher/wigeonusher/node/control"
-	"github.com/wigeonusher/wigeonusher/node/directory"
-	"github.com/wigeonusher/wigeonusher/node/dispatch"
-	"github.com/wigeonusher/wigeonusher/node/logwriter"
 	"github.com/wigeonusher/wigeonusher/node/settings"
-	"github.com/wigeonusher/wigeonusher/wire/engine"
-	"github.com/wigeonusher/wigeonusher/wire/platformhttp"
 )
 
 // Options are what an embedding program may give to a node.
@@ -53,18 +41,14 @@
 
 	callerServer *http.Server
 	adminServer  *http.Server
-
-	platformLog *platformhttp.Log
-	control     *control.Control
-	directory   *directory.Directory
-	bills       *logwriter.Writer
-	engines     *engine.Client
+	parts        *parts
 
 	ready     chan struct{}
 	readyOnce sync.Once
 	stopping  atomic.Bool
-	kill      context.CancelFunc
-	killed    context.Context
+	// killed ends all work at once.
+	killed context.Context
+	kill   context.CancelFunc
 }
 
 // New checks the settings, opens the listeners and assembles a node. Nothing
@@ -80,10 +64,14 @@
 		n.closeListeners()
 		return nil, err
 	}
-	n.assemble()
+	if err := n.assemble(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
 	return n, nil
 }
 
+// newInstanceID returns an ID that no other run has.
 func newInstanceID(name string) platform.InstanceID {
 	const randomBytes = 6
 	suffix := make([]byte, randomBytes)
@@ -121,44 +109,6 @@
 	}
 }
 
-func (n *Node) assemble() {
-	client := &http.Client{}
-	timing := n.settings.Timing
-	n.platformLog = platformhttp.NewLog(n.settings.Platform.Log, client)
-	n.control = control.New(n.audit)
-	n.directory = directory.New(platformhttp.NewInstanceList(n.settings.Platform.Instances, client), millis(timing.ListPollMillis))
-	n.engines = engine.NewClient(engine.Config{
-		DialTimeout:        time.Second,
-		Progress:           millis(timing.ProgressMillis),
-		IdleTimeout:        30 * time.Second,
-		MaxIdlePerEndpoint: 64,
-	})
-	n.bills = logwriter.New(n.platformLog, platform.StreamBills, outbox.Config{
-		MaxEntries:  n.settings.Limits.HeldBills,
-		MaxBytes:    64 << 20,
-		MinInterval: millis(timing.BillIntervalMillis),
-		RetryBase:   200 * time.Millisecond,
-		RetryCap:    5 * time.Second,
-	}, nil)
-	server := &caller.Server{
-		Instance:   n.id,
-		Limits:     n.settings.Limits,
-		Policies:   n.control,
-		Dispatcher: dispatch.New(n.id, n.control, n.directory, n.engines),
-		Engines:    n.engines,
-		Endpoints:  n.directory,
-		Biller:     &biller{instance: n.id, writer: n.bills},
-	}
-	n.callerServer = &http.Server{
-		Handler:           server.Handler(),
-		MaxHeaderBytes:    n.settings.Limits.HeaderBytes,
-		ReadHeaderTimeout: 10 * time.Second,
-	}
-	n.adminServer = &http.Server{Handler: admin.Handler(n.Status), ReadHeaderTimeout: 10 * time.Second}
-}
-
-func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // ID returns the instance's ID.
 func (n *Node) ID() platform.InstanceID { return n.id }
 
@@ -171,7 +121,8 @@
 	}
 }
 
-// Ready is closed when the node has a configuration and serves callers.
+// Ready is closed when the node has caught up with the log, has a
+// configuration and knows the endpoints.
 func (n *Node) Ready() <-chan struct{} { return n.ready }
 
 // Kill stops the node at once, without draining.
@@ -181,113 +132,3 @@
 	n.adminServer.Close()
 	n.closeListeners()
 }
-
-// Status returns what the node tells operators.
-func (n *Node) Status() admin.Status {
-	status := admin.Status{
-		Instance:     n.id,
-		Zone:         n.settings.Zone,
-		Stopping:     n.stopping.Load(),
-		ControlNext:  n.control.Next(),
-		BillsHeld:    n.bills.Len(),
-		LogAvailable: n.bills.Health(time.Now()).Available,
-	}
-	if policy := n.control.Policy(); policy != nil {
-		status.Ready = true
-		status.Revision = uint64(policy.Revision)
-	}
-	return status
-}
-
-func (n *Node) audit(verdict config.Verdict) {
-	n.log.WithFields(logrus.Fields{
-		"section": verdict.Section, "author": verdict.Author, "result": verdict.Result, "revision": verdict.Revision,
-	}).Info("configuration verdict")
-}
-
-// Run serves until the context ends, then drains and returns. After [Node.Kill]
-// it returns at once.
-func (n *Node) Run(ctx context.Context) error {
-	work, stopWork := context.WithCancel(n.killed)
-	defer stopWork()
-	var group run.Group
-	n.add(&group, work, stopWork, n.tail)
-	n.add(&group, work, stopWork, n.directory.Run)
-	n.add(&group, work, stopWork, n.bills.Run)
-	n.addServer(&group, n.callerServer, n.callers)
-	n.addServer(&group, n.adminServer, n.admins)
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			n.drain()
-		case <-n.killed.Done():
-		}
-		return nil
-	}, func(error) { n.kill() })
-	err := group.Run()
-	n.closeListeners()
-	n.engines.Close()
-	return err
-}
-
-func (n *Node) add(group *run.Group, ctx context.Context, stop func(), actor func(context.Context) error) {
-	group.Add(func() error { return actor(ctx) }, func(error) { stop() })
-}
-
-func (n *Node) addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	group.Add(func() error {
-		err := server.Serve(listener)
-		if eris.Is(err, http.ErrServerClosed) {
-			<-n.killed.Done()
-			return nil
-		}
-		if n.killed.Err() != nil {
-			return nil
-		}
-		return err
-	}, func(error) { server.Close() })
-}
-
-// drain is the graceful shutdown: readiness off, serve while the balancer
-// lags, finish the requests, settle the bills.
-func (n *Node) drain() {
-	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), millis(n.settings.Timing.DrainMillis))
-	defer cancel()
-	select {
-	case <-time.After(millis(n.settings.Timing.DrainLagMillis)):
-	case <-n.killed.Done():
-		return
-	}
-	if err := n.callerServer.Shutdown(ctx); err != nil {
-		n.log.WithError(err).Warn("requests cut off by the end of the drain period")
-	}
-	if err := n.bills.Flush(ctx); err != nil {
-		n.log.WithField("bills", n.bills.Len()).Error("bills not settled at the end of the drain period")
-	}
-}
-
-// tail follows the control stream.
-func (n *Node) tail(ctx context.Context) error {
-	const (
-		pageLimit = 256
-		wait      = 2 * time.Second
-		pause     = 200 * time.Millisecond
-	)
-	log := n.platformLog.Waiting(wait)
-	for ctx.Err() == nil {
-		page, err := log.Read(ctx, platform.StreamControl, n.control.Next(), pageLimit)
-		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
-			continue
-		}
-		n.control.Apply(page.Records)
-		if n.control.Policy() != nil && page.Next >= page.End {
-			n.readyOnce.Do(func() { close(n.ready) })
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/node/records.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/follow"
+	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
+)
+
+// records answers reads of the streams that an instance follows.
+type records struct {
+	control *follow.Follower
+	intents *follow.Follower
+}
+
+// ReadRecords implements cluster.Records.
+func (r *records) ReadRecords(request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
+	switch platform.Stream(request.Stream) {
+	case platform.StreamControl:
+		return r.control.ReadRecords(request)
+	case platform.StreamIntents:
+		return r.intents.ReadRecords(request)
+	default:
+		return nil, eris.Errorf("node: stream %q is not followed", request.Stream)
+	}
+}
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -14,7 +14,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 )
@@ -65,6 +64,13 @@
 // Close drops unused connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// Departure is told when bytes of a request may leave. It is implemented by
+// outcome.Attempt.
+type Departure interface {
+	// Depart is called before the first write, and may be called again.
+	Depart()
+}
+
 // Call is one dispatch of a chat request.
 type Call struct {
 	Address   string
@@ -84,17 +90,15 @@
 }
 
 // Chat dispatches a request and hands its frames to sink as they come. It
-// returns the answer once it is whole. attempt departs when a byte may leave,
-// and is not marked as answered here: only the caller knows whether the answer
-// counts.
-func (c *Client) Chat(ctx context.Context, call Call, attempt *outcome.Attempt, sink func(*openai.Chunk) error) (*Answer, error) {
+// returns the answer once it is whole. departed is told before a byte may leave.
+func (c *Client) Chat(ctx context.Context, call Call, departed Departure, sink func(*openai.Chunk) error) (*Answer, error) {
 	body, err := call.Request.ForEngine(call.Ref.String())
 	if err != nil {
 		return nil, err
 	}
 	ctx, watch := newWatchdog(ctx, c.config.Progress)
 	defer watch.stop()
-	request, err := http.NewRequestWithContext(departing(ctx, attempt), http.MethodPost, "http://"+call.Address+"/v1/chat/completions", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(departing(ctx, departed), http.MethodPost, "http://"+call.Address+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "engine: build request")
 	}
@@ -115,11 +119,11 @@
 	return reader.run(sink)
 }
 
-// departing marks the attempt as departed when its connection is ready to
-// write. A connection that could not be had leaves the attempt untouched.
-func departing(ctx context.Context, attempt *outcome.Attempt) context.Context {
+// departing tells of the departure when a connection is ready to write. A
+// connection that could not be had leaves it untold.
+func departing(ctx context.Context, departed Departure) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { attempt.Depart() },
+		GotConn: func(httptrace.GotConnInfo) { departed.Depart() },
 	})
 }
 
--- a/wire/engine/load.go
+++ b/wire/engine/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/rotisserie/eris"
@@ -40,3 +41,14 @@
 	err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
 	return report, eris.Wrap(err, "engine: decode load report")
 }
+
+// Reachable reports whether something accepts connections at the address.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
--- a/wire/engine/service.go
+++ b/wire/engine/service.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/wigeonusher/wigeonusher/coord/outcome"
 )
 
 // MaxServiceAnswerBytes bounds the answer of a plain service.
@@ -41,12 +39,12 @@
 	Body        []byte
 }
 
-// Service dispatches a call and returns its whole answer. The attempt departs
-// when a byte may leave.
-func (c *Client) Service(ctx context.Context, call ServiceCall, attempt *outcome.Attempt) (*ServiceAnswer, error) {
+// Service dispatches a call and returns its whole answer. departed is told
+// before a byte may leave.
+func (c *Client) Service(ctx context.Context, call ServiceCall, departed Departure) (*ServiceAnswer, error) {
 	ctx, watch := newWatchdog(ctx, call.Timeout)
 	defer watch.stop()
-	request, err := http.NewRequestWithContext(departing(ctx, attempt), call.Method, "http://"+call.Address+call.PathAndQuery, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(departing(ctx, departed), call.Method, "http://"+call.Address+call.PathAndQuery, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, eris.Wrap(err, "engine: build request")
 	}
