Operators' tool and demonstration

A publication is settled by reading the control stream back; a lost answer leads to a second append under the same entry ID only after the log was read.

The demonstration starts a whole deployment in one process and follows a script of changes and faults while the load generator runs.

--- /dev/null
+++ b/cmd/internal/control/publish.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+)
+
+// Writer is the writer of entries that operators append.
+const Writer platform.InstanceID = "wigeonusher-tool"
+
+const retryPause = 250 * time.Millisecond
+
+// Errors of [Reader.Publish].
+var (
+	// ErrNotPublished reports a proposal that is certainly not in the log.
+	ErrNotPublished = eris.New("control: log unavailable, nothing was published")
+	// ErrUnsettled reports a proposal that may be in the log or may still
+	// come there.
+	ErrUnsettled = eris.New("control: log unavailable, the proposal may or may not have been published")
+)
+
+// Check returns the verdict that the proposal would get now, without
+// publishing it.
+func (r *Reader) Check(proposal config.Proposal) (config.Verdict, error) {
+	var verdict config.Verdict
+	scratch := config.NewFold(document.Validate, func(v config.Verdict) { verdict = v })
+	if doc := r.Document(); doc.Revision > 0 {
+		state, err := r.fold.Snapshot()
+		if err != nil {
+			return verdict, err
+		}
+		if err := scratch.Restore(state); err != nil {
+			return verdict, err
+		}
+	}
+	entry, err := platform.NewEntry("check", config.KindProposal, Writer, proposal)
+	if err != nil {
+		return verdict, err
+	}
+	scratch.Apply(platform.Position{Offset: r.stream.Next()}, entry)
+	return verdict, nil
+}
+
+// Publish appends the proposal under the entry ID and returns the verdict that
+// every instance reaches on it. While the log is unavailable it tries again
+// until the context ends. The errors are [ErrNotPublished] and [ErrUnsettled].
+func (r *Reader) Publish(ctx context.Context, entryID string, proposal config.Proposal) (config.Verdict, error) {
+	entry, err := platform.NewEntry(entryID, config.KindProposal, Writer, proposal)
+	if err != nil {
+		return config.Verdict{}, err
+	}
+	payload, err := platform.EncodeEntries([]platform.Entry{entry})
+	if err != nil {
+		return config.Verdict{}, err
+	}
+	appended, left := false, false
+	for {
+		if !appended {
+			_, err := r.log.Append(ctx, platform.StreamControl, payload)
+			appended = err == nil
+			left = left || !eris.Is(err, platform.ErrUnavailable)
+		}
+		// An append without an answer is settled by reading back. If the
+		// entry is not there, it is appended again under the same ID, of
+		// which the fold takes the first.
+		if left && r.CatchUp(ctx) == nil {
+			if verdict, ok := r.Verdict(entryID); ok {
+				return verdict, nil
+			}
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return config.Verdict{}, unsettled(left)
+		}
+	}
+}
+
+func unsettled(left bool) error {
+	if left {
+		return ErrUnsettled
+	}
+	return ErrNotPublished
+}
--- /dev/null
+++ b/cmd/internal/demo/operator.go
@@ -0,0 +1,62 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/cmd/internal/control"
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/wire/platformhttp"
+)
+
+const (
+	operatorName   = "demo-operator"
+	publishTimeout = 5 * time.Second
+)
+
+// operator publishes sections as the operators' tool does.
+type operator struct {
+	reader *control.Reader
+	count  int
+}
+
+func newOperator(logURL string) *operator {
+	client := &http.Client{Timeout: publishTimeout}
+	return &operator{reader: control.NewReader(platformhttp.NewLog(logURL, client))}
+}
+
+// publish replaces a section and fails unless the proposal is accepted.
+func (o *operator) publish(ctx context.Context, name config.SectionName, body any, reason string) error {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "demo: encode section")
+	}
+	if err := o.reader.CatchUp(ctx); err != nil {
+		return err
+	}
+	o.count++
+	verdict, err := o.reader.Publish(ctx, entryID(o.count), config.Proposal{
+		Section: name,
+		Base:    o.reader.Document().Base(name),
+		Author:  operatorName,
+		Reason:  reason,
+		Body:    encoded,
+	})
+	if err != nil {
+		return err
+	}
+	if verdict.Result != config.Accepted {
+		return eris.Errorf("demo: section %s is %s: %v", name, verdict.Result, verdict.Findings)
+	}
+	return nil
+}
+
+func entryID(count int) string {
+	return operatorName + "/" + time.Now().UTC().Format(time.RFC3339Nano) + "/" + string(rune('a'+count))
+}
--- /dev/null
+++ b/cmd/internal/demo/script.go
@@ -0,0 +1,128 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/standin/faults"
+	"github.com/wigeonusher/wigeonusher/standin/fixture"
+)
+
+// Places of the fleet that the script acts on.
+const (
+	killedPlace  = 4
+	stoppedPlace = 7
+	drainedIndex = 1 // of the engines
+)
+
+const (
+	crashMark   = "CRASH-THIS-ENDPOINT"
+	markedEvery = 700
+	markedCount = 1
+	badShare    = 0.9
+)
+
+// step is one thing that happens during the run.
+type step struct {
+	// at is when, as a share of the run.
+	at   float64
+	name string
+	do   func(ctx context.Context, d *demonstration) error
+}
+
+// script lists what happens, in order.
+func script() []step {
+	return []step{
+		{0.05, "roll-outs of cheap@v2 and mid@v2 begin", (*demonstration).beginRollouts},
+		{0.25, "mid@v2 turns bad on every engine", (*demonstration).turnBad},
+		{0.35, "one instance is killed", (*demonstration).killInstance},
+		{0.45, "the log service goes down", (*demonstration).logDown},
+		{0.57, "the log service is back", (*demonstration).logUp},
+		{0.60, "the killed instance is replaced", (*demonstration).replaceInstance},
+		{0.62, "an operator withdraws mid@v2", (*demonstration).withdraw},
+		{0.70, "one engine leaves", (*demonstration).drainEngine},
+		{0.72, "one instance is stopped in the planned way", (*demonstration).stopInstance},
+	}
+}
+
+// follow runs the steps at their times.
+func (d *demonstration) follow(ctx context.Context, steps []step) {
+	started := time.Now()
+	for _, s := range steps {
+		due := time.Duration(s.at * float64(d.config.Duration))
+		select {
+		case <-time.After(time.Until(started.Add(due))):
+		case <-ctx.Done():
+			return
+		}
+		d.progress.event(s.name)
+		if err := s.do(d, ctx); err != nil && ctx.Err() == nil {
+			d.failures = append(d.failures, fmt.Sprintf("%s: %v", s.name, err))
+			d.progress.event(fmt.Sprintf("FAILED: %s: %v", s.name, err))
+		}
+	}
+}
+
+func (d *demonstration) beginRollouts(ctx context.Context) error {
+	rollouts := map[document.RolloutID]document.Rollout{}
+	for id, rollout := range d.env.Deployment.Rollouts {
+		rollout.State = document.RolloutRunning
+		rollouts[id] = rollout
+	}
+	return d.operator.publish(ctx, document.SectionRollouts, rollouts, "begin the roll-outs")
+}
+
+func (d *demonstration) turnBad(context.Context) error {
+	bad := document.Ref{Model: fixture.Mid, Version: fixture.V2}.String()
+	d.crashes.setFaults(d.env, faults.Set{
+		CrashMarker: crashMark,
+		BadVersions: map[string]float64{bad: badShare},
+	})
+	return nil
+}
+
+func (d *demonstration) killInstance(context.Context) error {
+	d.fleet.Kill(killedPlace)
+	return nil
+}
+
+func (d *demonstration) replaceInstance(context.Context) error {
+	return d.fleet.Replace(killedPlace)
+}
+
+func (d *demonstration) logDown(context.Context) error {
+	d.env.Log.Faults.Set(faults.Set{Down: true})
+	return nil
+}
+
+func (d *demonstration) logUp(context.Context) error {
+	d.env.Log.Faults.Set(faults.Set{})
+	return nil
+}
+
+func (d *demonstration) withdraw(ctx context.Context) error {
+	models := map[document.ModelName]document.Model{}
+	for name, model := range d.env.Deployment.Models {
+		versions := map[document.VersionName]document.Version{}
+		for versionName, version := range model.Versions {
+			if name == fixture.Mid && versionName == fixture.V2 {
+				version.State = document.VersionWithdrawn
+			}
+			versions[versionName] = version
+		}
+		models[name] = document.Model{Stable: model.Stable, Versions: versions}
+	}
+	return d.operator.publish(ctx, document.SectionModels, models, "mid@v2 answers badly")
+}
+
+func (d *demonstration) drainEngine(context.Context) error {
+	d.env.Engines()[drainedIndex].Drain()
+	return nil
+}
+
+func (d *demonstration) stopInstance(ctx context.Context) error {
+	d.planned = append(d.planned, d.fleet.Callers()[stoppedPlace])
+	return d.fleet.Stop(ctx, stoppedPlace)
+}
--- /dev/null
+++ b/cmd/internal/tool/demo.go
@@ -0,0 +1,73 @@
+package tool
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/cmd/internal/demo"
+)
+
+// demoCommand runs a demonstration.
+type demoCommand struct {
+	Deployment string        `help:"Shape of the fleet: sheetline or guild." enum:"sheetline,guild" default:"sheetline"`
+	Seed       uint64        `help:"Seed of the traffic, the answers and the faults." default:"1"`
+	Duration   time.Duration `help:"Length of the traffic, 10s to 25s." default:"20s"`
+}
+
+// Help implements kong.HelpProvider.
+func (demoCommand) Help() string {
+	return `Starts nine instances, engines, desks and the platform's stand-ins in this process, on
+loopback addresses. While mixed traffic runs, two versions are rolled out, one of them turns bad and
+is withdrawn, one instance is killed and replaced and another stopped in the planned way, the log
+service has an outage, an engine leaves, and one request crashes the engines that run it. Ends by
+itself within 45 s; exits with 0 only if every promise held, and with 6 otherwise. With --json the
+last line of the output is the result as one object.
+
+Examples:
+  wigeonusher demo
+  wigeonusher demo --deployment guild --seed 7 --duration 15s --json`
+}
+
+// Run runs the demonstration and prints its table.
+func (c *demoCommand) Run(env *environment) error {
+	result, err := demo.Run(env.ctx, demo.Config{
+		Deployment: c.Deployment,
+		Seed:       c.Seed,
+		Duration:   c.Duration,
+		Progress:   env.out,
+	})
+	if err != nil {
+		return err
+	}
+	if err := writeDemo(env.out, result); err != nil {
+		return err
+	}
+	if env.json {
+		if err := env.printLine(result); err != nil {
+			return err
+		}
+	}
+	if !result.Held {
+		return withCode(ExitBroken, eris.Errorf("broken: %v %v", result.Table.Broken(), result.Failures))
+	}
+	return nil
+}
+
+func writeDemo(w io.Writer, result *demo.Result) error {
+	fmt.Fprintf(w, "\n%s, seed %d, %.1f s\n\n", result.Deployment, result.Seed, result.Seconds)
+	if err := result.Table.Write(w); err != nil {
+		return err
+	}
+	for _, failure := range result.Failures {
+		fmt.Fprintln(w, "  step failed:", failure)
+	}
+	verdict := "every promise held"
+	if !result.Held {
+		verdict = "NOT every promise held"
+	}
+	_, err := fmt.Fprintf(w, "\n%s\n", verdict)
+	return err
+}
--- /dev/null
+++ b/cmd/internal/tool/platform.go
@@ -0,0 +1,96 @@
+package tool
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/cmd/internal/control"
+	"github.com/wigeonusher/wigeonusher/wire/platformhttp"
+)
+
+// logArguments say where the platform's log is.
+type logArguments struct {
+	Log     string        `help:"Base URL of the platform's log service." placeholder:"URL" env:"WIGEONUSHER_LOG" required:""`
+	Timeout time.Duration `help:"How long to go on trying while the log is unavailable." default:"15s"`
+}
+
+// reader returns a reader of the control stream.
+func (a logArguments) reader(env *environment) *control.Reader {
+	return control.NewReader(platformhttp.NewLog(a.Log, env.client))
+}
+
+// caughtUp returns a reader at the present end of the control stream.
+func (a logArguments) caughtUp(env *environment) (*control.Reader, error) {
+	ctx, cancel := context.WithTimeout(env.ctx, a.Timeout)
+	defer cancel()
+	reader := a.reader(env)
+	return reader, catchUp(ctx, reader)
+}
+
+func catchUp(ctx context.Context, reader *control.Reader) error {
+	const pause = 250 * time.Millisecond
+	for {
+		err := reader.CatchUp(ctx)
+		if err == nil || eris.Is(err, control.ErrNoSnapshot) {
+			return err
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return eris.Wrap(err, "read the control stream")
+		}
+	}
+}
+
+const maxStatusBytes = 1 << 20
+
+// instanceStatus is what an instance tells of itself.
+type instanceStatus struct {
+	Address  string `json:"address"`
+	Instance string `json:"instance,omitempty"`
+	Zone     string `json:"zone,omitempty"`
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	Revision uint64 `json:"revision"`
+	// Error says why there is no answer.
+	Error string `json:"error,omitempty"`
+	// Details is the whole answer.
+	Details json.RawMessage `json:"details,omitempty"`
+}
+
+// askStatus asks one instance at its admin address.
+func (e *environment) askStatus(ctx context.Context, address string) instanceStatus {
+	status := instanceStatus{Address: address}
+	body, err := e.get(ctx, "http://"+address+"/status")
+	if err == nil {
+		err = json.Unmarshal(body, &status)
+	}
+	if err != nil {
+		return instanceStatus{Address: address, Error: eris.Cause(err).Error()}
+	}
+	status.Address = address
+	status.Details = body
+	return status
+}
+
+func (e *environment) get(ctx context.Context, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "call")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("status %d", response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
+	return body, eris.Wrap(err, "read answer")
+}
--- a/standin/check/history.go
+++ b/standin/check/history.go
@@ -29,6 +29,14 @@
 	Outcome      string  `json:"outcome"`
 }
 
+// Sample is the revision of the configuration that a ready instance had in
+// force at a moment.
+type Sample struct {
+	Instance string    `json:"instance"`
+	Time     time.Time `json:"time"`
+	Revision uint64    `json:"revision"`
+}
+
 // History is all that is known of a run.
 type History struct {
 	Observations []observation.Observation
@@ -40,12 +48,17 @@
 	Control []platform.Record
 	// Strong is the version that "always strong" would have used.
 	Strong document.Ref
-	// SettleGrace is how long a withdrawal, or an endpoint's leaving, may
+	// SettleGrace is how long a configuration, or an endpoint's leaving, may
 	// take to be in force everywhere.
 	SettleGrace time.Duration
 	// ExposureLimit bounds the requests that may meet a bad version; it is
 	// not judged if negative.
 	ExposureLimit int
+	// Samples are revisions seen on instances, in order of time.
+	Samples []Sample
+	// StoppedAddresses are the callers' addresses of instances that were
+	// stopped in the planned way and never killed.
+	StoppedAddresses []string
 	// CrashedEndpoints counts endpoints lost to marked requests, and
 	// MarkedRequests the different marked requests.
 	CrashedEndpoints int
--- a/standin/check/judge.go
+++ b/standin/check/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/standin/engine"
@@ -44,11 +45,25 @@
 	j.leaving()
 	j.exposure()
 	j.crashes()
+	j.revisions()
+	j.plannedStops()
 	j.figures()
 	j.table.Held = len(j.table.Broken()) == 0
 	return j.table
 }
 
+// Unbilled counts answered chat requests whose bill is not in the log.
+func Unbilled(history History) int {
+	bills := history.billsByRequest()
+	unbilled := 0
+	for _, o := range history.Observations {
+		if o.Result == observation.Answered && o.Kind.IsChat() && len(bills[o.RequestID]) == 0 {
+			unbilled++
+		}
+	}
+	return unbilled
+}
+
 func (j *judge) answers() {
 	answers := j.table.row(OwnWholeAnswer)
 	sayings := j.table.row(RefusalsSayEnough)
@@ -283,6 +298,56 @@
 	}
 }
 
+// revisions holds what instances had in force against what was accepted.
+func (j *judge) revisions() {
+	if len(j.history.Samples) == 0 {
+		return
+	}
+	soon := j.table.row(InForceSoon)
+	reverts := j.table.row(NeverReverts)
+	last := map[string]uint64{}
+	for _, sample := range j.history.Samples {
+		soon.Checked++
+		reverts.Checked++
+		if due := j.revisionDue(sample.Time); sample.Revision < due {
+			soon.breach("%s had revision %d when %d was overdue", sample.Instance, sample.Revision, due)
+		}
+		if sample.Revision < last[sample.Instance] {
+			reverts.breach("%s went from revision %d to %d", sample.Instance, last[sample.Instance], sample.Revision)
+		}
+		last[sample.Instance] = sample.Revision
+	}
+}
+
+// revisionDue returns the newest revision accepted more than the grace before.
+func (j *judge) revisionDue(now time.Time) uint64 {
+	due := uint64(0)
+	for _, e := range j.eras {
+		if e.since.Add(j.history.SettleGrace).Before(now) {
+			due = uint64(e.policy.Revision)
+		}
+	}
+	return due
+}
+
+// plannedStops looks for requests that lost their connection to an instance
+// that was only ever stopped in the planned way.
+func (j *judge) plannedStops() {
+	if len(j.history.StoppedAddresses) == 0 {
+		return
+	}
+	row := j.table.row(StopCutsNothing)
+	for _, o := range j.history.Observations {
+		if !slices.Contains(j.history.StoppedAddresses, o.Address) {
+			continue
+		}
+		row.Checked++
+		if o.Problem == observation.ProblemConnectionLost {
+			row.breach("%s %s to %s lost its connection", o.Kind, o.RequestID, o.Address)
+		}
+	}
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
 	for key := range m {
--- a/standin/check/table.go
+++ b/standin/check/table.go
@@ -26,6 +26,9 @@
 	ExposureBounded   Promise = "a bad version meets few requests"
 	CrashesBounded    Promise = "a crash-causing request costs two endpoints at most"
 	RefusalsSayEnough Promise = "each refusal says whether the request ran"
+	InForceSoon       Promise = "an accepted configuration is in force everywhere within seconds"
+	NeverReverts      Promise = "an accepted configuration never reverts"
+	StopCutsNothing   Promise = "a planned stop cuts off no request"
 )
 
 // Row is one promise and its breaches.
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -88,6 +88,9 @@
 // ID returns the endpoint's ID.
 func (s *Server) ID() platform.EndpointID { return s.identity.ID }
 
+// Identity returns who the endpoint is.
+func (s *Server) Identity() Identity { return s.identity }
+
 // Leaving reports whether the endpoint leaves.
 func (s *Server) Leaving() bool {
 	s.mu.Lock()
--- a/standin/load/balancer.go
+++ b/standin/load/balancer.go
@@ -10,15 +10,19 @@
 const outOfRotation = 2 * time.Second
 
 // balancer spreads requests over addresses and leaves those out that refused
-// a connection.
+// a connection or are not ready.
 type balancer struct {
 	mu        sync.Mutex
 	addresses []string
+	ready     func(address string) bool
 	out       map[string]time.Time // until when
 }
 
-func newBalancer(addresses []string) *balancer {
-	return &balancer{addresses: addresses, out: map[string]time.Time{}}
+func newBalancer(addresses []string, ready func(string) bool) *balancer {
+	if ready == nil {
+		ready = func(string) bool { return true }
+	}
+	return &balancer{addresses: addresses, ready: ready, out: map[string]time.Time{}}
 }
 
 // choose returns an address in rotation, or any if there is none.
@@ -28,7 +32,7 @@
 	now := time.Now()
 	in := make([]string, 0, len(b.addresses))
 	for _, address := range b.addresses {
-		if now.After(b.out[address]) {
+		if now.After(b.out[address]) && b.ready(address) {
 			in = append(in, address)
 		}
 	}
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -67,9 +67,11 @@
 	out.observation = observation.Observation{
 		RequestID: requestID,
 		Key:       q.key,
+		Address:   address,
 		Account:   q.account.ID,
 		Class:     q.class.Name,
 		Kind:      q.kind,
+		Marked:    q.marked,
 	}
 	if q.session != nil {
 		out.observation.Session = q.session.id
@@ -100,7 +102,7 @@
 func (r *reply) failed(err error) {
 	r.observation.Took = time.Since(r.observation.Sent)
 	r.observation.Result = observation.Unknown
-	r.observation.Problem = "connection-lost"
+	r.observation.Problem = observation.ProblemConnectionLost
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		r.observation.Result = observation.NotRun
@@ -140,7 +142,7 @@
 
 func (r *reply) lost() {
 	r.observation.Result = observation.Unknown
-	r.observation.Problem = "connection-lost"
+	r.observation.Problem = observation.ProblemConnectionLost
 }
 
 func (r *reply) readProblem(response *http.Response) {
--- a/standin/load/mix.go
+++ b/standin/load/mix.go
@@ -97,8 +97,8 @@
 	Count int `json:"count"`
 }
 
-// ParseMix decodes and checks a mix. The error is a [finding.List].
-func ParseMix(body []byte) (Mix, error) {
+// DecodeMix decodes a mix without checking it. The error is a [finding.List].
+func DecodeMix(body []byte) (Mix, error) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	var mix Mix
@@ -111,7 +111,7 @@
 		findings.Add("/", "more than one JSON value", "")
 		return Mix{}, findings
 	}
-	return mix, mix.Check().Err()
+	return mix, nil
 }
 
 // Check returns all that is wrong with the mix.
--- a/standin/load/question.go
+++ b/standin/load/question.go
@@ -32,6 +32,7 @@
 	tokens   int
 	session  *session
 	key      string // of a booking
+	marked   bool
 }
 
 // session is a conversation that a virtual user holds.
@@ -73,6 +74,7 @@
 	}
 	q := a.chat(id)
 	if marked {
+		q.marked = true
 		q.messages[len(q.messages)-1].Content += " " + a.mix.Marked.Text
 		return q
 	}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -1,9 +1,13 @@
 package load
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
+	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -152,3 +156,38 @@
 	}
 	return nil
 }
+
+// WriteObservations writes every observation as JSON, one a line.
+func (r *Report) WriteObservations(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	for _, o := range r.Observations {
+		if err := encoder.Encode(o); err != nil {
+			return eris.Wrap(err, "load: write observation")
+		}
+	}
+	return nil
+}
+
+// Write prints the report for people.
+func (r *Report) Write(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(out, "sent %d in %.1f s: answered %d, refused not run %d, unknown %d, defective %d, skipped %d\n",
+		r.Sent, r.Seconds, r.Answered, r.NotRun, r.Unknown, r.Defective, r.Skipped)
+	fmt.Fprintf(out, "ms\tcount\tp50\tp95\tp99\tmax\t\n")
+	for _, line := range []struct {
+		name string
+		q    Quantiles
+	}{
+		{"first token", r.FirstToken},
+		{"stream", r.Stream},
+		{"whole", r.Whole},
+		{"read", r.Read},
+		{"booking", r.Booking},
+	} {
+		fmt.Fprintf(out, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n", line.name, line.q.Count, line.q.P50, line.q.P95, line.q.P99, line.q.Max)
+	}
+	for _, problem := range slices.Sorted(maps.Keys(r.Problems)) {
+		fmt.Fprintf(out, "%s: %d\n", problem, r.Problems[problem])
+	}
+	return eris.Wrap(out.Flush(), "load: write report")
+}
--- a/standin/observation/observation.go
+++ b/standin/observation/observation.go
@@ -37,6 +37,10 @@
 	Defective Result = "defective"
 )
 
+// ProblemConnectionLost is the problem of a request whose connection was lost
+// after it may have been sent.
+const ProblemConnectionLost = "connection-lost"
+
 // Observation is one request as its caller saw it.
 type Observation struct {
 	RequestID string `json:"request_id"`
@@ -45,9 +49,12 @@
 	Account string `json:"account"`
 	Class   string `json:"class,omitempty"`
 	Kind    Kind   `json:"kind"`
+	// Marked tells that the request carried the mix's mark.
+	Marked bool `json:"marked,omitempty"`
 	// Session is the caller's name of the session, unique within the account.
 	Session string `json:"session,omitempty"`
-	// Instance is the instance that answered.
+	// Address is where the request was sent, Instance which instance answered.
+	Address  string `json:"address,omitempty"`
 	Instance string `json:"instance,omitempty"`
 	// Ref is the "model@version" that the reply names.
 	Ref    string `json:"ref,omitempty"`
