--- a/coord/config/check.go
+++ b/coord/config/check.go
@@ -94,6 +94,9 @@
 	if document.Sections == nil {
 		document.Sections = map[SectionName]Section{}
 	}
+	if document.Removed == nil {
+		document.Removed = map[SectionName]Revision{}
+	}
 	findings := document.checkStructure()
 	if len(findings) == 0 {
 		findings = f.check(&document)
--- a/coord/config/fold.go
+++ b/coord/config/fold.go
@@ -28,7 +28,10 @@
 	return &Fold{
 		validate:  validate,
 		onVerdict: onVerdict,
-		document:  &Document{Sections: map[SectionName]Section{}},
+		document: &Document{
+			Sections: map[SectionName]Section{},
+			Removed:  map[SectionName]Revision{},
+		},
 	}
 }
 
@@ -115,9 +118,6 @@
 	}
 	if proposal.removes() {
 		delete(next.Sections, proposal.Section)
-		if next.Removed == nil {
-			next.Removed = map[SectionName]Revision{}
-		}
 		next.Removed[proposal.Section] = revision
 		return next
 	}
