--- a/coord/fold/assembler.go
+++ b/coord/fold/assembler.go
@@ -2,39 +2,82 @@
 
 import (
 	"crypto/sha256"
+	"hash"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
 // maxPartial bounds the incomplete snapshots that are collected side by side.
-const maxPartial = 4
+const maxPartial = 2
 
-// chunkProgress tells when all chunks of a snapshot have passed, without
-// keeping their data.
+// chunkProgress tells when a whole snapshot has passed, undamaged, without
+// keeping its data. The chunks of one must come in order.
 type chunkProgress struct {
-	base    platform.Offset // of the newest complete snapshot
-	partial []partialChunks // oldest first
+	base    platform.Offset // of the newest whole snapshot
+	partial []partialSum    // oldest first
 }
 
-type partialChunks struct {
+// partialSum is the running digest of the first chunks of a snapshot.
+type partialSum struct {
 	base   platform.Offset
 	digest Digest
 	count  int
-	seen   map[int]bool
-	data   map[int][]byte
+	passed int
+	sum    hash.Hash
 }
 
-func (p *chunkProgress) add(chunk Chunk) {
+// add reports false for a chunk that completes a damaged snapshot.
+func (p *chunkProgress) add(chunk Chunk) bool {
 	if chunk.Base <= p.base {
-		return
+		return true
 	}
-	partial := findPartial(&p.partial, chunk)
-	partial.seen[chunk.Index] = true
-	if len(partial.seen) < partial.count {
-		return
+	partial := p.find(chunk)
+	if chunk.Index != partial.passed {
+		return true
+	}
+	partial.sum.Write(chunk.Data)
+	partial.passed++
+	if partial.passed < partial.count {
+		return true
+	}
+	whole := digestOf([sha256.Size]byte(partial.sum.Sum(nil)))
+	partial.passed = 0
+	partial.sum.Reset()
+	if whole != chunk.Digest {
+		return false
 	}
 	p.base = chunk.Base
 	p.partial = nil
+	return true
+}
+
+// find returns the running digest that the chunk belongs to, making room for a
+// new one by dropping the oldest.
+func (p *chunkProgress) find(chunk Chunk) *partialSum {
+	for i := range p.partial {
+		partial := &p.partial[i]
+		if partial.base == chunk.Base && partial.digest == chunk.Digest && partial.count == chunk.Count {
+			return partial
+		}
+	}
+	if len(p.partial) == maxPartial {
+		p.partial = p.partial[1:]
+	}
+	p.partial = append(p.partial, partialSum{
+		base:   chunk.Base,
+		digest: chunk.Digest,
+		count:  chunk.Count,
+		sum:    sha256.New(),
+	})
+	return &p.partial[len(p.partial)-1]
+}
+
+// partialChunks are the chunks collected of a snapshot.
+type partialChunks struct {
+	base   platform.Offset
+	digest Digest
+	count  int
+	data   map[int][]byte
 }
 
 // Assembler collects snapshot entries from records and gives the newest
@@ -98,7 +141,7 @@
 	if chunk.Base <= a.base || a.rejected[chunk.Digest] {
 		return
 	}
-	partial := findPartial(&a.partial, chunk)
+	partial := a.find(chunk)
 	partial.data[chunk.Index] = chunk.Data
 	if len(partial.data) < partial.count {
 		return
@@ -114,24 +157,23 @@
 	a.base, a.digest, a.encoded = chunk.Base, chunk.Digest, encoded
 }
 
-// findPartial returns the partial snapshot that the chunk belongs to, making
-// room for a new one by dropping the oldest.
-func findPartial(partials *[]partialChunks, chunk Chunk) *partialChunks {
-	for i := range *partials {
-		p := &(*partials)[i]
-		if p.base == chunk.Base && p.digest == chunk.Digest && p.count == chunk.Count {
-			return p
+// find returns the partial snapshot that the chunk belongs to, making room for
+// a new one by dropping the oldest.
+func (a *Assembler) find(chunk Chunk) *partialChunks {
+	for i := range a.partial {
+		partial := &a.partial[i]
+		if partial.base == chunk.Base && partial.digest == chunk.Digest && partial.count == chunk.Count {
+			return partial
 		}
 	}
-	if len(*partials) == maxPartial {
-		*partials = (*partials)[1:]
+	if len(a.partial) == maxPartial {
+		a.partial = a.partial[1:]
 	}
-	*partials = append(*partials, partialChunks{
+	a.partial = append(a.partial, partialChunks{
 		base:   chunk.Base,
 		digest: chunk.Digest,
 		count:  chunk.Count,
-		seen:   map[int]bool{},
 		data:   map[int][]byte{},
 	})
-	return &(*partials)[len(*partials)-1]
+	return &a.partial[len(a.partial)-1]
 }
--- a/coord/fold/snapshot.go
+++ b/coord/fold/snapshot.go
@@ -20,7 +20,7 @@
 	// record in its encoding.
 	MaxChunkBytes = 640 << 10
 	// MaxChunks bounds the chunks of one snapshot.
-	MaxChunks = 16
+	MaxChunks = 8
 	// MaxSnapshotBytes bounds the encoding of a snapshot.
 	MaxSnapshotBytes = MaxChunks * MaxChunkBytes
 	// MaxParts bounds the parts of a snapshot.
--- a/coord/fold/snapshot_test.go
+++ b/coord/fold/snapshot_test.go
@@ -219,3 +219,22 @@
 		})
 	}
 }
+
+// A damaged snapshot does not count as kept, though its digest is right.
+func TestDamagedSnapshotDoesNotCount(t *testing.T) {
+	stream := newStream()
+	stream.Apply(record(t, 1, "x"))
+	snapshot, err := stream.Snapshot()
+	assert.NilError(t, err)
+	entries, err := fold.Chunks(snapshot, "writer")
+	assert.NilError(t, err)
+	chunk, err := fold.DecodeChunk(entries[0].Body)
+	assert.NilError(t, err)
+	chunk.Data = append(chunk.Data, ' ')
+	damaged, err := platform.NewEntry("y", fold.KindSnapshot, "writer", chunk)
+	assert.NilError(t, err)
+	payload, err := platform.EncodeEntries([]platform.Entry{damaged})
+	assert.NilError(t, err)
+	stream.Apply(platform.Record{Offset: 2, Payload: payload})
+	assert.Equal(t, stream.SnapshotBase(), platform.Offset(0))
+}
--- a/coord/fold/stream.go
+++ b/coord/fold/stream.go
@@ -19,6 +19,8 @@
 	EntryRepeated Reason = "entry repeated"
 	// SnapshotMalformed is a snapshot entry that could not be read.
 	SnapshotMalformed Reason = "snapshot malformed"
+	// SnapshotDamaged is a snapshot whose data do not have its digest.
+	SnapshotDamaged Reason = "snapshot damaged"
 	// SnapshotMismatched is a snapshot that differs from this instance's own
 	// state at the snapshot's base.
 	SnapshotMismatched Reason = "snapshot mismatched"
@@ -154,7 +156,9 @@
 		s.report(position, entry, SnapshotMismatched)
 		return
 	}
-	s.progress.add(chunk)
+	if !s.progress.add(chunk) {
+		s.report(position, entry, SnapshotDamaged)
+	}
 }
 
 // matches compares the digest of a snapshot based at the stream's own offset.
