Prove that a call runs at most once, with the deliberate faults to come

Property test over a log in memory: every node has its own clock, which moves only when the test moves it, so that any node may be paused between any two steps.

--- a/coord/outbox/outbox_test.go
+++ b/coord/outbox/outbox_test.go
@@ -98,7 +98,13 @@
 			"answer": func(t *rapid.T) {
 				fault := rapid.SampledFrom(outboxtest.Faults()).Draw(t, "fault")
 				lost = lost || fault > outboxtest.Unavailable
+				reading := w.Reading()
 				w.Answer(now, fault)
+				if reading && fault == outboxtest.None && !w.Reading() {
+					for _, entry := range w.Box.Held() {
+						assert.Assert(t, logged(log)[entry.ID] == 0, "entry %s overlooked", entry.ID)
+					}
+				}
 			},
 			"land": func(t *rapid.T) {
 				if log.Late() == 0 {
--- a/coord/outbox/outboxtest/outboxtest.go
+++ b/coord/outbox/outboxtest/outboxtest.go
@@ -111,6 +111,9 @@
 // Waiting tells whether a call of the log waits for its answer.
 func (w *Writer) Waiting() bool { return w.append != nil || w.read != nil }
 
+// Reading tells whether that call is a read-back.
+func (w *Writer) Reading() bool { return w.read != nil }
+
 // Answer answers the call that waits, if there is one.
 func (w *Writer) Answer(now time.Time, fault Fault) {
 	switch {
