--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -2,9 +2,9 @@
 package admin
 
 import (
+	"io"
 	"net/http"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
 	"github.com/wigeonusher/wigeonusher/coord/config"
@@ -41,8 +41,13 @@
 	Verdicts []config.Verdict `json:"verdicts"`
 }
 
+// Metrics writes metrics in Prometheus text form.
+type Metrics interface {
+	Write(w io.Writer)
+}
+
 // Handler returns the HTTP handler; status is called for every request.
-func Handler(status func() Status) http.Handler {
+func Handler(status func() Status, metrics Metrics) http.Handler {
 	router := echo.New()
 	router.HideBanner = true
 	router.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
@@ -56,7 +61,7 @@
 	router.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, status()) })
 	router.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
-		metrics.WritePrometheus(c.Response(), true)
+		metrics.Write(c.Response())
 		return nil
 	})
 	return router
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"crypto/tls"
 	"encoding/hex"
 	"hash/fnv"
 	"net/http"
@@ -22,11 +23,13 @@
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/feedback"
 	"github.com/wigeonusher/wigeonusher/node/follow"
+	"github.com/wigeonusher/wigeonusher/node/keys"
 	"github.com/wigeonusher/wigeonusher/node/limits"
 	"github.com/wigeonusher/wigeonusher/node/logwriter"
 	"github.com/wigeonusher/wigeonusher/node/once"
 	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/node/suspects"
+	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
 	"github.com/wigeonusher/wigeonusher/policy/session"
@@ -89,6 +92,7 @@
 	limits         *limits.Limits
 	pools          *admit.Pools
 	feedback       *feedback.Feedback
+	telemetry      *telemetry.Telemetry
 	keepers        []*keeper
 	callerHandler  http.Handler
 	handlerOfPeers *cluster.Handler
@@ -99,7 +103,10 @@
 func (n *Node) assemble() error {
 	p := &parts{}
 	n.parts = p
-	n.assembleClients(p)
+	p.telemetry = telemetry.New(n.log)
+	if err := n.assembleClients(p); err != nil {
+		return err
+	}
 	n.assembleStreams(p)
 	if err := n.assembleDecisions(p); err != nil {
 		return err
@@ -109,11 +116,20 @@
 }
 
 // assembleClients makes what talks to others.
-func (n *Node) assembleClients(p *parts) {
+func (n *Node) assembleClients(p *parts) error {
 	platformClient := &http.Client{}
 	p.log = platformhttp.NewLog(n.settings.Platform.Log, platformClient)
 	p.list = platformhttp.NewInstanceList(n.settings.Platform.Instances, platformClient)
+	var peerTLS *tls.Config
+	if n.settings.PeerTLS != nil {
+		config, err := keys.Client(*n.settings.PeerTLS)
+		if err != nil {
+			return err
+		}
+		peerTLS = config
+	}
 	p.peers = peer.NewClient(peer.ClientConfig{
+		TLS:         peerTLS,
 		CallTimeout: peerCallTimeout,
 		IdleTimeout: peerIdleTimeout,
 		Connections: peerConnections,
@@ -133,6 +149,7 @@
 		ListInterval: millis(n.settings.Timing.ListPollMillis),
 		LoadInterval: millis(n.settings.Timing.LoadPollMillis),
 	})
+	return nil
 }
 
 // assembleStreams makes the folds of the streams and what writes to them.
@@ -250,13 +267,15 @@
 		Once:       p.once,
 		Budgets:    retryBudgets,
 		Scheduler:  scheduler,
+		Telemetry:  p.telemetry,
 	})
+	n.addGauges(p)
 	n.callerServer = &http.Server{
 		Handler:           server.Handler(),
 		MaxHeaderBytes:    n.settings.Limits.HeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 	}
-	n.adminServer = &http.Server{Handler: admin.Handler(n.Status), ReadHeaderTimeout: headerTimeout}
+	n.adminServer = &http.Server{Handler: admin.Handler(n.Status, p.telemetry), ReadHeaderTimeout: headerTimeout}
 	p.handlerOfPeers = &cluster.Handler{
 		Cluster:  p.cluster,
 		Records:  &records{control: p.controlTail, intents: p.intentTail},
@@ -264,3 +283,22 @@
 		Sessions: p.sessions,
 	}
 }
+
+// addGauges publishes what the parts hold.
+func (n *Node) addGauges(p *parts) {
+	gauge := p.telemetry.Gauge
+	gauge(`wigeonusher_revision`, func() float64 { return float64(n.Status().Revision) })
+	gauge(`wigeonusher_bills_held`, func() float64 { return float64(p.billWriter.Len()) })
+	gauge(`wigeonusher_bills_for_peers`, func() float64 { return float64(p.books.HeldForPeers()) })
+	gauge(`wigeonusher_bills_uncopied`, func() float64 { return float64(p.books.Uncopied()) })
+	gauge(`wigeonusher_sessions`, func() float64 { return float64(p.sessions.Len()) })
+	gauge(`wigeonusher_idempotency_keys`, func() float64 { return float64(p.once.Keys()) })
+	gauge(`wigeonusher_queued_requests`, func() float64 { return float64(p.pools.Queued()) })
+	gauge(`wigeonusher_peers_alive`, func() float64 { return float64(len(p.cluster.Live())) })
+	gauge(`wigeonusher_log_available`, func() float64 {
+		if p.billWriter.Available(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+}
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -116,6 +116,7 @@
 		return err
 	}
 	setAnswerHeaders(e.echo.Response().Header(), result.Ref, result.Degraded)
+	observedOf(e.echo).frame(result.Ref)
 	return e.echo.JSONBlob(http.StatusOK, body)
 }
 
@@ -160,7 +161,11 @@
 		bill.AnswerTokens += use.AnswerTokens
 		bill.CostMicro += version.PromptCost*float64(use.PromptTokens) + version.AnswerCost*float64(use.AnswerTokens)
 	}
-	_ = s.Biller.Bill(ctx, bill)
+	if err := s.Biller.Bill(ctx, bill); err != nil {
+		s.Telemetry.BillRefused(e.id, err)
+		return
+	}
+	s.Telemetry.Billed(result.Ref, bill.CostMicro)
 }
 
 // billKey returns what makes the booking unique: the caller's idempotency key,
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonusher/wigeonusher/node/billing"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/once"
+	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
 	"github.com/wigeonusher/wigeonusher/policy/session"
@@ -101,6 +102,7 @@
 	Once       Once
 	Budgets    dispatch.Budgets
 	Scheduler  *placement.Scheduler
+	Telemetry  *telemetry.Telemetry
 }
 
 // Server is the callers' API of one instance.
@@ -118,6 +120,7 @@
 	router := echo.New()
 	router.HideBanner = true
 	router.HTTPErrorHandler = s.handleError
+	router.Use(s.observe)
 	router.POST("/v1/chat/completions", s.chat)
 	router.GET("/v1/models", s.models)
 	router.Any("/services/:service/*", s.service)
@@ -139,6 +142,8 @@
 func (s *Server) open(c echo.Context, attempt *outcome.Attempt) (*exchange, *problem.Problem) {
 	e := &exchange{echo: c, policy: s.Policies.Policy(), attempt: attempt}
 	e.id = s.requestID(c.Request())
+	seen := observedOf(c)
+	seen.exchange = e
 	header := c.Response().Header()
 	header.Set(HeaderRequestID, e.id)
 	header.Set(HeaderInstance, string(s.Instance))
@@ -200,6 +205,7 @@
 }
 
 func (s *Server) refuse(c echo.Context, trouble *problem.Problem) error {
+	observedOf(c).trouble = trouble
 	trouble.RequestID = c.Response().Header().Get(HeaderRequestID)
 	trouble.Write(c.Response())
 	return nil
--- a/node/caller/sse.go
+++ b/node/caller/sse.go
@@ -32,6 +32,7 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-store")
 	setAnswerHeaders(header, ref, false)
+	observedOf(s.exchange.echo).frame(ref)
 	response.WriteHeader(http.StatusOK)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"net"
 	"net/http"
@@ -11,8 +12,10 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/keys"
 	"github.com/wigeonusher/wigeonusher/node/settings"
 )
 
@@ -92,12 +95,32 @@
 	if n.callers, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
 		return eris.Wrap(err, "node: caller address")
 	}
+	n.callers = netutil.LimitListener(n.callers, n.settings.Limits.Connections)
 	if n.peers, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
 		return eris.Wrap(err, "node: peer address")
 	}
 	if n.admins, err = net.Listen("tcp", n.settings.AdminAddress); err != nil {
 		return eris.Wrap(err, "node: admin address")
 	}
+	return n.secure()
+}
+
+// secure puts TLS on the listeners whose settings ask for it.
+func (n *Node) secure() error {
+	if n.settings.CallerTLS != nil {
+		config, err := keys.Server(*n.settings.CallerTLS)
+		if err != nil {
+			return err
+		}
+		n.callers = tls.NewListener(n.callers, config)
+	}
+	if n.settings.PeerTLS != nil {
+		config, err := keys.Server(*n.settings.PeerTLS)
+		if err != nil {
+			return err
+		}
+		n.peers = tls.NewListener(n.peers, config)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/node/telemetry/telemetry.go
@@ -0,0 +1,99 @@
+// Package telemetry counts what an instance does, in Prometheus text form, and
+// writes one log line per request.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+)
+
+// Path names a kind of request.
+type Path string
+
+// Kinds of requests.
+const (
+	PathChat    Path = "chat"
+	PathService Path = "service"
+	PathOther   Path = "other"
+)
+
+// Telemetry is the metrics and request log of one instance. Its methods may be
+// called from several goroutines.
+type Telemetry struct {
+	set *metrics.Set
+	log *logrus.Entry
+}
+
+// New returns telemetry with metrics of its own.
+func New(log *logrus.Entry) *Telemetry {
+	return &Telemetry{set: metrics.NewSet(), log: log}
+}
+
+// Request is what became of a request.
+type Request struct {
+	Path     Path
+	ID       string
+	Account  document.AccountID
+	Revision config.Revision
+	Ref      document.Ref
+	Status   int
+	// Problem is the type of the problem document, empty if there was none.
+	Problem string
+	// Outcome is "not_run", "ran" or "unknown".
+	Outcome string
+	Took    time.Duration
+	// FirstFrame is the time to the first frame for the caller, 0 if none.
+	FirstFrame time.Duration
+}
+
+// Done counts and logs a request.
+func (t *Telemetry) Done(request Request) {
+	name := fmt.Sprintf(`wigeonusher_requests_total{path=%q,status="%d",problem=%q,outcome=%q}`,
+		request.Path, request.Status, request.Problem, request.Outcome)
+	t.set.GetOrCreateCounter(name).Inc()
+	t.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_request_seconds{path=%q}`, request.Path)).Update(request.Took.Seconds())
+	if request.FirstFrame > 0 {
+		t.set.GetOrCreateHistogram(`wigeonusher_first_frame_seconds`).Update(request.FirstFrame.Seconds())
+	}
+	t.log.WithFields(logrus.Fields{
+		"request":  request.ID,
+		"account":  request.Account,
+		"revision": request.Revision,
+		"path":     request.Path,
+		"status":   request.Status,
+		"problem":  request.Problem,
+		"outcome":  request.Outcome,
+		"version":  request.Ref.String(),
+		"took_ms":  request.Took.Milliseconds(),
+	}).Info("request")
+}
+
+// Billed counts a bill.
+func (t *Telemetry) Billed(ref document.Ref, costMicro float64) {
+	t.set.GetOrCreateCounter(fmt.Sprintf(`wigeonusher_bills_total{version=%q}`, ref)).Inc()
+	t.set.GetOrCreateFloatCounter(fmt.Sprintf(`wigeonusher_billed_micro_total{version=%q}`, ref)).Add(costMicro)
+}
+
+// BillRefused counts a bill that could not be held.
+func (t *Telemetry) BillRefused(requestID string, err error) {
+	t.set.GetOrCreateCounter(`wigeonusher_bills_refused_total`).Inc()
+	t.log.WithError(err).WithField("request", requestID).Error("bill could not be held")
+}
+
+// Gauge adds a value that is read when the metrics are.
+func (t *Telemetry) Gauge(name string, read func() float64) {
+	t.set.GetOrCreateGauge(name, read)
+}
+
+// Write writes all metrics, with those of the process.
+func (t *Telemetry) Write(w io.Writer) {
+	t.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
