Tests of the stand-ins, their faults and the load generator

Cause of a failing test of silent connections: net/http ends its background read of a connection by a read deadline, which the silent connection took for the other end's close and passed on. It tells the two apart now. The connection that sets the fault is left out, so that its answer arrives.

--- a/cmd/internal/demo/script.go
+++ b/cmd/internal/demo/script.go
@@ -29,7 +29,7 @@
 	// at is when, as a share of the run.
 	at   float64
 	name string
-	do   func(ctx context.Context, d *demonstration) error
+	do   func(d *demonstration, ctx context.Context) error
 }
 
 // script lists what happens, in order.
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -45,7 +46,7 @@
 	thawed  chan struct{} // closed while not frozen
 	closed  chan struct{}
 	crash   func()
-	silence func()
+	silence func(except net.Conn)
 }
 
 // NewSwitch returns a switch without faults. Equal seeds draw equal faults
@@ -58,7 +59,7 @@
 		thawed:  thawed,
 		closed:  make(chan struct{}),
 		crash:   func() {},
-		silence: func() {},
+		silence: func(net.Conn) {},
 	}
 }
 
@@ -70,7 +71,11 @@
 }
 
 // Set replaces the faults.
-func (s *Switch) Set(set Set) {
+func (s *Switch) Set(set Set) { s.replace(set, nil) }
+
+// replace replaces the faults. The connection that asked for it is not
+// silenced, so that the answer arrives.
+func (s *Switch) replace(set Set, asking net.Conn) {
 	s.mu.Lock()
 	if s.set.Frozen != set.Frozen {
 		if set.Frozen {
@@ -83,7 +88,7 @@
 	silence := s.silence
 	s.mu.Unlock()
 	if set.Silent {
-		silence()
+		silence(asking)
 	}
 }
 
--- a/standin/faults/listener.go
+++ b/standin/faults/listener.go
@@ -1,6 +1,8 @@
 package faults
 
 import (
+	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -42,12 +44,29 @@
 	}
 }
 
-func (l *Listener) silence() {
+// silence silences all open connections but the one given.
+func (l *Listener) silence(except net.Conn) {
 	for _, conn := range l.connections() {
-		conn.silent.Store(true)
+		if net.Conn(conn) != except {
+			conn.silent.Store(true)
+		}
 	}
 }
 
+// connectionKey is the context key of a request's connection.
+type connectionKey struct{}
+
+// ConnContext tells requests their connection. It is meant for the field of
+// that name in http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+func connectionOf(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connectionKey{}).(net.Conn)
+	return conn
+}
+
 func (l *Listener) connections() []*connection {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -79,13 +98,21 @@
 		if !c.silent.Load() {
 			return n, err
 		}
+		if isTimeout(err) {
+			return 0, err // the server's own deadline, not the other end
+		}
 		if err != nil {
-			c.closeNow()
+			_ = c.closeNow()
 			return 0, err
 		}
 	}
 }
 
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
 	if c.silent.Load() {
--- a/standin/faults/middleware.go
+++ b/standin/faults/middleware.go
@@ -32,7 +32,7 @@
 		if err := json.NewDecoder(c.Request().Body).Decode(&set); err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, "malformed faults")
 		}
-		s.Set(set)
+		s.replace(set, connectionOf(c.Request().Context()))
 		return c.JSON(http.StatusOK, set)
 	})
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -64,7 +64,12 @@
 	}
 	s.mu.Lock()
 	s.listener = s.Faults.Listen(inner)
-	s.http = &http.Server{Handler: s.Router, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet}
+	s.http = &http.Server{
+		Handler:           s.Router,
+		ReadHeaderTimeout: headerTimeout,
+		ConnContext:       faults.ConnContext,
+		ErrorLog:          quiet,
+	}
 	listener, served := s.listener, s.http
 	s.mu.Unlock()
 	go func() { _ = served.Serve(listener) }()
