Tests of the operators' tool

Two sections edited side by side, a conflict that names the other's author, all findings at once, lost answers of the log, the log down, a revision that is not in force on one instance, and the audit trail.

--- /dev/null
+++ b/cmd/internal/tool/tool_test.go
@@ -0,0 +1,207 @@
+package tool_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/cmd/internal/control"
+	"github.com/wigeonusher/wigeonusher/cmd/internal/tool"
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+	"github.com/wigeonusher/wigeonusher/standin/faults"
+	"github.com/wigeonusher/wigeonusher/standin/fixture"
+	"github.com/wigeonusher/wigeonusher/standin/logservice"
+)
+
+// operator is a test's operator with a log that holds the first configuration.
+type operator struct {
+	t   *testing.T
+	log *logservice.Server
+	dir string
+}
+
+func newOperator(t *testing.T) *operator {
+	t.Helper()
+	log := logservice.New(logservice.Config{Seed: 3})
+	assert.NilError(t, log.Listen("127.0.0.1:0"))
+	t.Cleanup(func() { _ = log.Close() })
+	log.Append(platform.StreamControl, fixture.Sheetline().Payload())
+	return &operator{t: t, log: log, dir: t.TempDir()}
+}
+
+func (o *operator) run(arguments ...string) (tool.ExitCode, string) {
+	var out, errors bytes.Buffer
+	code := tool.Main(context.Background(), arguments, &out, &errors)
+	return code, out.String() + errors.String()
+}
+
+// file writes a section of the fixture after an edit.
+func (o *operator) file(name string, edit func(*fixture.Deployment)) string {
+	o.t.Helper()
+	deployment := fixture.Sheetline()
+	edit(deployment)
+	for _, section := range deployment.Sections() {
+		if string(section.Name) == name {
+			return o.write(name+".json", string(section.Body))
+		}
+	}
+	o.t.Fatalf("no section %s", name)
+	return ""
+}
+
+func (o *operator) write(name, text string) string {
+	o.t.Helper()
+	path := filepath.Join(o.dir, name)
+	assert.NilError(o.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (o *operator) publish(section, file string, more ...string) (tool.ExitCode, string) {
+	arguments := append([]string{"config", "publish", "--log", o.log.URL(), "--section", section, "--file", file, "--timeout", "3s"}, more...)
+	return o.run(arguments...)
+}
+
+func explore(share float64) func(*fixture.Deployment) {
+	return func(d *fixture.Deployment) { d.Routing.ExploreShare = share }
+}
+
+func TestSectionsAreIndependentAndTheFirstEditWins(t *testing.T) {
+	o := newOperator(t)
+	base := fmt.Sprint(platform.Position{Offset: 1, Index: 3}.Number()) // of the routing section
+
+	code, text := o.publish("routing", o.file("routing", explore(0.05)), "--author", "ana", "--base", base)
+	assert.Equal(t, code, tool.ExitOK, text)
+	code, text = o.publish("models", o.file("models", func(*fixture.Deployment) {}), "--author", "ben")
+	assert.Equal(t, code, tool.ExitOK, text)
+	code, text = o.publish("routing", o.file("routing", explore(0.07)), "--author", "cleo", "--base", base)
+	assert.Equal(t, code, tool.ExitConflict, text)
+	assert.Assert(t, strings.Contains(text, "author ana"), text)
+
+	code, text = o.run("config", "history", "--log", o.log.URL(), "--section", "routing", "--json")
+	assert.Equal(t, code, tool.ExitOK)
+	var events []control.Event
+	assert.NilError(t, json.Unmarshal([]byte(text), &events))
+	assert.Equal(t, len(events), 2) // the conflict was found before it was appended
+	assert.Equal(t, events[1].Author, "ana")
+}
+
+func TestAllFindingsAreReported(t *testing.T) {
+	o := newOperator(t)
+	file := o.file("routing", func(d *fixture.Deployment) {
+		d.Routing.ExploreShare = 0.9
+		d.Routing.DefaultClass = "nonsense"
+	})
+	for _, arguments := range [][]string{
+		{"config", "validate", "--section", "routing", "--file", file, "--log", o.log.URL()},
+		{"config", "publish", "--section", "routing", "--file", file, "--log", o.log.URL(), "--author", "ana"},
+	} {
+		code, text := o.run(arguments...)
+		assert.Equal(t, code, tool.ExitFindings, text)
+		assert.Assert(t, strings.Contains(text, "/routing/explore_share"), text)
+		assert.Assert(t, strings.Contains(text, "/routing/default_class"), text)
+	}
+	assert.Equal(t, len(o.log.Records(platform.StreamControl)), 1)
+
+	code, text := o.run("config", "validate", "--file", o.write("broken.json", "{\n\"models\":\n]"))
+	assert.Equal(t, code, tool.ExitFindings, text)
+	assert.Assert(t, strings.Contains(text, "broken.json:3"), text)
+}
+
+func TestLostAnswersLeadToOnePublication(t *testing.T) {
+	o := newOperator(t)
+	file := o.file("routing", explore(0.05))
+	o.log.Faults.Set(faults.Set{LoseRate: 0.5})
+	code, text := o.publish("routing", file, "--author", "ana", "--timeout", "20s")
+	assert.Equal(t, code, tool.ExitOK, text)
+	o.log.Faults.Set(faults.Set{})
+	_, text = o.run("config", "history", "--log", o.log.URL(), "--section", "routing", "--json")
+	var events []control.Event
+	assert.NilError(t, json.Unmarshal([]byte(text), &events))
+	assert.Equal(t, len(events), 2)
+}
+
+func TestLogDown(t *testing.T) {
+	o := newOperator(t)
+	file := o.file("routing", explore(0.05))
+	o.log.Faults.Set(faults.Set{Down: true})
+	code, _ := o.publish("routing", file, "--author", "ana", "--timeout", "300ms")
+	assert.Equal(t, code, tool.ExitFailed)
+	assert.Equal(t, len(o.log.Records(platform.StreamControl)), 1)
+}
+
+func TestWaitSaysWhereARevisionIsNotInForce(t *testing.T) {
+	o := newOperator(t)
+	instance := func(revision uint64) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"instance":"i","zone":"a","ready":true,"revision":%d}`, revision)
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	current, behind := instance(1<<60), instance(1)
+	code, text := o.publish("routing", o.file("routing", explore(0.05)), "--author", "ana", "--wait", "300ms", "--instance", current, "--instance", behind)
+	assert.Equal(t, code, tool.ExitNotInForce, text)
+	assert.Assert(t, strings.Contains(text, "not in force on "+behind), text)
+	assert.Assert(t, !strings.Contains(text, "not in force on "+current), text)
+	code, text = o.publish("routing", o.file("routing", explore(0.06)), "--author", "ana", "--wait", "3s", "--instance", current)
+	assert.Equal(t, code, tool.ExitOK, text)
+}
+
+func TestAuditListsAutomaticMoves(t *testing.T) {
+	o := newOperator(t)
+	entry, err := platform.NewEntry("v1", rollout.KindVerdict, "entry-01-ff", rollout.Verdict{
+		Run: rollout.Run{ID: fixture.RolloutMid}, Move: rollout.Brake, Reason: "bad ratings",
+	})
+	assert.NilError(t, err)
+	payload, err := platform.EncodeEntries([]platform.Entry{entry})
+	assert.NilError(t, err)
+	o.log.Append(platform.StreamControl, payload)
+	code, text := o.run("audit", "--automatic", "--log", o.log.URL())
+	assert.Equal(t, code, tool.ExitOK)
+	assert.Assert(t, strings.Contains(text, "rollout/mid-v2"), text)
+	assert.Assert(t, strings.Contains(text, "bad ratings"), text)
+	assert.Assert(t, !strings.Contains(text, "section/"), text)
+}
+
+func TestShowThenDiffIsEmpty(t *testing.T) {
+	o := newOperator(t)
+	_, text := o.run("config", "show", "--log", o.log.URL(), "--section", "models", "--json")
+	var section config.Section
+	assert.NilError(t, json.Unmarshal([]byte(text), &section))
+	var models map[document.ModelName]document.Model
+	assert.NilError(t, json.Unmarshal(section.Body, &models))
+	file := o.write("models.json", string(section.Body))
+	code, text := o.run("config", "diff", "--log", o.log.URL(), "--section", "models", "--file", file)
+	assert.Equal(t, code, tool.ExitOK)
+	assert.Equal(t, text, "")
+	other := o.file("models", func(d *fixture.Deployment) {
+		model := d.Models[fixture.Cheap]
+		model.Stable = fixture.V2
+		d.Models[fixture.Cheap] = model
+	})
+	_, text = o.run("config", "diff", "--log", o.log.URL(), "--section", "models", "--file", other)
+	assert.Assert(t, strings.Contains(text, `+    "stable": "v2"`), text)
+}
+
+func TestUsage(t *testing.T) {
+	o := newOperator(t)
+	code, text := o.run("config", "publish")
+	assert.Equal(t, code, tool.ExitUsage, text)
+	code, text = o.run("--help")
+	assert.Equal(t, code, tool.ExitOK)
+	assert.Assert(t, strings.Contains(text, "Exit codes"), text)
+	code, _ = o.run("load", "--deployment", "sheetline", "--caller", "192.0.2.1:80")
+	assert.Equal(t, code, tool.ExitFindings)
+}
