--- a/node/assemble.go
+++ b/node/assemble.go
@@ -94,7 +94,6 @@
 	feedback       *feedback.Feedback
 	telemetry      *telemetry.Telemetry
 	keepers        []*keeper
-	callerHandler  http.Handler
 	handlerOfPeers *cluster.Handler
 }
 
--- a/node/billing/billing.go
+++ b/node/billing/billing.go
@@ -70,8 +70,6 @@
 	addresses  map[platform.InstanceID]string
 	store      *hold.Store
 	adopted    map[string]platform.InstanceID
-
-	events chan hold.Event
 }
 
 // Config bounds the books.
