Tailer simulation: a log that does not answer in time counts as down

The check of readiness took a log of 4 s latency for up, though the tailer's timeout is 3 s; by the stated rule such a log is down.

--- a/coord/tail/sim_test.go
+++ b/coord/tail/sim_test.go
@@ -212,7 +212,12 @@
 }
 
 func (w *world) begin(n *node, read tail.Effect, wait, at time.Time) {
-	if w.rnd.Float64() < w.silent {
+	silent := w.rnd.Float64() < w.silent
+	_, fromLog := read.(tail.ReadLog)
+	if fromLog && (silent || at.After(wait.Add(tail.DefaultConfig().ReadTimeout))) {
+		n.lost = true // a log that does not answer in time counts as down
+	}
+	if silent {
 		return
 	}
 	n.waiting = append(n.waiting, pending{read: read, wait: wait, at: at})
