Mend the ledger: repeated intents could free a claimed key

Cause: the property search found a run of one key at two instances. An instance that had started within the stream met a repeated intent of an attempt that had been abandoned before, took it for the accepted one, and on the repeated abandonment freed a key that another instance held and ran.

Ruled out: relying on the reader to drop repeated entry IDs, since readers remember different IDs depending on where they started; and never completing a ledger that started within the stream, since a fleet replaced as a whole would then refuse all calls.

Now an intent carries the offset its writer had folded and is refused Window records later; attempts seen are kept with the key; a claim that was accepted before the ledger was complete, and a key that is done, are freed by expiry alone.

--- a/coord/intent/call.go
+++ b/coord/intent/call.go
@@ -108,7 +108,7 @@
 	case !event.LogAvailable:
 		return c.refuse(LogUnavailable, event.RetryAfter)
 	}
-	entry, err := c.intentEntry()
+	entry, err := c.intentEntry(event.Folded)
 	if err != nil {
 		return c.refuse(OutboxFull, event.RetryAfter)
 	}
@@ -133,9 +133,8 @@
 		return nil
 	case c.state != undecided:
 		return nil
-	case !d.Accepted && d.Reason == KeyReused:
-		c.state = closed
-		return c.respond(Respond{Kind: Conflict, Outcome: c.progress.Outcome()})
+	case d.Reason == TooLate:
+		return c.refuse(LogUnavailable, c.cfg.RetryAfter)
 	case !d.Accepted:
 		return c.meet(d.Holder, event.HolderGone)
 	case !now.Before(c.cfg.Deadline):
@@ -296,11 +295,12 @@
 
 func (c *Call) intentID() string { return "intent/" + c.cfg.Attempt }
 
-func (c *Call) intentEntry() (platform.Entry, error) {
+func (c *Call) intentEntry(after platform.Offset) (platform.Entry, error) {
 	return platform.NewEntry(c.intentID(), KindIntent, c.cfg.Writer, Intent{
 		Key:         c.cfg.Key,
 		Attempt:     c.cfg.Attempt,
 		Fingerprint: c.cfg.Fingerprint,
+		After:       after,
 	})
 }
 
--- a/coord/intent/call_event.go
+++ b/coord/intent/call_event.go
@@ -23,6 +23,8 @@
 	CaughtUp bool
 	// Full tells whether the ledger is full.
 	Full bool
+	// Folded is the ledger's [Ledger.Last].
+	Folded platform.Offset
 	// Status is the ledger's knowledge of the call's key.
 	Status Status
 	// HolderGone tells whether the writer of a claimed key is believed dead.
--- a/coord/intent/intent.go
+++ b/coord/intent/intent.go
@@ -29,6 +29,10 @@
 	// Fingerprint is a digest of method, path and body. A key that comes
 	// again with another fingerprint is refused.
 	Fingerprint string `json:"fingerprint"`
+	// After is the last offset that the writer had folded. A ledger ignores
+	// the intent Window records later: it is a repetition, or has come too
+	// late to be told from one.
+	After platform.Offset `json:"after"`
 }
 
 // Outcome closes an intent. Only the writer of the accepted intent may.
@@ -87,6 +91,9 @@
 	KeyDone Reason = "key_done"
 	// KeyReused refuses it: the key belongs to a call with another fingerprint.
 	KeyReused Reason = "key_reused"
+	// TooLate refuses it: the stream has moved on by Window records since it
+	// was written.
+	TooLate Reason = "too_late"
 )
 
 // Decision is the fold's verdict on one intent.
--- a/coord/intent/ledger.go
+++ b/coord/intent/ledger.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 	"unique"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -20,7 +21,8 @@
 	// Window is the lifetime of a key, in records of the stream, after the
 	// last entry that names it.
 	Window uint64
-	// MaxKeys is the number of keys at which the ledger counts as full.
+	// MaxKeys is the number of keys, and of refused attempts, at which the
+	// ledger counts as full.
 	MaxKeys int
 	// MaxBody bounds the body kept of one outcome, and MaxBodies that of all,
 	// in bytes. The oldest bodies are dropped first.
@@ -39,6 +41,12 @@
 	attempt     string
 	fingerprint string
 	state       State
+	// others are digests of further attempts whose intents named the key.
+	others []digest
+	// tentative marks a claim that was accepted before the ledger was
+	// complete: another claim may be the true one. It is never freed but by
+	// expiry.
+	tentative bool
 	// The rest is the outcome of a key that is done.
 	decided   uint64 // position number of the outcome
 	body      []byte
@@ -62,6 +70,7 @@
 	expiry     fifo // by last touch
 	bodies     fifo // by outcome
 	bodyBytes  int
+	attempts   int // digests of attempts in all rows
 	// since is the offset from which on every record has been folded; 0 if
 	// none was.
 	since platform.Offset
@@ -86,7 +95,7 @@
 // Full tells whether no further calls should be started. Decisions do not
 // depend on it. While a ledger is full, its instance appends entries of kind
 // [KindAdvance], so that the stream moves on and keys expire.
-func (l *Ledger) Full() bool { return len(l.rows) >= l.cfg.MaxKeys }
+func (l *Ledger) Full() bool { return len(l.rows)+l.attempts >= l.cfg.MaxKeys }
 
 // StartAt says that the first record folded will be the one at the offset.
 // Without it, the first entry's offset counts.
@@ -99,6 +108,9 @@
 	return l.since <= 1 || uint64(l.last) >= uint64(l.since)+l.cfg.Window
 }
 
+// Last returns the offset folded last. Intents carry it.
+func (l *Ledger) Last() platform.Offset { return l.last }
+
 // Status returns what is known of the key.
 func (l *Ledger) Status(key Key) Status {
 	r := l.rows[digestOf(key)]
@@ -128,46 +140,83 @@
 	if !ok {
 		return
 	}
-	key := digestOf(in.Key)
-	r := l.touch(key, number)
-	if r.attempt == in.Attempt && r.writer == entry.Writer {
+	decision := Decision{Attempt: in.Attempt, Writer: entry.Writer, Key: in.Key, Reason: TooLate}
+	if uint64(in.After)+l.cfg.Window <= offsetOf(number) {
+		decision.Holder = l.Status(in.Key)
+		l.onDecision(decision)
+		return
+	}
+	r := l.row(digestOf(in.Key))
+	attempt := digestOf(Key{Account: string(entry.Writer), Token: in.Attempt})
+	if r.knows(entry.Writer, in.Attempt, attempt) {
 		return
 	}
-	decision := Decision{Attempt: in.Attempt, Writer: entry.Writer, Key: in.Key, Reason: r.judge(in)}
+	l.touch(digestOf(in.Key), r, number)
+	decision.Reason = r.judge(in)
 	if decision.Reason != KeyWasFree {
+		r.others = append(r.others, attempt)
+		l.attempts++
 		decision.Holder = r.describe(in.Key)
 		l.onDecision(decision)
 		return
 	}
+	l.claim(r, number, entry.Writer, in)
+	decision.Accepted = true
+	decision.Fencing = number
+	l.onDecision(decision)
+}
+
+func (l *Ledger) claim(r *row, number uint64, writer platform.InstanceID, in Intent) {
+	if r.attempt != "" {
+		r.others = append(r.others, digestOf(Key{Account: string(r.writer), Token: r.attempt}))
+		l.attempts++
+	}
 	r.state = Claimed
+	r.tentative = !l.Complete()
 	r.fencing = number
-	r.writer = intern(entry.Writer)
+	r.writer = intern(writer)
 	r.attempt = in.Attempt
 	r.fingerprint = in.Fingerprint
-	decision.Accepted = true
-	decision.Fencing = number
-	l.onDecision(decision)
 }
 
-// applyOutcome closes or frees a key. An outcome for a key that is not known
-// closes it: the intent has expired here or was never seen.
+// applyOutcome closes or frees a key.
+//
+// Ledgers may differ in which repeated outcomes they meet, and a ledger that
+// started within the stream may take the wrong claim for the accepted one.
+// They stay safe by two rules. A row that may be wrong, one that is tentative
+// or done, is never freed but by expiry, and every outcome renews it. A claim
+// that is certain is renewed only by what changes it, so that all complete
+// ledgers expire it at the same position.
 func (l *Ledger) applyOutcome(number uint64, entry platform.Entry) {
 	out, ok := decodeOutcome(entry.Body)
 	if !ok {
 		return
 	}
 	key := digestOf(out.Key)
-	r := l.touch(key, number)
-	switch {
-	case r.state == Claimed && (r.writer != entry.Writer || r.attempt != out.Attempt):
-		return
-	case r.state == Done:
+	r := l.rows[key]
+	if r == nil && out.Abandoned {
 		return
+	}
+	r = l.row(key)
+	switch holder := r.writer == entry.Writer && r.attempt == out.Attempt; {
+	case r.state == Done, r.tentative && out.Abandoned:
+		l.touch(key, r, number)
+	case r.state == Claimed && !r.tentative && !holder:
+	case r.state == Free && out.Abandoned:
 	case out.Abandoned:
+		l.touch(key, r, number)
 		r.state = Free
-		return
-	case r.state == Free:
-		r.writer = intern(entry.Writer)
+	default:
+		l.touch(key, r, number)
+		l.finish(key, number, r, entry.Writer, out)
+	}
+}
+
+// finish marks a key as done. The outcome's writer is the accepted one, even
+// if the row says otherwise or nothing: nobody else appends such an outcome.
+func (l *Ledger) finish(key digest, number uint64, r *row, writer platform.InstanceID, out Outcome) {
+	if r.attempt != out.Attempt {
+		r.writer = intern(writer)
 		r.attempt = out.Attempt
 		r.fingerprint = out.Fingerprint
 	}
@@ -214,19 +263,22 @@
 	r.body, r.truncated = nil, true
 }
 
-// touch returns the row of a key, new if need be, and renews its lifetime.
-// Every entry that names a key does so, whatever becomes of the entry: the
-// lifetime then depends on the last Window records alone, and an instance that
-// has folded no others agrees on it.
-func (l *Ledger) touch(key digest, number uint64) *row {
+// row returns the row of a key, new if need be.
+func (l *Ledger) row(key digest) *row {
 	r := l.rows[key]
 	if r == nil {
 		r = &row{state: Free}
 		l.rows[key] = r
 	}
+	return r
+}
+
+// touch renews the lifetime of a key. Every intent does so, whatever becomes
+// of it: whether a key is held then depends on the last Window records alone,
+// and a ledger that has folded no others agrees on it.
+func (l *Ledger) touch(key digest, r *row, number uint64) {
 	r.touched = number
 	l.expiry.push(touch{key: key, number: number})
-	return r
 }
 
 // expire drops the keys that no entry of the last Window records names.
@@ -242,10 +294,16 @@
 			continue
 		}
 		l.dropBody(r)
+		l.attempts -= len(r.others)
 		delete(l.rows, oldest.key)
 	}
 }
 
+// knows tells whether an intent of the attempt has been folded before.
+func (r *row) knows(writer platform.InstanceID, attempt string, d digest) bool {
+	return r.attempt == attempt && r.writer == writer || slices.Contains(r.others, d)
+}
+
 // judge returns the verdict on an intent that meets the row.
 func (r *row) judge(in Intent) Reason {
 	switch {
--- a/coord/intent/snapshot.go
+++ b/coord/intent/snapshot.go
@@ -27,6 +27,8 @@
 	Attempt     string              `json:"attempt,omitempty"`
 	Fingerprint string              `json:"fingerprint,omitempty"`
 	State       State               `json:"state"`
+	Others      []string            `json:"others,omitempty"`
+	Tentative   bool                `json:"tentative,omitempty"`
 	Decided     uint64              `json:"decided,omitempty"`
 	Status      int32               `json:"status,omitempty"`
 	Body        []byte              `json:"body,omitempty"`
@@ -75,6 +77,8 @@
 		Attempt:     r.attempt,
 		Fingerprint: r.fingerprint,
 		State:       r.state,
+		Others:      encodeDigests(r.others),
+		Tentative:   r.tentative,
 		Decided:     r.decided,
 		Status:      r.status,
 		Body:        r.body,
@@ -84,18 +88,27 @@
 }
 
 func (l *Ledger) restoreRow(row snapshotRow) error {
-	decoded, err := hex.DecodeString(row.Key)
-	if err != nil || len(decoded) != len(digest{}) {
-		return eris.Errorf("key %q is not a digest", row.Key)
+	key, err := decodeDigest(row.Key)
+	if err != nil {
+		return err
 	}
 	if row.State != Free && row.State != Claimed && row.State != Done {
 		return eris.Errorf("state %q is not known", row.State)
 	}
-	key := digest(decoded)
 	if l.rows[key] != nil {
 		return eris.Errorf("key %q repeats", row.Key)
 	}
-	r := l.touch(key, row.Touched)
+	r := l.row(key)
+	l.touch(key, r, row.Touched)
+	for _, other := range row.Others {
+		d, err := decodeDigest(other)
+		if err != nil {
+			return err
+		}
+		r.others = append(r.others, d)
+	}
+	l.attempts += len(r.others)
+	r.tentative = row.Tentative
 	r.fencing = row.Fencing
 	r.writer = intern(row.Writer)
 	r.attempt = row.Attempt
@@ -110,3 +123,19 @@
 	}
 	return nil
 }
+
+func encodeDigests(digests []digest) []string {
+	var encoded []string
+	for _, d := range digests {
+		encoded = append(encoded, hex.EncodeToString(d[:]))
+	}
+	return encoded
+}
+
+func decodeDigest(encoded string) (digest, error) {
+	decoded, err := hex.DecodeString(encoded)
+	if err != nil || len(decoded) != len(digest{}) {
+		return digest{}, eris.Errorf("%q is not a digest", encoded)
+	}
+	return digest(decoded), nil
+}
