Engine stand-in: prefixes by bytes, as the router hashes them

The router estimates tokens by bytes and hashes blocks of the prompt's bytes. The stand-in counted words, so its cache events could never match. It hashes the same text in blocks of 256 bytes now; ruled out: handing the router word counts, which real engines do not give.

--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -12,8 +11,14 @@
 	"github.com/wigeonusher/wigeonusher/standin/faults"
 )
 
-// BlockTokens is the number of prompt tokens in one block of the prefix cache.
-const BlockTokens = 16
+// Sizes of the prefix cache.
+const (
+	// BlockBytes is the number of prompt bytes in one block.
+	BlockBytes = 256
+	// BytesPerToken is the number of bytes that count as one token in a
+	// [CacheEvent].
+	BytesPerToken = 4
+)
 
 const (
 	hexBase       = 16
@@ -23,9 +28,9 @@
 
 // CacheEvent says that a prefix was stored or evicted.
 type CacheEvent struct {
-	// Prefix is the hex xxHash64 of the prompt's first Tokens words, joined
-	// by single spaces. A prompt's words are those of its messages in order,
-	// each message's role before its content.
+	// Prefix is the hex xxHash64 of the prompt's first Tokens times
+	// [BytesPerToken] bytes. The prompt is, for each message, its role, a
+	// newline, its content and a newline.
 	Prefix string `json:"prefix"`
 	Tokens int    `json:"tokens"`
 	Stored bool   `json:"stored"`
@@ -36,9 +41,10 @@
 	ready time.Time
 }
 
+// block is a prefix of a prompt that ends with a block.
 type block struct {
-	hash   uint64
-	tokens int
+	hash  uint64
+	bytes int
 }
 
 // prefixCache remembers which prompt prefixes were computed lately.
@@ -53,8 +59,8 @@
 
 func newPrefixCache(config Config, faults *faults.Switch) *prefixCache {
 	cache := &prefixCache{config: config, faults: faults}
-	blocks, err := lru.NewWithEvict(config.CacheBlocks, func(hash uint64, tokens int) {
-		cache.publish(block{hash: hash, tokens: tokens}, false)
+	blocks, err := lru.NewWithEvict(config.CacheBlocks, func(hash uint64, bytes int) {
+		cache.publish(block{hash: hash, bytes: bytes}, false)
 	})
 	if err != nil {
 		panic(err) // only for a size below 1, which withDefaults excludes
@@ -63,9 +69,9 @@
 	return cache
 }
 
-// use stores the prompt's blocks and returns how many of its tokens were
+// use stores the prompt's blocks and returns how many of its bytes were
 // already there.
-func (c *prefixCache) use(prompt []string) int {
+func (c *prefixCache) use(prompt string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hit := 0
@@ -73,10 +79,10 @@
 	for _, b := range blocksOf(prompt) {
 		_, found := c.blocks.Get(b.hash)
 		if whole = whole && found; whole {
-			hit = b.tokens
+			hit = b.bytes
 		}
 		if !found {
-			c.blocks.Add(b.hash, b.tokens)
+			c.blocks.Add(b.hash, b.bytes)
 			c.publish(b, true)
 		}
 	}
@@ -87,7 +93,7 @@
 	if c.faults.Draw(c.config.EventGapRate) {
 		return
 	}
-	event := CacheEvent{Prefix: strconv.FormatUint(b.hash, hexBase), Tokens: b.tokens, Stored: stored}
+	event := CacheEvent{Prefix: strconv.FormatUint(b.hash, hexBase), Tokens: b.bytes / BytesPerToken, Stored: stored}
 	c.events = append(c.events, publishedEvent{event: event, ready: c.config.Now().Add(c.config.EventDelay)})
 	if len(c.events) > maxEvents {
 		drop := len(c.events) - maxEvents/2
@@ -118,19 +124,13 @@
 	return page
 }
 
-func blocksOf(prompt []string) []block {
-	blocks := make([]block, 0, len(prompt)/BlockTokens)
+func blocksOf(prompt string) []block {
+	count := len(prompt) / BlockBytes
+	blocks := make([]block, 0, count)
 	digest := xxhash.New()
-	for i, word := range prompt {
-		if i > 0 {
-			_, _ = digest.WriteString(" ")
-		}
-		_, _ = digest.WriteString(word)
-		if (i+1)%BlockTokens == 0 {
-			blocks = append(blocks, block{hash: digest.Sum64(), tokens: i + 1})
-		}
+	for i := range count {
+		_, _ = digest.WriteString(prompt[i*BlockBytes : (i+1)*BlockBytes])
+		blocks = append(blocks, block{hash: digest.Sum64(), bytes: (i + 1) * BlockBytes})
 	}
 	return blocks
 }
-
-func words(text string) []string { return strings.Fields(text) }
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -24,7 +24,7 @@
 // Message is one message of a conversation.
 type Message struct {
 	Role string `json:"role"`
-	// Content is a string; other content counts as empty.
+	// Content is a string; other content counts as its JSON text.
 	Content json.RawMessage `json:"content"`
 }
 
@@ -32,7 +32,7 @@
 func (m Message) Text() string {
 	var text string
 	if json.Unmarshal(m.Content, &text) != nil {
-		return ""
+		return string(m.Content)
 	}
 	return text
 }
@@ -91,13 +91,13 @@
 
 var classMark = regexp.MustCompile(`\[class=([^\]\s]+)\]`)
 
-// prompt joins the roles and contents of all messages.
+// prompt returns, for each message, its role and its content, a line each.
 func (r ChatRequest) prompt() string {
-	texts := make([]string, 0, 2*len(r.Messages))
+	var prompt strings.Builder
 	for _, message := range r.Messages {
-		texts = append(texts, message.Role, message.Text())
+		prompt.WriteString(message.Role + "\n" + message.Text() + "\n")
 	}
-	return strings.Join(texts, " ")
+	return prompt.String()
 }
 
 // classOf returns the task class that a prompt names last, or "".
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -59,7 +59,7 @@
 	LoadTime time.Duration
 	// LoadLag is how old a load report may be.
 	LoadLag time.Duration
-	// CacheBlocks bounds the prefix cache, in blocks of [BlockTokens].
+	// CacheBlocks bounds the prefix cache, in blocks of [BlockBytes].
 	CacheBlocks int
 	// EventDelay is how late cache events are published.
 	EventDelay time.Duration
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,7 +31,8 @@
 	request  ChatRequest
 	answer   answer.Answer
 	profile  Profile
-	prompt   []string
+	prompt   string
+	words    int // in the prompt
 	cutAfter int // tokens before a fault cuts the stream; negative if none
 	random   *rand.Rand
 	confMean float64
@@ -107,7 +109,8 @@
 	j := &job{
 		request:  request,
 		profile:  s.config.profile(request.Model),
-		prompt:   words(prompt),
+		prompt:   prompt,
+		words:    len(strings.Fields(prompt)),
 		cutAfter: -1,
 		answer: answer.Answer{
 			RequestID: header.Get(HeaderRequestID),
@@ -174,16 +177,16 @@
 
 func (j *job) usage() *Usage {
 	return &Usage{
-		PromptTokens:     len(j.prompt),
+		PromptTokens:     j.words,
 		CompletionTokens: j.answer.Tokens,
-		TotalTokens:      len(j.prompt) + j.answer.Tokens,
+		TotalTokens:      j.words + j.answer.Tokens,
 	}
 }
 
 // generate runs the job to its end and writes its answer.
 func (s *Server) generate(ctx context.Context, c echo.Context, j *job) error {
-	cached := s.cache.use(j.prompt)
-	prefill := time.Duration(len(j.prompt)-cached) * j.profile.PrefillPerToken
+	missing := 1 - float64(s.cache.use(j.prompt))/float64(max(1, len(j.prompt)))
+	prefill := time.Duration(missing * float64(j.words) * float64(j.profile.PrefillPerToken))
 	if err := s.Faults.Sleep(ctx, j.profile.FirstToken+prefill); err != nil {
 		return err
 	}
