Followers of a zone's readers wait for records at the reader

Cause: an instance that does not read the log itself heard of new records only by the next heartbeat, so at-most-once calls that it received waited for their decision. Ruled out: the append interval (10 ms) and the log (reads of the same fleet took 8 ms at the median).

--- a/node/assemble.go
+++ b/node/assemble.go
@@ -53,6 +53,9 @@
 	// appends to these streams.
 	controlInterval = 20 * time.Millisecond
 	sessionInterval = time.Second
+	// followInterval is the pause between reads of a peer, each of which waits
+	// for a first record.
+	followInterval = 20 * time.Millisecond
 	// copyDeadline bounds the wait for a bill's copy at a peer.
 	copyDeadline = 200 * time.Millisecond
 	// goneAfter is how long a peer must be gone before its bills are adopted.
@@ -201,7 +204,12 @@
 		Reader: p.peers,
 		Offset: field,
 		Logger: n.log,
-		Tail:   tail.Config{Self: n.id, Zone: n.settings.Zone, Seed: hash.Sum64()},
+		Tail: tail.Config{
+			Self:           n.id,
+			Zone:           n.settings.Zone,
+			Seed:           hash.Sum64(),
+			FollowInterval: followInterval,
+		},
 	}, state)
 }
 
--- a/node/cluster/handler.go
+++ b/node/cluster/handler.go
@@ -8,7 +8,7 @@
 
 // Records answers reads of records that this instance holds.
 type Records interface {
-	ReadRecords(request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error)
+	ReadRecords(ctx context.Context, request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error)
 }
 
 // Copies keeps copies of peers' entries.
@@ -36,8 +36,8 @@
 }
 
 // ReadRecords implements peer.Handler.
-func (h *Handler) ReadRecords(_ context.Context, request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
-	return h.Records.ReadRecords(request)
+func (h *Handler) ReadRecords(ctx context.Context, request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
+	return h.Records.ReadRecords(ctx, request)
 }
 
 // HoldEntries implements peer.Handler.
--- a/node/follow/follower.go
+++ b/node/follow/follower.go
@@ -22,6 +22,8 @@
 	peersInterval = 250 * time.Millisecond
 	// callMargin is added to a read's wait before it is given up.
 	callMargin = 2 * time.Second
+	// peerWait is how long a peer may wait for a first record.
+	peerWait = 1500 * time.Millisecond
 	// eventBuffer holds answers of reads until the loop takes them.
 	eventBuffer = 8
 )
@@ -71,6 +73,8 @@
 	tailer  *tail.Tailer
 	heard   map[platform.InstanceID]platform.Offset
 	records ring
+	// changed is closed and replaced when the fold moves forward.
+	changed chan struct{}
 
 	events chan tail.Event
 	ready  chan struct{}
@@ -98,17 +102,18 @@
 // New returns a follower of a fold.
 func New(config Config, state Fold) *Follower {
 	return &Follower{
-		stream: config.Stream,
-		log:    config.Log,
-		peers:  config.Peers,
-		reader: config.Reader,
-		offset: config.Offset,
-		logger: config.Logger,
-		fold:   state,
-		tailer: tail.New(config.Tail, state.Next()),
-		heard:  map[platform.InstanceID]platform.Offset{},
-		events: make(chan tail.Event, eventBuffer),
-		ready:  make(chan struct{}),
+		stream:  config.Stream,
+		log:     config.Log,
+		peers:   config.Peers,
+		reader:  config.Reader,
+		offset:  config.Offset,
+		logger:  config.Logger,
+		fold:    state,
+		tailer:  tail.New(config.Tail, state.Next()),
+		heard:   map[platform.InstanceID]platform.Offset{},
+		changed: make(chan struct{}),
+		events:  make(chan tail.Event, eventBuffer),
+		ready:   make(chan struct{}),
 	}
 }
 
@@ -200,6 +205,7 @@
 	case tail.Deliver:
 		f.fold.Apply(effect.Records)
 		f.records.add(effect.Records)
+		f.announce()
 	case tail.DeliverSnapshot:
 		return f.restore(effect), true
 	}
@@ -212,10 +218,17 @@
 		f.logger.WithError(err).WithField("stream", f.stream).Warn("snapshot refused")
 	} else {
 		f.records.reset()
+		f.announce()
 	}
 	return tail.SnapshotResult{Next: f.fold.Next(), Refused: err != nil}
 }
 
+// announce wakes the peers that wait for records. The caller holds the lock.
+func (f *Follower) announce() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *Follower) addressOf(id platform.InstanceID) string {
 	for _, known := range f.peers.All() {
 		if known.ID == id {
@@ -254,7 +267,12 @@
 }
 
 func (f *Follower) readPeer(ctx context.Context, effect tail.ReadPeer, address string) {
-	request := &peerpb.ReadRecordsRequest{Stream: string(f.stream), From: uint64(effect.From), Limit: uint32(effect.Limit)}
+	request := &peerpb.ReadRecordsRequest{
+		Stream: string(f.stream),
+		From:   uint64(effect.From),
+		Limit:  uint32(effect.Limit),
+		WaitMs: uint32(peerWait.Milliseconds()),
+	}
 	reply, err := f.reader.ReadRecords(ctx, address, request)
 	if err != nil {
 		f.answer(tail.PeerFailed{Read: effect.Read})
@@ -285,8 +303,10 @@
 	}
 }
 
-// ReadRecords answers a peer that is behind.
-func (f *Follower) ReadRecords(request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
+// ReadRecords answers a peer that is behind, or waits for a first record for
+// the time that the peer allows.
+func (f *Follower) ReadRecords(ctx context.Context, request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
+	f.await(ctx, platform.Offset(request.From), min(time.Duration(request.WaitMs)*time.Millisecond, peerWait))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	reply := &peerpb.ReadRecordsReply{Next: uint64(f.fold.Next())}
@@ -308,6 +328,27 @@
 	return reply, nil
 }
 
+// await returns once the fold is past the offset, or the time is over.
+func (f *Follower) await(ctx context.Context, from platform.Offset, wait time.Duration) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		f.mu.Lock()
+		past, changed := from < f.fold.Next(), f.changed
+		f.mu.Unlock()
+		if past {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (f *Follower) addSnapshot(reply *peerpb.ReadRecordsReply) error {
 	encoded, next, err := f.fold.Snapshot()
 	if err != nil {
--- a/node/records.go
+++ b/node/records.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -15,12 +17,12 @@
 }
 
 // ReadRecords implements cluster.Records.
-func (r *records) ReadRecords(request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
+func (r *records) ReadRecords(ctx context.Context, request *peerpb.ReadRecordsRequest) (*peerpb.ReadRecordsReply, error) {
 	switch platform.Stream(request.Stream) {
 	case platform.StreamControl:
-		return r.control.ReadRecords(request)
+		return r.control.ReadRecords(ctx, request)
 	case platform.StreamIntents:
-		return r.intents.ReadRecords(request)
+		return r.intents.ReadRecords(ctx, request)
 	default:
 		return nil, eris.Errorf("node: stream %q is not followed", request.Stream)
 	}
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -18,6 +18,10 @@
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
+// keyCapacity is the number of connections kept to one peer: some are taken by
+// reads that wait.
+const keyCapacity = 6
+
 // MaxMessageBytes bounds one message of the peer protocol.
 const MaxMessageBytes = 8 << 20
 
@@ -47,7 +51,7 @@
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  config.IdleTimeout,
 			Capacity:    config.Connections,
-			KeyCapacity: 2,
+			KeyCapacity: keyCapacity,
 		}),
 	}
 }
