Follower reads its peer again at once

Cause: after an answer the next read of a peer waited for the follower's tick of 100 ms if the answer came faster than the pause between reads.

--- a/node/follow/follower.go
+++ b/node/follow/follower.go
@@ -75,6 +75,8 @@
 	records ring
 	// changed is closed and replaced when the fold moves forward.
 	changed chan struct{}
+	// pause is the time between two reads of a peer.
+	pause time.Duration
 
 	events chan tail.Event
 	ready  chan struct{}
@@ -112,6 +114,7 @@
 		tailer:  tail.New(config.Tail, state.Next()),
 		heard:   map[platform.InstanceID]platform.Offset{},
 		changed: make(chan struct{}),
+		pause:   config.Tail.FollowInterval,
 		events:  make(chan tail.Event, eventBuffer),
 		ready:   make(chan struct{}),
 	}
@@ -160,6 +163,8 @@
 	defer ticker.Stop()
 	peers := time.NewTicker(peersInterval)
 	defer peers.Stop()
+	soon := time.NewTimer(tickInterval)
+	defer soon.Stop()
 	f.step(ctx, f.peersSeen())
 	for {
 		select {
@@ -169,8 +174,11 @@
 			f.step(ctx, tail.Tick{})
 		case <-peers.C:
 			f.step(ctx, f.peersSeen())
+		case <-soon.C:
+			f.step(ctx, tail.Tick{})
 		case event := <-f.events:
 			f.step(ctx, event)
+			soon.Reset(f.pause)
 		}
 	}
 }
