--- a/cmd/internal/tool/load.go
+++ b/cmd/internal/tool/load.go
@@ -1,16 +1,25 @@
 package tool
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonusher/wigeonusher/cmd/internal/witness"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/standin/check"
 	"github.com/wigeonusher/wigeonusher/standin/fixture"
 	"github.com/wigeonusher/wigeonusher/standin/load"
 )
 
+const (
+	settleLimit = 5 * time.Second
+	settlePause = 200 * time.Millisecond
+)
+
 // loadCommand drives a running fleet.
 type loadCommand struct {
 	Mix          string        `help:"JSON file that describes the traffic." type:"existingfile" xor:"mix"`
@@ -22,12 +31,15 @@
 	Users        int           `help:"Virtual users that each wait for an answer; the pace of the mix if 0."`
 	Histogram    string        `help:"File for the latency distributions." type:"path"`
 	Observations string        `help:"File for every observation, a JSON object per line." type:"path"`
+	JudgeLog     string        `help:"Base URL of the log stand-in: judge every promise afterwards, with --judge-list." placeholder:"URL"`
+	JudgeList    string        `help:"Base URL of the instance list stand-in: ask the endpoints listed for what they ran." placeholder:"URL"`
 }
 
 // Help implements kong.HelpProvider.
 func (loadCommand) Help() string {
 	return `Verifies that every answer is whole and the request's own; exits with 6 if one is not.
-Only loopback addresses are driven.
+Only loopback addresses are driven. With --judge-log and --judge-list it also waits for the bills
+to settle, collects what the stand-ins of the endpoints ran, and prints a table of promises.
 
 Examples:
   wigeonusher load --deployment sheetline --caller 127.0.0.1:8001 --caller 127.0.0.1:8002 --duration 10s
@@ -50,15 +62,62 @@
 	if err := c.write(report); err != nil {
 		return err
 	}
-	if err := env.print(report, report.Write); err != nil {
+	table, err := c.judge(env, report)
+	if err != nil {
+		return err
+	}
+	result := loadResult{Report: report, Table: table}
+	if err := env.print(result, result.write); err != nil {
 		return err
 	}
+	if table != nil && !table.Held {
+		return withCode(ExitBroken, eris.Errorf("broken: %v", table.Broken()))
+	}
 	if report.Defective > 0 {
 		return withCode(ExitBroken, eris.Errorf("%d answers were mixed up, cut or said too little", report.Defective))
 	}
 	return nil
 }
 
+// loadResult is what load prints.
+type loadResult struct {
+	*load.Report
+	// Table is the judgement, if it was asked for.
+	Table *check.Table `json:"table,omitempty"`
+}
+
+func (r loadResult) write(w io.Writer) error {
+	if err := r.Report.Write(w); err != nil || r.Table == nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return r.Table.Write(w)
+}
+
+// judge holds the run against the promises, if that was asked for.
+func (c *loadCommand) judge(env *environment, report *load.Report) (*check.Table, error) {
+	if c.JudgeLog == "" || c.JudgeList == "" {
+		return nil, nil
+	}
+	collector := witness.Collector{Log: c.JudgeLog, List: c.JudgeList, Client: env.client}
+	deadline := time.Now().Add(settleLimit)
+	for {
+		history, err := collector.History(env.ctx)
+		if err != nil {
+			return nil, err
+		}
+		history.Observations = report.Observations
+		if check.Unbilled(history) > 0 && time.Now().Before(deadline) {
+			time.Sleep(settlePause)
+			continue
+		}
+		history.Strong = document.Ref{Model: fixture.Strong, Version: fixture.V1}
+		history.SettleGrace = settleLimit
+		history.ExposureLimit = -1
+		return check.Judge(history), nil
+	}
+}
+
 func (c *loadCommand) mix() (load.Mix, error) {
 	var mix load.Mix
 	switch {
--- /dev/null
+++ b/cmd/internal/witness/witness.go
@@ -0,0 +1,118 @@
+package witness
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/standin/check"
+	"github.com/wigeonusher/wigeonusher/standin/endpoint"
+	"github.com/wigeonusher/wigeonusher/standin/engine"
+	"github.com/wigeonusher/wigeonusher/standin/service"
+	"github.com/wigeonusher/wigeonusher/wire/platformhttp"
+)
+
+const pageRecords = 500
+
+// Collector asks the stand-ins.
+type Collector struct {
+	// Log and List are base URLs of the log service and the instance list.
+	Log    string
+	List   string
+	Client *http.Client
+}
+
+// History returns what the stand-ins know now. Endpoints that are no longer
+// listed are not asked, so what only they ran is missing.
+func (c *Collector) History(ctx context.Context) (check.History, error) {
+	var history check.History
+	var err error
+	if history.Bills, err = c.records(ctx, platform.StreamBills); err != nil {
+		return history, err
+	}
+	if history.Control, err = c.records(ctx, platform.StreamControl); err != nil {
+		return history, err
+	}
+	listing, err := platformhttp.NewInstanceList(c.List, c.Client).Listing(ctx)
+	if err != nil {
+		return history, err
+	}
+	for _, row := range listing.Endpoints {
+		if err := c.addRuns(ctx, row.Address, &history); err != nil {
+			return history, err
+		}
+	}
+	return history, nil
+}
+
+// records reads the retained records of a stream.
+func (c *Collector) records(ctx context.Context, stream platform.Stream) ([]platform.Record, error) {
+	log := platformhttp.NewLog(c.Log, c.Client)
+	var records []platform.Record
+	for from := platform.Offset(1); ; {
+		page, err := log.Read(ctx, stream, from, pageRecords)
+		if eris.Is(err, platform.ErrTruncated) && page.First > from {
+			from = page.First
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, page.Records...)
+		from = page.Next
+		if from >= page.End {
+			return records, nil
+		}
+	}
+}
+
+// runsPage is what an endpoint of either kind answers.
+type runsPage struct {
+	Runs []json.RawMessage `json:"runs"`
+	Late []endpoint.Late   `json:"late"`
+}
+
+func (c *Collector) addRuns(ctx context.Context, address string, history *check.History) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", nil)
+	if err != nil {
+		return eris.Wrap(err, "witness: build request")
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "witness: ask endpoint")
+	}
+	defer response.Body.Close()
+	var page runsPage
+	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+		return eris.Wrap(err, "witness: read runs")
+	}
+	history.Late = append(history.Late, page.Late...)
+	for _, raw := range page.Runs {
+		if err := addRun(raw, history); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addRun tells the runs of engines, which name a model version, from those of
+// plain services.
+func addRun(raw json.RawMessage, history *check.History) error {
+	var ofEngine engine.Run
+	if err := json.Unmarshal(raw, &ofEngine); err != nil {
+		return eris.Wrap(err, "witness: read run")
+	}
+	if ofEngine.Ref != "" {
+		history.EngineRuns = append(history.EngineRuns, ofEngine)
+		return nil
+	}
+	var ofService service.Run
+	if err := json.Unmarshal(raw, &ofService); err != nil {
+		return eris.Wrap(err, "witness: read run")
+	}
+	history.ServiceRuns = append(history.ServiceRuns, ofService)
+	return nil
+}
--- a/standin/check/check_test.go
+++ b/standin/check/check_test.go
@@ -153,6 +153,10 @@
 			h.EngineRuns[0].Faulty = true
 			h.EngineRuns[1].Faulty = true
 		}},
+		{check.QualityMet, func(h *check.History) {
+			h.Observations[0].Quality = 0.1
+			h.Observations[1].Quality = 0.1
+		}},
 		{check.InForceSoon, func(h *check.History) { h.Samples[1].Revision = h.Samples[0].Revision }},
 		{check.NeverReverts, func(h *check.History) {
 			h.Samples = append(h.Samples, check.Sample{Instance: "i1", Time: at(11), Revision: uint64(firstRevision())})
--- a/standin/check/figures.go
+++ b/standin/check/figures.go
@@ -9,9 +9,6 @@
 	"github.com/wigeonusher/wigeonusher/standin/observation"
 )
 
-// goodQuality is the least hidden quality of a good answer.
-const goodQuality = 0.9
-
 func splitRef(text string) document.Ref {
 	model, version, _ := strings.Cut(text, "@")
 	return document.Ref{Model: document.ModelName(model), Version: document.VersionName(version)}
@@ -24,7 +21,6 @@
 		f.Bills += len(bills)
 	}
 	var firstTokens []time.Duration
-	classes := map[string]*share{}
 	chats := 0
 	billed := 0
 	for _, o := range j.history.Observations {
@@ -36,10 +32,6 @@
 		billed += len(j.bills[o.RequestID])
 		f.MeanCost += j.costOf(o)
 		f.StrongCost += j.strongCostOf(o)
-		if classes[o.Class] == nil {
-			classes[o.Class] = &share{}
-		}
-		classes[o.Class].add(o.Quality >= goodQuality)
 		if o.Kind == observation.Stream {
 			firstTokens = append(firstTokens, o.FirstToken)
 		}
@@ -49,10 +41,6 @@
 		f.MeanCost /= float64(chats)
 		f.StrongCost /= float64(chats)
 	}
-	f.Quality = map[string]float64{}
-	for class, s := range classes {
-		f.Quality[class] = s.value()
-	}
 	slices.Sort(firstTokens)
 	f.FirstTokenP50 = quantile(firstTokens, 0.5)
 	f.FirstTokenP95 = quantile(firstTokens, 0.95)
@@ -94,18 +82,6 @@
 	return price.PromptCost*float64(o.PromptTokens) + price.AnswerCost*float64(o.AnswerTokens)
 }
 
-// share counts good ones among all.
-type share struct{ good, all int }
-
-func (s *share) add(good bool) {
-	s.all++
-	if good {
-		s.good++
-	}
-}
-
-func (s *share) value() float64 { return float64(s.good) / float64(s.all) }
-
 // quantile returns a quantile of sorted durations, in milliseconds.
 func quantile(sorted []time.Duration, q float64) float64 {
 	if len(sorted) == 0 {
--- a/standin/check/judge.go
+++ b/standin/check/judge.go
@@ -47,6 +47,7 @@
 	j.crashes()
 	j.revisions()
 	j.plannedStops()
+	j.quality()
 	j.figures()
 	j.table.Held = len(j.table.Broken()) == 0
 	return j.table
--- a/standin/check/table.go
+++ b/standin/check/table.go
@@ -29,6 +29,7 @@
 	InForceSoon       Promise = "an accepted configuration is in force everywhere within seconds"
 	NeverReverts      Promise = "an accepted configuration never reverts"
 	StopCutsNothing   Promise = "a planned stop cuts off no request"
+	QualityMet        Promise = "the answers of each task class meet its quality target"
 )
 
 // Row is one promise and its breaches.
@@ -71,14 +72,21 @@
 	// request: as billed, and had the strong model answered.
 	MeanCost   float64 `json:"cost_micro_per_request"`
 	StrongCost float64 `json:"cost_micro_always_strong"`
-	// Quality is the share of good answers by task class.
-	Quality map[string]float64 `json:"good_answers_by_class"`
+	// Quality is by task class.
+	Quality map[string]Quality `json:"quality_by_class"`
 
 	FirstTokenP50 float64 `json:"first_token_p50_ms"`
 	FirstTokenP95 float64 `json:"first_token_p95_ms"`
 	FirstTokenP99 float64 `json:"first_token_p99_ms"`
 }
 
+// Quality is the quality of the answers of one task class.
+type Quality struct {
+	Answers int     `json:"answers"`
+	Good    float64 `json:"good"` // share, in [0, 1]
+	Target  float64 `json:"target"`
+}
+
 // row returns the promise's row, which it adds if it is not there.
 func (t *Table) row(promise Promise) *Row {
 	for _, row := range t.Rows {
@@ -126,7 +134,8 @@
 	fmt.Fprintf(out, "requests exposed to a bad version\t%d (answered by it: %d)\n", f.Exposed, f.ExposedAnswers)
 	fmt.Fprintf(out, "cost per request, micro-units\t%.1f (always strong: %.1f)\n", f.MeanCost, f.StrongCost)
 	for _, class := range sortedKeys(f.Quality) {
-		fmt.Fprintf(out, "good answers, %s\t%.3f\n", class, f.Quality[class])
+		quality := f.Quality[class]
+		fmt.Fprintf(out, "good answers, %s\t%.3f of %d (target %.3f)\n", class, quality.Good, quality.Answers, quality.Target)
 	}
 	fmt.Fprintf(out, "first token p50 / p95 / p99, ms\t%.1f / %.1f / %.1f\n", f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99)
 	fmt.Fprintf(out, "\npromise\tchecked\tbroken\n")
