Promises under failure at the sockets; seeds; bills of a new instance

They found: settings' seeds were never used (no instance could join with the list down), and bills of an instance's first half second were not copied, because its list of peers was read on a timer only. Both are mended: seeds are tried while no peer is known, and the peers are read at the first bill.

--- a/node/assemble.go
+++ b/node/assemble.go
@@ -137,7 +137,7 @@
 		Connections: peerConnections,
 	})
 	self := membership.Peer{ID: n.id, Zone: n.settings.Zone, Address: n.Addresses().Peer}
-	p.cluster = cluster.New(self, millis(n.settings.Timing.HeartbeatMillis), p.peers, n.log)
+	p.cluster = cluster.New(self, n.settings.Seeds, millis(n.settings.Timing.HeartbeatMillis), p.peers, n.log)
 	p.engines = engine.NewClient(engine.Config{
 		DialTimeout:        dialTimeout,
 		Progress:           millis(n.settings.Timing.ProgressMillis),
--- a/node/billing/billing.go
+++ b/node/billing/billing.go
@@ -128,6 +128,9 @@
 	if err := b.writer.Add(entry); err != nil {
 		return eris.Wrap(err, "billing: hold bill")
 	}
+	if b.alone() {
+		b.step(hold.Peers{IDs: b.rankPeers()})
+	}
 	released := b.protect(entry)
 	if b.alone() {
 		return nil
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -33,6 +33,7 @@
 	client   *peer.Client
 	interval time.Duration
 	log      *logrus.Entry
+	seeds    []string
 
 	mu     sync.Mutex
 	peers  *membership.Peers
@@ -41,14 +42,16 @@
 	gossips []Gossip
 }
 
-// New returns a cluster that knows the instance itself.
-func New(self membership.Peer, interval time.Duration, client *peer.Client, log *logrus.Entry) *Cluster {
+// New returns a cluster that knows the instance itself. seeds are addresses to
+// try while no peer is known.
+func New(self membership.Peer, seeds []string, interval time.Duration, client *peer.Client, log *logrus.Entry) *Cluster {
 	config := membership.DefaultPeersConfig()
 	config.Interval = interval
 	return &Cluster{
 		client:   client,
 		interval: interval,
 		log:      log,
+		seeds:    seeds,
 		peers:    membership.NewPeers(self, config),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -151,7 +154,13 @@
 	c.mu.Lock()
 	c.peers.Tick(now)
 	targets := c.peers.Targets(now, c.random)
+	alone := len(c.peers.All()) == 0
 	c.mu.Unlock()
+	if alone {
+		for _, seed := range c.seeds {
+			targets = append(targets, membership.Peer{Address: seed})
+		}
+	}
 	if len(targets) == 0 {
 		return
 	}
--- /dev/null
+++ b/node/leave_test.go
@@ -0,0 +1,103 @@
+package node_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/node/settings"
+	"github.com/wigeonusher/wigeonusher/standin/faults"
+)
+
+func TestLeavingEndpointIsLeftAloneWhenTheListIsDown(t *testing.T) {
+	f, nodes := newModels(t, 2, nil)
+	f.list.Faults.Set(faults.Set{Down: true})
+	leaving := f.engines[0]
+	leaving.Drain()
+	for _, n := range nodes {
+		f.eventually("the endpoint is known to leave", func() bool {
+			for _, endpoint := range n.Status().Endpoints {
+				if endpoint.ID == leaving.ID() {
+					return endpoint.Belief == "leaving"
+				}
+			}
+			return false
+		})
+	}
+	before := len(leaving.Late())
+	for range 30 {
+		for _, n := range nodes {
+			got := f.chat(n.Node, chatBody("small", false))
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+		}
+	}
+	assert.Equal(t, len(leaving.Late()), before)
+}
+
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	f, nodes := newModels(t, 2, func(s *settings.Settings) { s.Timing.DrainLagMillis = 300 })
+	stopping := nodes[0]
+	body := strings.Replace(chatBody("small", true), `"max_tokens":12`, `"max_tokens":600`, 1)
+	var group sync.WaitGroup
+	answers := make([]answer, 8)
+	for i := range answers {
+		group.Go(func() { answers[i], _ = f.tryCall(stopping.Node, http.MethodPost, "/v1/chat/completions", body) })
+	}
+	f.eventually("the streams run", func() bool { return f.runningOnEngines() >= len(answers) })
+	f.log.Faults.Set(faults.Set{Down: true})
+	stopping.stop()
+	lagging := f.chat(stopping.Node, chatBody("small", false), header{"X-Request-Id", "lagging"})
+	assert.Equal(t, lagging.status, http.StatusOK, lagging.body)
+	group.Wait()
+	for _, got := range answers {
+		assert.Assert(t, strings.HasSuffix(strings.TrimSpace(got.body), "data: [DONE]"), got.body)
+	}
+	f.log.Faults.Set(faults.Set{})
+	select {
+	case err := <-stopping.done:
+		assert.NilError(t, err)
+	case <-time.After(patience):
+		t.Fatal("the instance does not stop")
+	}
+	f.eventually("all answers are booked", func() bool {
+		return len(f.bills()) >= len(answers)+1 && f.bills()["lagging"] == 1
+	})
+}
+
+func (f *fleet) runningOnEngines() int {
+	running := 0
+	for _, engine := range f.engines {
+		running += engine.Load().Running
+	}
+	return running
+}
+
+func TestCrashingRequestCostsAtMostTwoEndpoints(t *testing.T) {
+	f, nodes := newModels(t, 3, nil)
+	const marker = "poison"
+	for _, engine := range f.engines {
+		engine.Faults.Set(faults.Set{CrashMarker: marker})
+	}
+	body := strings.Replace(chatBody("small", false), "tag this order", marker, 1)
+	for i := range 9 {
+		got, err := f.tryCall(nodes[i%3].Node, http.MethodPost, "/v1/chat/completions", body)
+		assert.NilError(t, err)
+		assert.Assert(t, got.status >= 400, got.body)
+	}
+	crashed := 0
+	for _, engine := range f.engines {
+		select {
+		case <-engine.Done():
+			crashed++
+		default:
+		}
+	}
+	assert.Assert(t, crashed <= 2, "%d endpoints crashed", crashed)
+	for _, n := range nodes {
+		f.eventually("others are still served", func() bool { return f.tryChat(n.Node) })
+	}
+}
--- /dev/null
+++ b/node/streams_test.go
@@ -0,0 +1,62 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/node/settings"
+	standinanswer "github.com/wigeonusher/wigeonusher/standin/answer"
+	"github.com/wigeonusher/wigeonusher/standin/faults"
+)
+
+func TestCutStreamsNeverEndInSilence(t *testing.T) {
+	f, nodes := newModels(t, 1, nil)
+	for _, engine := range f.engines {
+		engine.Faults.Set(faults.Set{CutRate: 0.5})
+	}
+	whole, cut := 0, 0
+	for i := range 40 {
+		id := fmt.Sprintf("cut-%d", i)
+		got := f.chat(nodes[0].Node, chatBody("small", true), header{"X-Request-Id", id})
+		if got.status != http.StatusOK {
+			assert.Assert(t, strings.Contains(got.body, `"outcome"`), got.body)
+			cut++
+			continue
+		}
+		if !strings.HasSuffix(strings.TrimSpace(got.body), "data: [DONE]") {
+			assert.Assert(t, strings.Contains(got.body, `"answer-interrupted"`), got.body)
+			cut++
+			continue
+		}
+		parsed, err := standinanswer.Parse(textOfStream(t, got.body))
+		assert.NilError(t, err)
+		assert.Equal(t, parsed.RequestID, id)
+		whole++
+	}
+	assert.Assert(t, whole > 0 && cut > 0, "whole %d, cut %d", whole, cut)
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	f, nodes := newModels(t, 1, func(s *settings.Settings) { s.Timing.ProgressMillis = 300 })
+	for range 6 {
+		assert.Assert(t, f.tryChat(nodes[0].Node))
+	}
+	for _, engine := range f.engines {
+		engine.Faults.Set(faults.Set{Silent: true})
+	}
+	f.eventually("chat is served on new connections", func() bool { return f.tryChat(nodes[0].Node) })
+}
+
+func TestEveryEndpointFrozenIsAnsweredByTheDeadline(t *testing.T) {
+	f, nodes := newModels(t, 1, nil)
+	for _, engine := range f.engines {
+		engine.Faults.Set(faults.Set{Frozen: true})
+	}
+	got := f.chat(nodes[0].Node, chatBody("small", false), header{"Deadline-Ms", "300"})
+	assert.Assert(t, got.status >= 500, got.body)
+	assert.Assert(t, strings.Contains(got.body, `"outcome":"unknown"`), got.body)
+}
