hold: wait out the avoidance of a peer that has news to come

Cause: Wake named a time in the past while the only peer with settled IDs was avoided, so a shell that follows it would spin. The bill property now checks that no state machine asks for a tick at once after one; before the change it fails so, after it passes. Focused tests for the next peer, for a departed holder and for the news to holders.

--- a/coord/hold/proof_test.go
+++ b/coord/hold/proof_test.go
@@ -124,6 +124,8 @@
 				b := w.bills[id]
 				assert.Assert(w.t, !b.released, "released twice")
 				b.released, b.copied = true, effect.Copied
+				safe := len(b.holders) > 0 || w.folded()[id]
+				assert.Assert(w.t, safe || !b.copied, "bill %s is said to be copied", id)
 			}
 		}
 	}
@@ -175,10 +177,15 @@
 	if arrives && to.alive {
 		to.store.Settled(n.id, sent.Settled)
 		result.Held = to.store.Hold(n.id, sent.Stream, sent.Entries)
-		result.Failed = !answered
-		for _, entry := range sent.Entries[:result.Held] {
-			w.bills[entry.ID].holders = append(w.bills[entry.ID].holders, to)
+		for _, entry := range sent.Entries {
+			if to.store.Holds(n.id, entry.ID) {
+				w.bills[entry.ID].holders = append(w.bills[entry.ID].holders, to)
+			}
 		}
+		result.Failed = !answered
+	}
+	if result.Failed {
+		result.Held = len(sent.Entries)
 	}
 	w.effects(n, n.replicator.Step(w.now, result))
 }
@@ -201,6 +208,10 @@
 	for _, n := range w.alive() {
 		w.effects(n, n.replicator.Step(w.now, hold.Tick{}))
 		n.writer.Step(w.now, outbox.Tick{})
+		wake, due := n.replicator.Wake()
+		assert.Assert(w.t, !due || wake.After(w.now), "replicator wants a tick at once")
+		wake, due = n.writer.Box.Wake()
+		assert.Assert(w.t, !due || wake.After(w.now), "outbox wants a tick at once")
 	}
 }
 
@@ -336,3 +347,51 @@
 	})
 	t.Logf("bills due: %d, released without a copy: %d", due, uncopied)
 }
+
+// TestCopiesMoveOn lets the only holder of a copy depart.
+func TestCopiesMoveOn(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := hold.NewReplicator(replicatorConfig)
+	entry := platform.Entry{ID: "bill-1"}
+	r.Step(now, hold.Peers{IDs: []platform.InstanceID{"a", "b"}})
+	first := r.Step(now, hold.Protect{Entries: []platform.Entry{entry}})[0].(hold.Copy)
+	r.Step(now, hold.CopyResult{Copy: first.ID, Held: 1})
+	second := r.Step(now, hold.Peers{IDs: []platform.InstanceID{"b"}})[0].(hold.Copy)
+	assert.Equal(t, second.To, platform.InstanceID("b"))
+	assert.DeepEqual(t, second.Entries, first.Entries)
+	assert.Equal(t, len(r.Step(now, hold.CopyResult{Copy: second.ID, Held: 1})), 0)
+}
+
+// TestNextPeerIsTried lets the first peer stay silent.
+func TestNextPeerIsTried(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := hold.NewReplicator(replicatorConfig)
+	r.Step(now, hold.Peers{IDs: []platform.InstanceID{"a", "b"}})
+	r.Step(now, hold.Protect{Entries: []platform.Entry{{ID: "bill-1"}}})
+	wake, due := r.Wake()
+	assert.Assert(t, due)
+	second := r.Step(wake, hold.Tick{})[0].(hold.Copy)
+	assert.Equal(t, second.To, platform.InstanceID("b"))
+	released := r.Step(wake, hold.CopyResult{Copy: second.ID, Held: 1})[0].(hold.Release)
+	assert.Assert(t, released.Copied)
+	assert.Equal(t, r.Uncopied(), uint64(0))
+}
+
+// TestHoldersAreTold lets the log take an entry that a peer holds.
+func TestHoldersAreTold(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := hold.NewReplicator(replicatorConfig)
+	r.Step(now, hold.Peers{IDs: []platform.InstanceID{"a"}})
+	sent := r.Step(now, hold.Protect{Entries: []platform.Entry{{ID: "bill-1"}}})[0].(hold.Copy)
+	r.Step(now, hold.CopyResult{Copy: sent.ID, Held: 1})
+	news := r.Step(now, hold.Logged{IDs: []string{"bill-1"}})[0].(hold.Copy)
+	assert.DeepEqual(t, news.Settled, []string{"bill-1"})
+	r.Step(now, hold.CopyResult{Copy: news.ID, Failed: true})
+	wake, due := r.Wake()
+	assert.Assert(t, due)
+	again := r.Step(wake, hold.Tick{})[0].(hold.Copy)
+	assert.DeepEqual(t, again.Settled, []string{"bill-1"})
+	assert.Equal(t, len(r.Step(now, hold.CopyResult{Copy: again.ID})), 0)
+	_, due = r.Wake()
+	assert.Assert(t, !due)
+}
--- a/coord/hold/replicator.go
+++ b/coord/hold/replicator.go
@@ -111,8 +111,10 @@
 	if len(r.waiting) > 0 {
 		earliest(r.entries[r.waiting[0]].deadline)
 	}
-	if r.flight == nil && len(r.settled) > 0 {
-		earliest(r.settle.Add(r.cfg.SettleInterval))
+	for peer := range r.settled {
+		if r.flight == nil {
+			earliest(later(r.settle.Add(r.cfg.SettleInterval), r.avoid[peer]))
+		}
 	}
 	if r.flight == nil && len(r.queue) > 0 && len(r.peers) > 0 {
 		earliest(r.nextPeerAt())
@@ -177,7 +179,6 @@
 			ids = append(ids, entry.ID)
 		}
 	}
-	r.forgetWaiting()
 	return release(ids, true)
 }
 
@@ -371,6 +372,13 @@
 	})
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func release(ids []string, copied bool) []Effect {
 	if len(ids) == 0 {
 		return nil
--- a/coord/hold/store.go
+++ b/coord/hold/store.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// Holds tells whether the peer's entry is held.
+func (s *Store) Holds(from platform.InstanceID, id string) bool {
+	peer := s.peers[from]
+	return peer != nil && peer.ids[id] != nil
+}
+
 // Len returns the number of entries held.
 func (s *Store) Len() int { return s.entries }
 
