--- a/coord/claim/proof_test.go
+++ b/coord/claim/proof_test.go
@@ -199,7 +199,7 @@
 				live := rapid.IntRange(0, 3).Draw(t, "believed live") == 0
 				w.step(draw(t), func(platform.InstanceID) bool { return live }, rapid.IntRange(0, 1).Draw(t, "rank"))
 			},
-			"fold":  func(t *rapid.T) { w.foldSome(draw(t), rapid.IntRange(1, 3).Draw(t, "records")) },
+			"fold": func(t *rapid.T) { w.foldSome(draw(t), rapid.IntRange(1, 3).Draw(t, "records")) },
 			"progress": func(t *rapid.T) {
 				n := draw(t)
 				w.step(n, func(platform.InstanceID) bool { return false }, 0)
