--- a/coord/claim/proof_test.go
+++ b/coord/claim/proof_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -18,16 +17,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// TestMain fixes the seed and the length of the searches unless flags do.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "4204", "rapid.steps": "200", "rapid.checks": "200"}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		_ = flag.Set(name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(outboxtest.Main(m, 4204, 200, 200)) }
 
 const resource claim.Resource = "pool-a/loads"
 
--- a/coord/hold/proof_test.go
+++ b/coord/hold/proof_test.go
@@ -1,7 +1,6 @@
 package hold_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -18,16 +17,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// TestMain fixes the seed and the length of the searches unless flags do.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "4203", "rapid.steps": "300", "rapid.checks": "200"}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		_ = flag.Set(name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(outboxtest.Main(m, 4203, 300, 200)) }
 
 const maxBills = 12
 
@@ -124,7 +114,7 @@
 				b := w.bills[id]
 				assert.Assert(w.t, !b.released, "released twice")
 				b.released, b.copied = true, effect.Copied
-				safe := len(b.holders) > 0 || w.folded()[id]
+				safe := len(b.holders) > 0 || w.log.IDs()[id] > 0
 				assert.Assert(w.t, safe || !b.copied, "bill %s is said to be copied", id)
 			}
 		}
@@ -266,18 +256,6 @@
 	return b.released && (b.writer.alive || b.copied && holderAlive)
 }
 
-// folded returns the bills in the log, each once.
-func (w *world) folded() map[string]bool {
-	folded := map[string]bool{}
-	for _, record := range w.log.All() {
-		entries, _ := platform.DecodeEntries(record.Payload)
-		for _, entry := range entries {
-			folded[entry.ID] = true
-		}
-	}
-	return folded
-}
-
 func (w *world) check() {
 	for _, n := range w.alive() {
 		assert.Assert(w.t, n.writer.Box.Len() <= maxBills)
@@ -288,7 +266,7 @@
 		return
 	}
 	w.checked = w.log.End()
-	for id := range w.folded() {
+	for id := range w.log.IDs() {
 		b := w.bills[id]
 		assert.Assert(w.t, b != nil && !slices.Contains(b.writer.started, b), "bill %s of a request that has not ended", id)
 	}
@@ -329,9 +307,9 @@
 		t.Repeat(w.actions())
 		w.settle()
 		w.check()
-		folded := w.folded()
+		folded := w.log.IDs()
 		for id, b := range w.bills {
-			assert.Assert(t, !b.due() || folded[id], "bill %s is lost", id)
+			assert.Assert(t, !b.due() || folded[id] > 0, "bill %s is lost", id)
 			if b.due() {
 				due++
 			}
--- a/coord/intent/proof_test.go
+++ b/coord/intent/proof_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -21,16 +20,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// TestMain fixes the seed and the length of the searches unless flags do.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "4202", "rapid.steps": "300", "rapid.checks": "200"}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		_ = flag.Set(name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(outboxtest.Main(m, 4202, 300, 200)) }
 
 var boxConfig = outbox.Config{
 	MaxEntries:  6,
@@ -71,7 +61,8 @@
 
 // world is all that a check draws: a log, nodes, endpoints and callers.
 type world struct {
-	t        *rapid.T
+	t        assert.TestingT
+	gone     func() bool // believes that a holder is dead
 	log      *outboxtest.Log
 	window   uint64
 	dedupe   bool // nodes drop repeated entry IDs before they fold
@@ -90,6 +81,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t:       t,
+		gone:    func() bool { return rapid.Bool().Draw(t, "holder gone") },
 		log:     outboxtest.NewLog(),
 		window:  rapid.SampledFrom([]uint64{6, 30, 10_000}).Draw(t, "window"),
 		dedupe:  rapid.Bool().Draw(t, "dedupe"),
@@ -98,12 +90,12 @@
 		highest: map[intent.Key]uint64{},
 	}
 	for range 3 {
-		w.nodes = append(w.nodes, w.newNode(w.log.First()))
+		w.nodes = append(w.nodes, w.newNode(w.log.First(), boxConfig))
 	}
 	return w
 }
 
-func (w *world) newNode(from platform.Offset) *node {
+func (w *world) newNode(from platform.Offset, box outbox.Config) *node {
 	w.started++
 	n := &node{
 		id:     platform.InstanceID(fmt.Sprintf("instance-%d", w.started)),
@@ -114,7 +106,7 @@
 		open:   map[string]*request{},
 	}
 	n.writer = &outboxtest.Writer{
-		Box: outbox.New(boxConfig, rand.New(rand.NewPCG(uint64(w.started), 1))),
+		Box: outbox.New(box, rand.New(rand.NewPCG(uint64(w.started), 1))),
 		Log: w.log,
 	}
 	cfg := intent.LedgerConfig{Window: w.window, MaxKeys: 1000, MaxBody: 100, MaxBodies: 300}
@@ -127,7 +119,7 @@
 // records or from another node's snapshot.
 func (w *world) replace(i int, snapshotOf *node) {
 	w.dead[w.nodes[i].id] = true
-	n := w.newNode(w.log.First())
+	n := w.newNode(w.log.First(), boxConfig)
 	if snapshotOf != nil && snapshotOf != w.nodes[i] {
 		snapshot, err := snapshotOf.ledger.Snapshot()
 		assert.NilError(w.t, err)
@@ -159,7 +151,7 @@
 		return
 	}
 	if r := n.open[d.Attempt]; r != nil {
-		w.step(n, r, intent.Decided{Decision: d, HolderGone: rapid.Bool().Draw(w.t, "holder gone")})
+		w.step(n, r, intent.Decided{Decision: d, HolderGone: w.gone()})
 		return
 	}
 	if entry, err := intent.AbandonEntry(d); err == nil && d.Accepted {
@@ -208,11 +200,16 @@
 }
 
 func (w *world) startRequest(t *rapid.T, n *node) {
+	token := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	w.begin(n, token, rapid.SampledFrom([]string{"f", "f", "f", "f", "f", "f", "g"}).Draw(t, "fingerprint"))
+}
+
+func (w *world) begin(n *node, token, fingerprint string) *request {
 	r := &request{cfg: intent.CallConfig{
 		Writer:      n.id,
-		Key:         intent.Key{Account: "a", Service: "s", Token: rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")},
+		Key:         intent.Key{Account: "a", Service: "s", Token: token},
 		Attempt:     fmt.Sprintf("attempt-%d", len(w.requests)),
-		Fingerprint: rapid.SampledFrom([]string{"f", "f", "f", "f", "f", "f", "g"}).Draw(t, "fingerprint"),
+		Fingerprint: fingerprint,
 		Deadline:    n.clock.Add(5 * time.Second),
 		MaxBody:     100,
 		RetryAfter:  time.Second,
@@ -226,8 +223,9 @@
 		CaughtUp:     n.next >= n.target && n.ledger.Complete(),
 		Folded:       n.ledger.Last(),
 		Status:       n.ledger.Status(r.cfg.Key),
-		HolderGone:   rapid.Bool().Draw(t, "holder gone"),
+		HolderGone:   w.gone(),
 	})
+	return r
 }
 
 // arrive lets a sent call reach its endpoint, and reports whether it ran.
--- /dev/null
+++ b/coord/outbox/bench_test.go
@@ -0,0 +1,43 @@
+package outbox_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/outbox"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// BenchmarkOutbox adds entries of a bill's size, appends them in groups and
+// settles them. It reports the encoded bytes of one entry in its record.
+func BenchmarkOutbox(b *testing.B) {
+	for _, group := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("group=%d", group), func(b *testing.B) {
+			body := map[string]any{
+				"account": "fabricator-7", "model": "drafter", "version": "2026-11-03", "prompt_tokens": 812, "completion_tokens": 240,
+			}
+			box := outbox.New(outbox.Config{MaxEntries: 2000, MaxBytes: 1 << 20}, rand.New(rand.NewPCG(1, 2)))
+			now, encoded, records := time.Unix(0, 0), 0, 0
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				entry, _ := platform.NewEntry(fmt.Sprintf("%026x", n), "bill", "instance-1", body)
+				if err := box.Add(entry); err != nil {
+					b.Fatal(err)
+				}
+				if box.Len() < group {
+					continue
+				}
+				batch := box.Step(now, outbox.Tick{})[0].(outbox.Append)
+				payload, err := platform.EncodeEntries(batch.Entries)
+				if err != nil {
+					b.Fatal(err)
+				}
+				encoded, records = encoded+len(payload), records+1
+				box.Step(now, outbox.AppendResult{Batch: batch.Batch, Offset: platform.Offset(records)})
+			}
+			b.ReportMetric(float64(encoded)/float64(records*group), "log-B/entry")
+		})
+	}
+}
--- a/coord/outbox/outbox_test.go
+++ b/coord/outbox/outbox_test.go
@@ -1,7 +1,6 @@
 package outbox_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,16 +15,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// TestMain fixes the seed and the length of the searches unless flags do.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "4201", "rapid.steps": "150"}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		_ = flag.Set(name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(outboxtest.Main(m, 4201, 150, 100)) }
 
 var (
 	epoch  = time.Unix(0, 0)
@@ -53,18 +43,6 @@
 	return entry
 }
 
-// logged counts the entries of the log by ID.
-func logged(log *outboxtest.Log) map[string]int {
-	counts := map[string]int{}
-	for _, record := range log.All() {
-		entries, _ := platform.DecodeEntries(record.Payload)
-		for _, entry := range entries {
-			counts[entry.ID]++
-		}
-	}
-	return counts
-}
-
 // TestNothingLostNothingBlind draws faults of the log and checks that what is
 // settled is in the log, that what is withdrawn never will be, that the bounds
 // hold, and that in the end everything is in the log. An entry may be there
@@ -102,7 +80,7 @@
 				w.Answer(now, fault)
 				if reading && fault == outboxtest.None && !w.Reading() {
 					for _, entry := range w.Box.Held() {
-						assert.Assert(t, logged(log)[entry.ID] == 0, "entry %s overlooked", entry.ID)
+						assert.Assert(t, log.IDs()[entry.ID] == 0, "entry %s overlooked", entry.ID)
 					}
 				}
 			},
@@ -120,7 +98,7 @@
 				}
 			},
 			"": func(t *rapid.T) {
-				counts := logged(log)
+				counts := log.IDs()
 				for id := range settled {
 					assert.Assert(t, counts[id] > 0, "entry %s settled but not logged", id)
 				}
@@ -162,7 +140,7 @@
 	later := epoch.Add(config.RetryCap)
 	w.Step(later, outbox.Tick{})
 	w.Answer(later, outboxtest.None)
-	assert.Equal(t, logged(log)["a"], 2)
+	assert.Equal(t, log.IDs()["a"], 2)
 	assert.Equal(t, w.Box.Len(), 0)
 }
 
--- a/coord/outbox/outboxtest/outboxtest.go
+++ b/coord/outbox/outboxtest/outboxtest.go
@@ -57,6 +57,18 @@
 // All returns every record that was ever appended.
 func (l *Log) All() []platform.Record { return l.records }
 
+// IDs counts the entries that were ever appended, by ID.
+func (l *Log) IDs() map[string]int {
+	counts := map[string]int{}
+	for _, record := range l.records {
+		entries, _ := platform.DecodeEntries(record.Payload)
+		for _, entry := range entries {
+			counts[entry.ID]++
+		}
+	}
+	return counts
+}
+
 // Append adds a record.
 func (l *Log) Append(payload []byte) platform.Offset {
 	offset := l.End()
