--- a/coord/hold/proof_test.go
+++ b/coord/hold/proof_test.go
@@ -1,7 +1,6 @@
 package hold_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -18,16 +17,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// TestMain fixes the seed and the length of the searches unless flags do.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "4203", "rapid.steps": "300", "rapid.checks": "200"}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		_ = flag.Set(name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(outboxtest.Main(m, 4203, 300, 200)) }
 
 const maxBills = 12
 
@@ -124,6 +114,8 @@
 				b := w.bills[id]
 				assert.Assert(w.t, !b.released, "released twice")
 				b.released, b.copied = true, effect.Copied
+				safe := len(b.holders) > 0 || w.log.IDs()[id] > 0
+				assert.Assert(w.t, safe || !b.copied, "bill %s is said to be copied", id)
 			}
 		}
 	}
@@ -175,10 +167,15 @@
 	if arrives && to.alive {
 		to.store.Settled(n.id, sent.Settled)
 		result.Held = to.store.Hold(n.id, sent.Stream, sent.Entries)
-		result.Failed = !answered
-		for _, entry := range sent.Entries[:result.Held] {
-			w.bills[entry.ID].holders = append(w.bills[entry.ID].holders, to)
+		for _, entry := range sent.Entries {
+			if to.store.Holds(n.id, entry.ID) {
+				w.bills[entry.ID].holders = append(w.bills[entry.ID].holders, to)
+			}
 		}
+		result.Failed = !answered
+	}
+	if result.Failed {
+		result.Held = len(sent.Entries)
 	}
 	w.effects(n, n.replicator.Step(w.now, result))
 }
@@ -201,6 +198,10 @@
 	for _, n := range w.alive() {
 		w.effects(n, n.replicator.Step(w.now, hold.Tick{}))
 		n.writer.Step(w.now, outbox.Tick{})
+		wake, due := n.replicator.Wake()
+		assert.Assert(w.t, !due || wake.After(w.now), "replicator wants a tick at once")
+		wake, due = n.writer.Box.Wake()
+		assert.Assert(w.t, !due || wake.After(w.now), "outbox wants a tick at once")
 	}
 }
 
@@ -255,18 +256,6 @@
 	return b.released && (b.writer.alive || b.copied && holderAlive)
 }
 
-// folded returns the bills in the log, each once.
-func (w *world) folded() map[string]bool {
-	folded := map[string]bool{}
-	for _, record := range w.log.All() {
-		entries, _ := platform.DecodeEntries(record.Payload)
-		for _, entry := range entries {
-			folded[entry.ID] = true
-		}
-	}
-	return folded
-}
-
 func (w *world) check() {
 	for _, n := range w.alive() {
 		assert.Assert(w.t, n.writer.Box.Len() <= maxBills)
@@ -277,7 +266,7 @@
 		return
 	}
 	w.checked = w.log.End()
-	for id := range w.folded() {
+	for id := range w.log.IDs() {
 		b := w.bills[id]
 		assert.Assert(w.t, b != nil && !slices.Contains(b.writer.started, b), "bill %s of a request that has not ended", id)
 	}
@@ -318,9 +307,9 @@
 		t.Repeat(w.actions())
 		w.settle()
 		w.check()
-		folded := w.folded()
+		folded := w.log.IDs()
 		for id, b := range w.bills {
-			assert.Assert(t, !b.due() || folded[id], "bill %s is lost", id)
+			assert.Assert(t, !b.due() || folded[id] > 0, "bill %s is lost", id)
 			if b.due() {
 				due++
 			}
@@ -336,3 +325,51 @@
 	})
 	t.Logf("bills due: %d, released without a copy: %d", due, uncopied)
 }
+
+// TestCopiesMoveOn lets the only holder of a copy depart.
+func TestCopiesMoveOn(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := hold.NewReplicator(replicatorConfig)
+	entry := platform.Entry{ID: "bill-1"}
+	r.Step(now, hold.Peers{IDs: []platform.InstanceID{"a", "b"}})
+	first := r.Step(now, hold.Protect{Entries: []platform.Entry{entry}})[0].(hold.Copy)
+	r.Step(now, hold.CopyResult{Copy: first.ID, Held: 1})
+	second := r.Step(now, hold.Peers{IDs: []platform.InstanceID{"b"}})[0].(hold.Copy)
+	assert.Equal(t, second.To, platform.InstanceID("b"))
+	assert.DeepEqual(t, second.Entries, first.Entries)
+	assert.Equal(t, len(r.Step(now, hold.CopyResult{Copy: second.ID, Held: 1})), 0)
+}
+
+// TestNextPeerIsTried lets the first peer stay silent.
+func TestNextPeerIsTried(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := hold.NewReplicator(replicatorConfig)
+	r.Step(now, hold.Peers{IDs: []platform.InstanceID{"a", "b"}})
+	r.Step(now, hold.Protect{Entries: []platform.Entry{{ID: "bill-1"}}})
+	wake, due := r.Wake()
+	assert.Assert(t, due)
+	second := r.Step(wake, hold.Tick{})[0].(hold.Copy)
+	assert.Equal(t, second.To, platform.InstanceID("b"))
+	released := r.Step(wake, hold.CopyResult{Copy: second.ID, Held: 1})[0].(hold.Release)
+	assert.Assert(t, released.Copied)
+	assert.Equal(t, r.Uncopied(), uint64(0))
+}
+
+// TestHoldersAreTold lets the log take an entry that a peer holds.
+func TestHoldersAreTold(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := hold.NewReplicator(replicatorConfig)
+	r.Step(now, hold.Peers{IDs: []platform.InstanceID{"a"}})
+	sent := r.Step(now, hold.Protect{Entries: []platform.Entry{{ID: "bill-1"}}})[0].(hold.Copy)
+	r.Step(now, hold.CopyResult{Copy: sent.ID, Held: 1})
+	news := r.Step(now, hold.Logged{IDs: []string{"bill-1"}})[0].(hold.Copy)
+	assert.DeepEqual(t, news.Settled, []string{"bill-1"})
+	r.Step(now, hold.CopyResult{Copy: news.ID, Failed: true})
+	wake, due := r.Wake()
+	assert.Assert(t, due)
+	again := r.Step(wake, hold.Tick{})[0].(hold.Copy)
+	assert.DeepEqual(t, again.Settled, []string{"bill-1"})
+	assert.Equal(t, len(r.Step(now, hold.CopyResult{Copy: again.ID})), 0)
+	_, due = r.Wake()
+	assert.Assert(t, !due)
+}
