--- /dev/null
+++ b/policy/experiment/fleet.go
@@ -0,0 +1,365 @@
+package experiment
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/coord/finding"
+	"github.com/wigeonusher/wigeonusher/coord/fold"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+	"github.com/wigeonusher/wigeonusher/policy/session"
+)
+
+// The roll-out that a fleet runs.
+const (
+	fleetModel     = document.ModelName("model")
+	fleetIncumbent = document.VersionName("incumbent")
+	fleetCandidate = document.VersionName("candidate")
+	fleetAccount   = document.AccountID("account")
+	fleetRollout   = document.RolloutID("rollout")
+)
+
+// fleetCase describes one run of a fleet.
+type fleetCase struct {
+	instances int
+	zones     int
+	// arrivals is the mean number of new sessions a second over the fleet;
+	// each has one request.
+	arrivals float64
+	// candidateBad and incumbentBad are shares of bad answers.
+	candidateBad float64
+	incumbentBad float64
+	// turnsBadAt is when candidateBad begins to hold; before it, the
+	// candidate fails as often as the incumbent.
+	turnsBadAt time.Duration
+	// ratedShare is the share of answers whose worth becomes known, after
+	// serviceTime plus an exponential delay of mean ratingDelay; ratingWrong
+	// is the share of them that is inverted.
+	ratedShare  float64
+	serviceTime time.Duration
+	ratingDelay time.Duration
+	ratingWrong float64
+	// cutFrom to cutUntil, zone 0 is cut off from the log and from others.
+	cutFrom  time.Duration
+	cutUntil time.Duration
+	// limit ends the run.
+	limit   time.Duration
+	rollout document.Rollout
+	decider func(platform.InstanceID) rollout.Decider
+}
+
+// fleetResult is what a run came to.
+type fleetResult struct {
+	exposed  int
+	bad      int
+	ended    time.Duration
+	braked   bool
+	complete bool
+	// overGranted is the most by which exposure exceeded the grants in the log.
+	overGranted int
+	// entries counts verdicts and grants appended.
+	entries int
+}
+
+type fleet struct {
+	fleetCase
+	random    *rand.Rand
+	policy    *document.Policy
+	log       []platform.Record
+	judge     *fleetNode
+	nodes     []*fleetNode
+	pending   judgements
+	now       time.Duration
+	sessions  int
+	result    fleetResult
+	published []rollout.Counter
+}
+
+// fleetNode is one instance.
+type fleetNode struct {
+	id      platform.InstanceID
+	zone    int
+	stream  *fold.Stream
+	runs    *rollout.Fold
+	ledger  *rollout.Ledger
+	merger  *rollout.Merger
+	decider rollout.Decider
+	writes  int
+}
+
+// judgement is the worth of one answer on its way to the instance that gave it.
+type judgement struct {
+	at   time.Duration
+	node *fleetNode
+	ref  document.Ref
+	good bool
+}
+
+type judgements []judgement
+
+func (j judgements) Len() int           { return len(j) }
+func (j judgements) Less(a, b int) bool { return j[a].at < j[b].at }
+func (j judgements) Swap(a, b int)      { j[a], j[b] = j[b], j[a] }
+func (j *judgements) Push(x any)        { *j = append(*j, x.(judgement)) }
+func (j *judgements) Pop() any {
+	last := len(*j) - 1
+	x := (*j)[last]
+	*j = (*j)[:last]
+	return x
+}
+
+const fleetTick = time.Second
+
+// runFleet runs a roll-out until every instance knows its end, or to the limit.
+func runFleet(c fleetCase, seed uint64) fleetResult {
+	f := &fleet{fleetCase: c, random: rand.New(rand.NewPCG(seed, 1))}
+	f.policy = fleetPolicy(c.rollout)
+	f.judge = f.newNode("judge", -1)
+	for i := range c.instances {
+		id := platform.InstanceID(fmt.Sprintf("i-%d", i))
+		f.nodes = append(f.nodes, f.newNode(id, i%c.zones))
+	}
+	f.publish(c.rollout)
+	for f.now < c.limit && !f.over() {
+		f.now += fleetTick
+		f.tick()
+	}
+	f.result.ended = f.now
+	return f.result
+}
+
+func fleetPolicy(r document.Rollout) *document.Policy {
+	serving := document.Version{State: document.VersionServing}
+	return &document.Policy{
+		Accounts: map[document.AccountID]document.Account{
+			fleetAccount: {Allow: []document.Grant{{Model: fleetModel}}},
+		},
+		Models: map[document.ModelName]document.Model{fleetModel: {
+			Stable: fleetIncumbent,
+			Versions: map[document.VersionName]document.Version{
+				fleetIncumbent: serving,
+				fleetCandidate: serving,
+			},
+		}},
+		Rollouts: map[document.RolloutID]document.Rollout{fleetRollout: r},
+	}
+}
+
+func (f *fleet) newNode(id platform.InstanceID, zone int) *fleetNode {
+	accept := func(*config.Document) finding.List { return nil }
+	documents := config.NewFold(accept, nil)
+	runs := rollout.NewFold(documents.Document, nil)
+	return &fleetNode{
+		id:      id,
+		zone:    zone,
+		stream:  fold.NewStream(documents, runs),
+		runs:    runs,
+		ledger:  rollout.NewLedger(id),
+		merger:  rollout.NewMerger(),
+		decider: f.decider(id),
+	}
+}
+
+func (f *fleet) publish(r document.Rollout) {
+	body, _ := json.Marshal(map[document.RolloutID]document.Rollout{fleetRollout: r})
+	proposal := config.Proposal{Section: document.SectionRollouts, Author: "operator", Body: body}
+	entry, _ := platform.NewEntry("proposal", config.KindProposal, "operator", proposal)
+	f.append(entry)
+}
+
+func (f *fleet) append(entry platform.Entry) {
+	payload, _ := platform.EncodeEntries([]platform.Entry{entry})
+	f.log = append(f.log, platform.Record{Offset: platform.Offset(len(f.log) + 1), Payload: payload})
+}
+
+func (f *fleet) cut(node *fleetNode) bool {
+	return node.zone == 0 && f.now >= f.cutFrom && f.now < f.cutUntil
+}
+
+func (f *fleet) over() bool {
+	for _, node := range f.nodes {
+		status, ok := node.runs.Status(fleetRollout)
+		if !ok || !(status.Braked || status.Complete) {
+			return false
+		}
+	}
+	return true
+}
+
+// tick lets a second pass: the log is read, sessions arrive, judgements
+// arrive, counters are exchanged, and decisions are made, in that order.
+func (f *fleet) tick() {
+	f.read(f.judge)
+	for _, node := range f.nodes {
+		if !f.cut(node) {
+			f.read(node)
+		}
+		node.ledger.Update(node.runs.Statuses(), func(id document.RolloutID) rollout.Allotment {
+			return node.runs.Allotted(id, node.id)
+		})
+	}
+	for range poisson(f.random, f.arrivals*fleetTick.Seconds()) {
+		f.arrive(f.nodes[f.random.IntN(len(f.nodes))])
+	}
+	f.deliver()
+	f.exchange()
+	for _, node := range f.nodes {
+		f.decide(node)
+	}
+	f.audit()
+}
+
+func (f *fleet) read(node *fleetNode) {
+	for node.stream.Next() <= platform.Offset(len(f.log)) {
+		node.stream.Apply(f.log[node.stream.Next()-1])
+	}
+}
+
+func (f *fleet) arrive(node *fleetNode) {
+	f.sessions++
+	id := session.ID(fmt.Sprint("s-", f.sessions))
+	birth := session.NewBirth(f.policy, node.ledger, fleetAccount, id, time.UnixMilli(f.now.Milliseconds()))
+	ref := document.Ref{Model: fleetModel, Version: birth.Pins[fleetModel]}
+	rate := f.incumbentBad
+	if ref.Version == fleetCandidate {
+		f.result.exposed++
+		if f.now >= f.turnsBadAt {
+			rate = f.candidateBad
+		}
+	}
+	good := f.random.Float64() >= rate
+	if !good && ref.Version == fleetCandidate {
+		f.result.bad++
+	}
+	f.judgeLater(node, ref, good)
+}
+
+func (f *fleet) judgeLater(node *fleetNode, ref document.Ref, good bool) {
+	if f.random.Float64() >= f.ratedShare {
+		return
+	}
+	if f.random.Float64() < f.ratingWrong {
+		good = !good
+	}
+	delay := time.Duration(f.random.ExpFloat64() * float64(f.ratingDelay))
+	heap.Push(&f.pending, judgement{at: f.now + f.serviceTime + delay, node: node, ref: ref, good: good})
+}
+
+func (f *fleet) deliver() {
+	for len(f.pending) > 0 && f.pending[0].at <= f.now {
+		due := heap.Pop(&f.pending).(judgement)
+		due.node.ledger.Observe(due.ref, due.good)
+	}
+}
+
+// exchange hands every node the counters that the others published a tick ago.
+func (f *fleet) exchange() {
+	before := f.published
+	f.published = nil
+	for _, node := range f.nodes {
+		own := node.ledger.Counters()
+		for _, counter := range own {
+			node.merger.Merge(counter)
+		}
+		f.published = append(f.published, own...)
+	}
+	for _, node := range f.nodes {
+		for _, counter := range before {
+			if f.cut(node) == f.cut(f.nodeOf(counter.Instance)) {
+				node.merger.Merge(counter)
+			}
+		}
+	}
+}
+
+func (f *fleet) nodeOf(id platform.InstanceID) *fleetNode {
+	for _, node := range f.nodes {
+		if node.id == id {
+			return node
+		}
+	}
+	return f.judge
+}
+
+func (f *fleet) decide(node *fleetNode) {
+	statuses := node.runs.Statuses()
+	allotments := map[rollout.Run]rollout.Allotment{}
+	for _, status := range statuses {
+		allotments[status.Run] = node.runs.Allotted(status.Run.ID, node.id)
+	}
+	effects := node.decider.Step(time.UnixMilli(f.now.Milliseconds()), rollout.Tick{
+		Statuses:   statuses,
+		Allotments: allotments,
+		Needs:      node.ledger.Needs(),
+		Evidence:   node.merger.Total,
+		Rank:       f.rank(node),
+		Live:       f.instances,
+	})
+	for _, effect := range effects {
+		f.perform(node, effect)
+	}
+}
+
+func (f *fleet) rank(node *fleetNode) int {
+	rank := 0
+	for _, other := range f.nodes {
+		if other == node {
+			return rank
+		}
+		if f.cut(other) == f.cut(node) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (f *fleet) perform(node *fleetNode, effect rollout.Effect) {
+	switch e := effect.(type) {
+	case rollout.StopLocally:
+		node.ledger.Stop(e.Run)
+	case rollout.AppendVerdict:
+		f.write(node, rollout.KindVerdict, e.Verdict)
+	case rollout.AppendGrant:
+		f.write(node, rollout.KindGrant, e.Grant)
+	}
+}
+
+// write appends an entry, unless the node is cut off from the log.
+func (f *fleet) write(node *fleetNode, kind platform.Kind, body any) {
+	if f.cut(node) {
+		return
+	}
+	node.writes++
+	f.result.entries++
+	entry, _ := platform.NewEntry(fmt.Sprint(node.id, "-", node.writes), kind, node.id, body)
+	f.append(entry)
+}
+
+// audit compares the exposure with the grants in the whole log.
+func (f *fleet) audit() {
+	f.read(f.judge)
+	status, ok := f.judge.runs.Status(fleetRollout)
+	if !ok {
+		return
+	}
+	f.result.braked = status.Braked
+	f.result.complete = status.Complete
+	if !status.Complete {
+		f.result.overGranted = max(f.result.overGranted, f.result.exposed-status.Granted)
+	}
+}
+
+// poisson draws a count with the given mean.
+func poisson(random *rand.Rand, mean float64) int {
+	count := 0
+	for left := mean - random.ExpFloat64(); left > 0; left -= random.ExpFloat64() {
+		count++
+	}
+	return count
+}
--- /dev/null
+++ b/policy/experiment/rollout.go
@@ -0,0 +1,149 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+)
+
+// goodRunsPerSeed is the number of roll-outs of a good candidate per seed: a
+// share below 1 in 100 shows in hundreds of runs only.
+const goodRunsPerSeed = 100
+
+// baselineAnswers and baselineLevel are the sample size and the level of the
+// fixed-sample baseline.
+const (
+	baselineAnswers = 500
+	baselineLevel   = 0.01
+)
+
+func runRollout(seeds int) ([]Row, error) {
+	var rows []Row
+	rows = append(rows, exposureRows("sequential, failing 30% against 1%", badCase(0.30), seeds, 60)...)
+	rows = append(rows, exposureRows("sequential, failing 5% against 1%", badCase(0.05), seeds, 600)...)
+	rows = append(rows, exposureRows("fixed sample, failing 30% against 1%", baseline(badCase(0.30)), seeds, 0)...)
+	rows = append(rows, exposureRows("fixed sample, failing 5% against 1%", baseline(badCase(0.05)), seeds, 0)...)
+	rows = append(rows, exposureRows("sequential, 30%, ratings late, partial, 2% wrong", lateRatings(badCase(0.30)), seeds, 0)...)
+	rows = append(rows, exposureRows("sequential, 5%, ratings late, partial, 2% wrong", lateRatings(badCase(0.05)), seeds, 0)...)
+	rows = append(rows, exposureRows("sequential, turns bad (30%) after 5 min", turnsBad(), seeds, 0)...)
+	rows = append(rows, exposureRows("sequential, 30%, one zone cut off", cutCase(0.30), seeds, 60)...)
+	rows = append(rows, goodRows("sequential, as good as the incumbent (1%)", badCase(0.01), seeds, true)...)
+	rows = append(rows, goodRows("sequential, as good, ratings late, partial, 2% wrong", lateRatings(badCase(0.01)), seeds, true)...)
+	rows = append(rows, goodRows("fixed sample, as good as the incumbent (1%)", baseline(badCase(0.01)), seeds, false)...)
+	return rows, nil
+}
+
+// badCase is a fleet of nine whose candidate gives the share of bad answers.
+func badCase(bad float64) fleetCase {
+	return fleetCase{
+		instances:    9,
+		zones:        3,
+		arrivals:     100,
+		candidateBad: bad,
+		incumbentBad: 0.01,
+		ratedShare:   1,
+		serviceTime:  2 * time.Second,
+		limit:        time.Hour,
+		rollout: document.Rollout{
+			Model:        fleetModel,
+			Candidate:    fleetCandidate,
+			State:        document.RolloutRunning,
+			Steps:        []float64{0.05, 0.2, 0.5, 1},
+			Budget:       60,
+			MaxErrorRate: 0.02,
+		},
+		decider: func(id platform.InstanceID) rollout.Decider { return rollout.NewController(id) },
+	}
+}
+
+// lateRatings makes bad answers visible by ratings only.
+func lateRatings(c fleetCase) fleetCase {
+	c.ratedShare = 0.6
+	c.ratingDelay = 10 * time.Second
+	c.ratingWrong = 0.02
+	return c
+}
+
+func turnsBad() fleetCase {
+	c := badCase(0.30)
+	c.turnsBadAt = 5 * time.Minute
+	c.rollout.Steps = []float64{0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.07, 0.08, 0.1, 1}
+	return c
+}
+
+func cutCase(bad float64) fleetCase {
+	c := badCase(bad)
+	c.cutFrom = 4 * time.Second
+	c.cutUntil = 5 * time.Minute
+	return c
+}
+
+// baseline replaces the decision by a fixed share and a fixed sample, without
+// a budget.
+func baseline(c fleetCase) fleetCase {
+	const noBudget = 1 << 30
+	c.rollout.Steps = []float64{0.05}
+	c.rollout.Budget = noBudget
+	c.decider = func(id platform.InstanceID) rollout.Decider {
+		return rollout.NewFixedSample(id, baselineAnswers, baselineLevel)
+	}
+	return c
+}
+
+// exposureRows measures how many requests a bad candidate meets. A target of 0
+// is none.
+func exposureRows(name string, c fleetCase, seeds, target int) []Row {
+	var exposed, bad, seconds, over, missed []float64
+	for seed := range seeds {
+		result := runFleet(c, uint64(seed+1))
+		exposed = append(exposed, float64(result.exposed))
+		bad = append(bad, float64(result.bad))
+		seconds = append(seconds, result.ended.Seconds())
+		over = append(over, float64(max(0, result.overGranted)))
+		missed = append(missed, indicator(!result.braked))
+	}
+	bound := Target{}
+	if target > 0 {
+		bound = Target{Bound: EachAtMost, Value: float64(target)}
+	}
+	return []Row{
+		newRow(name, "requests met by the candidate", bound, exposed),
+		newRow(name, "bad answers of the candidate", Target{}, bad),
+		newRow(name, "seconds to the end everywhere", Target{}, seconds),
+		newRow(name, "share of runs never stopped", Target{Bound: MeanAtMost, Value: 0}, missed),
+		newRow(name, "requests above the grants", Target{Bound: EachAtMost, Value: 0}, over),
+	}
+}
+
+// goodRows measures how often a good candidate is stopped.
+func goodRows(name string, c fleetCase, seeds int, judged bool) []Row {
+	var stopped, completed, seconds, entries []float64
+	for seed := range seeds * goodRunsPerSeed {
+		result := runFleet(c, uint64(seed+1))
+		stopped = append(stopped, indicator(result.braked))
+		completed = append(completed, indicator(result.complete))
+		seconds = append(seconds, result.ended.Seconds())
+		entries = append(entries, float64(result.entries))
+	}
+	target := Target{}
+	if judged {
+		target = Target{Bound: MeanAtMost, Value: 0.01}
+	}
+	name = fmt.Sprintf("%s, %d runs", name, seeds*goodRunsPerSeed)
+	return []Row{
+		newRow(name, "share of runs stopped wrongly", target, stopped),
+		newRow(name, "share of runs completed", Target{}, completed),
+		newRow(name, "seconds to the end everywhere", Target{}, seconds),
+		newRow(name, "entries appended", Target{}, entries),
+	}
+}
+
+func indicator(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/policy/rollout/evidence.go
@@ -0,0 +1,111 @@
+package rollout
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+)
+
+// MaxCountersPerStep bounds the instances whose counters a [Merger] keeps for
+// one step of one run.
+const MaxCountersPerStep = 4096
+
+// Counter is one instance's evidence at one step of one run, from the start of
+// the instance or of the step on. Its counts only grow.
+type Counter struct {
+	Instance platform.InstanceID
+	// Sequence orders the counters of one instance.
+	Sequence uint64
+	Run      Run
+	Step     int
+	// Exposed is what the instance spent of its grants.
+	Exposed  int
+	Evidence Evidence
+}
+
+// Key names the run and the step of a counter in a peer message. See
+// [ParseKey].
+func (c Counter) Key() string {
+	return strconv.FormatUint(c.Run.Revision, 10) + "/" + strconv.Itoa(c.Step) + "/" + string(c.Run.ID)
+}
+
+// ParseKey is the inverse of [Counter.Key].
+func ParseKey(key string) (run Run, step int, ok bool) {
+	parts := strings.SplitN(key, "/", 3)
+	if len(parts) != 3 || parts[2] == "" {
+		return Run{}, 0, false
+	}
+	revision, err := strconv.ParseUint(parts[0], 10, 64)
+	if err != nil {
+		return Run{}, 0, false
+	}
+	step, err = strconv.Atoi(parts[1])
+	if err != nil || step < 0 {
+		return Run{}, 0, false
+	}
+	return Run{ID: document.RolloutID(parts[2]), Revision: revision}, step, true
+}
+
+// Merger adds the counters of all instances up. The latest counter of each
+// instance counts, also after the instance has gone. It is not safe for
+// concurrent use.
+type Merger struct {
+	steps map[stepKey]map[platform.InstanceID]Counter
+}
+
+type stepKey struct {
+	run  Run
+	step int
+}
+
+// NewMerger returns a merger without counters.
+func NewMerger() *Merger {
+	return &Merger{steps: map[stepKey]map[platform.InstanceID]Counter{}}
+}
+
+// Merge takes a counter in, unless a later one of its instance is known.
+func (m *Merger) Merge(counter Counter) {
+	if !counter.Evidence.valid() {
+		return
+	}
+	key := stepKey{run: counter.Run, step: counter.Step}
+	counters, ok := m.steps[key]
+	if !ok {
+		counters = map[platform.InstanceID]Counter{}
+		m.steps[key] = counters
+	}
+	known, ok := counters[counter.Instance]
+	if ok && known.Sequence >= counter.Sequence {
+		return
+	}
+	if !ok && len(counters) >= MaxCountersPerStep {
+		return
+	}
+	counters[counter.Instance] = counter
+}
+
+// Total returns the evidence of the whole fleet at one step of one run, as far
+// as it has arrived.
+func (m *Merger) Total(run Run, step int) Evidence {
+	var total Evidence
+	for _, counter := range m.steps[stepKey{run: run, step: step}] {
+		total = total.Plus(counter.Evidence)
+	}
+	return total
+}
+
+// Retain drops the counters of all steps that are not present in the statuses,
+// so that the merger does not outgrow the runs in force.
+func (m *Merger) Retain(statuses []Status) {
+	present := make(map[stepKey]bool, len(statuses))
+	for _, status := range statuses {
+		present[stepKey{run: status.Run, step: status.Step}] = true
+	}
+	for key := range m.steps {
+		if !present[key] {
+			delete(m.steps, key)
+		}
+	}
+}
--- /dev/null
+++ b/policy/rollout/example_test.go
@@ -0,0 +1,21 @@
+package rollout_test
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+)
+
+// The test may be looked at after every block of answers.
+func Example() {
+	test := rollout.NewTest()
+	for look := 1; ; look++ {
+		test.Observe(rollout.Evidence{CandidateGood: 3, CandidateBad: 1, IncumbentGood: 40})
+		if test.LogE() >= math.Log(200) {
+			fmt.Printf("stopped after %d looks\n", look)
+			return
+		}
+	}
+	// Output: stopped after 4 looks
+}
--- /dev/null
+++ b/policy/rollout/fixed.go
@@ -0,0 +1,81 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// Decider is what decides about runs: [*Controller] or [*FixedSample].
+type Decider interface {
+	Step(now time.Time, tick Tick) []Effect
+}
+
+// FixedSample is the plain way to roll out, kept for comparison: a fixed share
+// of sessions meets the candidate, without a budget worth the name, until a
+// fixed number of answers is in; then one test decides.
+type FixedSample struct {
+	instance platform.InstanceID
+	// answers is the sample size of the candidate; level the one-sided level
+	// of the test.
+	answers int
+	level   float64
+	decided map[Run]bool
+	asked   map[Run]bool
+}
+
+// NewFixedSample returns a fixed-sample decider. answers is the number of the
+// candidate's answers to wait for, level the chance in (0, 1) of stopping a
+// candidate that is no worse.
+func NewFixedSample(instance platform.InstanceID, answers int, level float64) *FixedSample {
+	return &FixedSample{
+		instance: instance,
+		answers:  answers,
+		level:    level,
+		decided:  map[Run]bool{},
+		asked:    map[Run]bool{},
+	}
+}
+
+// Step implements [Decider].
+func (f *FixedSample) Step(_ time.Time, tick Tick) []Effect {
+	var effects []Effect
+	for _, status := range tick.Statuses {
+		if !f.asked[status.Run] {
+			f.asked[status.Run] = true
+			requests := status.Allowed / max(1, tick.Live)
+			grant := Grant{Run: status.Run, Instance: f.instance, Requests: requests, Sequence: 1}
+			effects = append(effects, AppendGrant{Grant: grant})
+		}
+		evidence := tick.Evidence(status.Run, status.Step)
+		if f.decided[status.Run] || evidence.Candidate() < f.answers {
+			continue
+		}
+		f.decided[status.Run] = true
+		verdict := Verdict{Run: status.Run, Step: status.Step, Move: f.move(status, evidence), Evidence: evidence}
+		effects = append(effects, AppendVerdict{Verdict: verdict})
+	}
+	return effects
+}
+
+func (f *FixedSample) move(status Status, evidence Evidence) Move {
+	if evidence.pooledZ() >= math.Sqrt2*math.Erfinv(1-2*f.level) {
+		return Brake
+	}
+	if status.LastStep() {
+		return Complete
+	}
+	return Advance
+}
+
+// pooledZ is the z statistic of the difference of two proportions.
+func (e Evidence) pooledZ() float64 {
+	candidates, incumbents := float64(e.Candidate()), float64(e.Incumbent())
+	pooled := float64(e.CandidateBad+e.IncumbentBad) / (candidates + incumbents)
+	deviation := math.Sqrt(pooled * (1 - pooled) * (1/candidates + 1/incumbents))
+	if deviation == 0 || math.IsNaN(deviation) {
+		return 0
+	}
+	return (float64(e.CandidateBad)/candidates - float64(e.IncumbentBad)/incumbents) / deviation
+}
--- /dev/null
+++ b/policy/rollout/sequential.go
@@ -0,0 +1,126 @@
+package rollout
+
+import "math"
+
+// Alternatives that the test bets on: pairs of an incumbent's failure rate and
+// an excess of the candidate's.
+var (
+	incumbentRates = []float64{0.001, 0.003, 0.01, 0.03, 0.1, 0.25}
+	excessRates    = []float64{0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.6}
+)
+
+// restartAnswers is the number of the candidate's answers after which the test
+// places a further stake, on a change for the worse from then on.
+const restartAnswers = 50
+
+// Test is an e-process against the hypothesis that the candidate fails no more
+// often than the incumbent. While that holds, the chance that [Test.LogE] ever
+// exceeds ln(1/a) is at most a, however often it is looked at.
+//
+// For one block of n_c answers of the candidate and n_i of the incumbent, and
+// for one alternative (q_c, q_i), the factor is the likelihood of the answers
+// under the alternative, divided by their likelihood under the common rate
+// (n_c q_c + n_i q_i)/(n_c + n_i). Its expectation is at most 1 whatever the
+// true rates, if the candidate's is not above the incumbent's in that block.
+// Products over blocks and mixtures over alternatives keep that property, and
+// so do stakes placed later, because all stakes together are at most 1.
+//
+// A Test is not safe for concurrent use. The zero value is not ready; see
+// [NewTest].
+type Test struct {
+	alternatives []alternative
+	logStakes    []float64
+	answers      int
+	restarts     int
+}
+
+type alternative struct{ incumbent, candidate float64 }
+
+// NewTest returns a test that has seen no answer.
+func NewTest() *Test {
+	t := &Test{}
+	for _, rate := range incumbentRates {
+		for _, excess := range excessRates {
+			t.alternatives = append(t.alternatives, alternative{incumbent: rate, candidate: rate + excess})
+		}
+	}
+	t.logStakes = make([]float64, len(t.alternatives))
+	for i := range t.logStakes {
+		t.logStakes[i] = math.Log(0.5 / float64(len(t.alternatives)))
+	}
+	return t
+}
+
+// Observe takes one block of new answers into account.
+func (t *Test) Observe(block Evidence) {
+	if block.Candidate() == 0 || block.Incumbent() == 0 {
+		return
+	}
+	t.answers += block.Candidate()
+	for i, alternative := range t.alternatives {
+		t.logStakes[i] += alternative.logFactor(block)
+	}
+	for t.answers >= (t.restarts+1)*restartAnswers {
+		t.restart()
+	}
+}
+
+// LogE returns the logarithm of the evidence against the candidate.
+func (t *Test) LogE() float64 {
+	sum := math.Inf(-1)
+	for _, stake := range t.logStakes {
+		sum = logAdd(sum, stake)
+	}
+	return sum
+}
+
+// restart places the stake 1/(2k(k+1)) at the k-th restart. All of them
+// together are below one half.
+func (t *Test) restart() {
+	t.restarts++
+	k := float64(t.restarts)
+	stake := math.Log(0.5 / (k * (k + 1)) / float64(len(t.alternatives)))
+	for i := range t.logStakes {
+		t.logStakes[i] = logAdd(t.logStakes[i], stake)
+	}
+}
+
+func (a alternative) logFactor(block Evidence) float64 {
+	candidates, incumbents := float64(block.Candidate()), float64(block.Incumbent())
+	common := (candidates*a.candidate + incumbents*a.incumbent) / (candidates + incumbents)
+	return logLikelihood(block.CandidateBad, block.CandidateGood, a.candidate) +
+		logLikelihood(block.IncumbentBad, block.IncumbentGood, a.incumbent) -
+		logLikelihood(block.CandidateBad+block.IncumbentBad, block.CandidateGood+block.IncumbentGood, common)
+}
+
+func logLikelihood(bad, good int, rate float64) float64 {
+	return float64(bad)*math.Log(rate) + float64(good)*math.Log1p(-rate)
+}
+
+func logAdd(a, b float64) float64 {
+	if a < b {
+		a, b = b, a
+	}
+	if math.IsInf(b, -1) {
+		return a
+	}
+	return a + math.Log1p(math.Exp(b-a))
+}
+
+// probabilityAbove returns the posterior probability that the candidate's
+// failure rate exceeds the incumbent's by more than the margin, from Beta
+// posteriors with the prior Beta(1/2, 1/2), in the normal approximation.
+func (e Evidence) probabilityAbove(margin float64) float64 {
+	candidateMean, candidateVariance := betaMoments(e.CandidateBad, e.CandidateGood)
+	incumbentMean, incumbentVariance := betaMoments(e.IncumbentBad, e.IncumbentGood)
+	deviation := math.Sqrt(candidateVariance + incumbentVariance)
+	z := (margin - (candidateMean - incumbentMean)) / deviation
+	return 0.5 * math.Erfc(z/math.Sqrt2)
+}
+
+func betaMoments(bad, good int) (mean, variance float64) {
+	a, b := float64(bad)+0.5, float64(good)+0.5
+	n := a + b
+	mean = a / n
+	return mean, mean * (1 - mean) / (n + 1)
+}
