--- a/cmd/internal/demo/script.go
+++ b/cmd/internal/demo/script.go
@@ -5,7 +5,11 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/standin/engine"
 	"github.com/wigeonusher/wigeonusher/standin/faults"
 	"github.com/wigeonusher/wigeonusher/standin/fixture"
 )
@@ -14,7 +18,14 @@
 const (
 	killedPlace  = 4
 	stoppedPlace = 7
-	drainedIndex = 1 // of the engines
+	silentDesk   = 0
+	frozenDesk   = 1
+)
+
+// Engines that the script acts on.
+const (
+	silentEngine  platform.EndpointID = "small-01"
+	drainedEngine platform.EndpointID = "large-02"
 )
 
 const (
@@ -22,6 +33,7 @@
 	markedEvery = 700
 	markedCount = 1
 	badShare    = 0.9
+	lostShare   = 0.2
 )
 
 // step is one thing that happens during the run.
@@ -36,8 +48,13 @@
 func script() []step {
 	return []step{
 		{0.05, "roll-outs of cheap@v2 and mid@v2 begin", (*demonstration).beginRollouts},
+		{0.10, "desks lose one answer in five after taking effect", (*demonstration).loseAnswers},
+		{0.20, "desks answer again", (*demonstration).desksHealthy},
+		{0.22, "the open connections of an engine and of a desk go silent for good", (*demonstration).silence},
 		{0.25, "mid@v2 turns bad on every engine", (*demonstration).turnBad},
 		{0.35, "one instance is killed", (*demonstration).killInstance},
+		{0.38, "one desk freezes", (*demonstration).freezeDesk},
+		{0.43, "the frozen desk goes on where it was", (*demonstration).desksHealthy},
 		{0.45, "the log service goes down", (*demonstration).logDown},
 		{0.57, "the log service is back", (*demonstration).logUp},
 		{0.60, "the killed instance is replaced", (*demonstration).replaceInstance},
@@ -118,7 +135,50 @@
 }
 
 func (d *demonstration) drainEngine(context.Context) error {
-	d.env.Engines()[drainedIndex].Drain()
+	running := d.engine(drainedEngine)
+	if running == nil {
+		return eris.Errorf("demo: no engine %s", drainedEngine)
+	}
+	running.Drain()
+	return nil
+}
+
+// engine returns an engine by its ID, or nil.
+func (d *demonstration) engine(id platform.EndpointID) *engine.Server {
+	for _, running := range d.env.Engines() {
+		if running.ID() == id {
+			return running
+		}
+	}
+	return nil
+}
+
+func (d *demonstration) loseAnswers(context.Context) error {
+	for _, desk := range d.env.Desks() {
+		desk.Faults.Set(faults.Set{LoseRate: lostShare})
+	}
+	return nil
+}
+
+func (d *demonstration) desksHealthy(context.Context) error {
+	for _, desk := range d.env.Desks() {
+		desk.Faults.Set(faults.Set{})
+	}
+	return nil
+}
+
+func (d *demonstration) freezeDesk(context.Context) error {
+	d.env.Desks()[frozenDesk].Faults.Set(faults.Set{Frozen: true})
+	return nil
+}
+
+func (d *demonstration) silence(context.Context) error {
+	d.env.Desks()[silentDesk].Faults.Set(faults.Set{Silent: true})
+	if running := d.engine(silentEngine); running != nil {
+		set := running.Faults.Get()
+		set.Silent = true
+		running.Faults.Set(set)
+	}
 	return nil
 }
 
