--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/config"
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
 )
 
 // Status is what an instance tells operators about itself.
@@ -39,6 +40,7 @@
 	Endpoints    []membership.Endpoint `json:"endpoints"`
 	// Verdicts are the last verdicts on proposals of configuration.
 	Verdicts []config.Verdict `json:"verdicts"`
+	Rollouts []rollout.Status `json:"rollouts"`
 }
 
 // Metrics writes metrics in Prometheus text form.
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -27,12 +27,12 @@
 	"github.com/wigeonusher/wigeonusher/node/limits"
 	"github.com/wigeonusher/wigeonusher/node/logwriter"
 	"github.com/wigeonusher/wigeonusher/node/once"
+	"github.com/wigeonusher/wigeonusher/node/rollouts"
 	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/node/suspects"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
-	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/peer"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
@@ -92,6 +92,7 @@
 	sessions       *sessions.Sessions
 	sessionWriter  *logwriter.Writer
 	suspects       *suspects.Suspects
+	rollouts       *rollouts.Rollouts
 	limits         *limits.Limits
 	pools          *admit.Pools
 	feedback       *feedback.Feedback
@@ -219,7 +220,9 @@
 	if err != nil {
 		return eris.Wrap(err, "node: session key")
 	}
-	p.sessions = sessions.New(key, n.settings.Limits.Sessions, p.control, session.NoExposure{}, p.cluster, p.peers, p.sessionWriter)
+	p.rollouts = rollouts.New(n.id, p.control, p.controlWriter, p.cluster, n.log)
+	p.control.OnRollouts(p.rollouts.Refresh)
+	p.sessions = sessions.New(key, n.settings.Limits.Sessions, p.control, p.rollouts, p.cluster, p.peers, p.sessionWriter)
 	p.suspects = suspects.New(n.id, p.control.Suspects, p.controlWriter, p.control)
 	p.limits = limits.New(n.id, p.control, p.directory.Instances)
 	p.pools = admit.New(n.slots, n.settings.Limits.QueuedRequests)
@@ -227,8 +230,8 @@
 	if n.settings.Platform.Ratings != "" {
 		rating = platformhttp.NewRatings(n.settings.Platform.Ratings, &http.Client{}, n.id)
 	}
-	p.feedback = feedback.New(n.id, rating, firstCandidate{}, noEvidence{}, n.log)
-	p.cluster.Join(p.controlTail, p.intentTail, p.directory, p.limits, p.suspects)
+	p.feedback = feedback.New(n.id, rating, firstCandidate{}, p.rollouts, n.log)
+	p.cluster.Join(p.controlTail, p.intentTail, p.directory, p.limits, p.suspects, p.rollouts)
 	return nil
 }
 
@@ -258,6 +261,7 @@
 		Suspects:  p.suspects,
 		Planner:   p.feedback,
 		Budgets:   retryBudgets,
+		Exposures: p.rollouts,
 		Scheduler: scheduler,
 	})
 	server := caller.New(caller.Config{
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/node/billing"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
+	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
@@ -82,25 +83,39 @@
 // bindSession finds the versions that the request may use.
 func (s *Server) bindSession(ctx context.Context, e *exchange, request *dispatch.Request) *problem.Problem {
 	header := e.echo.Request().Header
-	id, token := header.Get(HeaderSession), header.Get(HeaderSessionToken)
-	if id == "" && token == "" {
-		request.Birth = s.Sessions.Single(e.account, e.id)
+	query := sessions.Query{
+		Account: e.account,
+		Session: session.ID(header.Get(HeaderSession)),
+		Token:   header.Get(HeaderSessionToken),
+		Models:  modelsOf(e.policy, request),
+	}
+	if query.Session == "" && query.Token == "" {
+		found := s.Sessions.Single(query, e.id)
+		request.Birth, request.Fresh = found.Birth, found.Fresh
 		return nil
 	}
-	if len(id) > session.MaxNameBytes {
+	if len(query.Session) > session.MaxNameBytes {
 		return problem.New(problem.Malformed, http.StatusBadRequest, "session ID too long", e.attempt)
 	}
-	birth, err := s.Sessions.Resolve(ctx, e.account, session.ID(id), token)
+	found, err := s.Sessions.Resolve(ctx, query)
 	if err != nil {
 		return problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
 	}
-	request.Birth = birth
+	request.Birth, request.Fresh = found.Birth, found.Fresh
 	response := e.echo.Response().Header()
-	response.Set(HeaderSession, string(birth.Session))
-	response.Set(HeaderSessionToken, s.Sessions.Token(birth))
+	response.Set(HeaderSession, string(found.Birth.Session))
+	response.Set(HeaderSessionToken, s.Sessions.Token(found.Birth))
 	return nil
 }
 
+// modelsOf returns the models that the request may use.
+func modelsOf(policy *document.Policy, request *dispatch.Request) []document.ModelName {
+	if request.Model != "" {
+		return []document.ModelName{request.Model}
+	}
+	return policy.Routing.Classes[request.Class].Models
+}
+
 type discard struct{}
 
 func (discard) Frame(document.Ref, *openai.Chunk) error { return nil }
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonusher/wigeonusher/node/billing"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/once"
+	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
@@ -62,8 +63,8 @@
 
 // Sessions finds the birth of a session.
 type Sessions interface {
-	Resolve(ctx context.Context, account document.AccountID, id session.ID, token string) (session.Birth, error)
-	Single(account document.AccountID, requestID string) session.Birth
+	Resolve(ctx context.Context, query sessions.Query) (sessions.Found, error)
+	Single(query sessions.Query, requestID string) sessions.Found
 	Token(birth session.Birth) string
 }
 
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -104,6 +104,18 @@
 	return c.peers.All()
 }
 
+// LiveCount returns the number of instances of the fleet believed alive, self
+// included.
+func (c *Cluster) LiveCount() int {
+	count := 1
+	for _, known := range c.All() {
+		if known.Liveness == membership.Alive {
+			count++
+		}
+	}
+	return count
+}
+
 // Gone reports whether an instance is believed dead or left, or is unknown.
 func (c *Cluster) Gone(id platform.InstanceID) bool {
 	for _, known := range c.All() {
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/follow"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
 )
 
 // maxAudit is the number of verdicts kept for the status page.
@@ -29,11 +30,14 @@
 	// Suspects is the fold of requests that crash endpoints; it has a lock of
 	// its own.
 	Suspects *suspect.Fold
+	rollouts *rollout.Fold
 	waiters  *waiters
 	audit    *config.Audit
 	logger   *logrus.Entry
 
 	policy atomic.Pointer[document.Policy]
+	// onRollouts is called with the fold of the roll-outs after every change.
+	onRollouts func(*rollout.Fold)
 }
 
 // New returns the state at the start of the stream.
@@ -46,7 +50,9 @@
 	}
 	c.config = config.NewFold(document.Validate, c.onVerdict)
 	c.claims = claim.NewFold(nil)
-	stream := fold.NewStream(c.config, c.claims, c.Suspects, c.waiters)
+	c.rollouts = rollout.NewFold(c.config.Document, c.onChange)
+	c.onRollouts = func(*rollout.Fold) {}
+	stream := fold.NewStream(c.config, c.rollouts, c.claims, c.Suspects, c.waiters)
 	stream.OnReport(c.onReport)
 	c.State = follow.NewState(stream, c.publish, nil)
 	return c
@@ -68,6 +74,15 @@
 	return fencing, ok
 }
 
+// OnRollouts sets the function that is called with the fold of the roll-outs
+// after every change, under the lock. It must be set before the first record.
+func (c *Control) OnRollouts(changed func(*rollout.Fold)) { c.onRollouts = changed }
+
+// Rollouts calls a function with the fold of the roll-outs, under the lock.
+func (c *Control) Rollouts(read func(*rollout.Fold)) {
+	c.Do(func() { read(c.rollouts) })
+}
+
 // Expect returns a channel that is closed once the entry is folded, and a
 // function that gives up waiting. It must be called before the entry is added
 // to an outbox.
@@ -89,6 +104,16 @@
 	}).Info("configuration verdict")
 }
 
+func (c *Control) onChange(change rollout.Change) {
+	c.logger.WithFields(logrus.Fields{
+		"rollout": change.Verdict.Run.ID,
+		"move":    change.Verdict.Move,
+		"counted": change.Counted,
+		"writer":  change.Writer,
+		"reason":  change.Verdict.Reason,
+	}).Info("roll-out verdict")
+}
+
 func (c *Control) onReport(report fold.Report) {
 	c.logger.WithFields(logrus.Fields{
 		"offset": report.Position.Offset,
@@ -97,9 +122,10 @@
 	}).Warn("control stream entry skipped")
 }
 
-// publish swaps the policy if the document has moved on. A document in force
+// publish hands the roll-outs on, and swaps the policy if the document has moved on. A document in force
 // has passed the same check, so it always parses.
 func (c *Control) publish() {
+	c.onRollouts(c.rollouts)
 	current := c.policy.Load()
 	inForce := c.config.Document()
 	if inForce.Revision == 0 || (current != nil && current.Revision == inForce.Revision) {
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -63,6 +63,14 @@
 type Planner interface {
 	Plan(rule document.ClassRule, exploreShare float64, request cascade.Request) cascade.Plan
 	Answered(request *Request, result cascade.Result, text string)
+	// Failed is told of a dispatch that an endpoint failed.
+	Failed(class document.TaskClass, ref document.Ref)
+}
+
+// Exposures counts requests that meet the candidate of a roll-out.
+type Exposures interface {
+	// Charge counts a later request of a session.
+	Charge(ref document.Ref)
 }
 
 // Budgets gives the retry budgets of an account and a pool.
@@ -82,6 +90,7 @@
 	Suspects  Suspects
 	Planner   Planner
 	Budgets   Budgets
+	Exposures Exposures
 	Scheduler *placement.Scheduler
 }
 
--- a/node/dispatch/request.go
+++ b/node/dispatch/request.go
@@ -23,7 +23,10 @@
 	// Version is the version asked for; empty leaves it to the session.
 	Version document.VersionName
 	// Birth gives the version of each model that the request may use.
-	Birth    session.Birth
+	Birth session.Birth
+	// Fresh tells that this is the first request with the birth, whose
+	// exposure to candidates was counted at the birth.
+	Fresh    bool
 	Body     *openai.Request
 	Raw      []byte
 	Prompt   string
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -63,6 +63,9 @@
 	if trouble != nil {
 		return nil, trouble
 	}
+	if !request.Fresh {
+		d.Exposures.Charge(ref)
+	}
 	answer, trouble := s.tries(ctx)
 	if trouble != nil {
 		slot.Abort()
@@ -280,6 +283,7 @@
 		return false
 	}
 	s.finish(candidate, 0, err)
+	d.Planner.Failed(s.request.Class, s.ref)
 	if eris.Is(err, engine.ErrCut) && sent.Departed() && s.gone(candidate.Address) {
 		d.Suspects.Crashed(s.fingerprint, s.pool, candidate.ID)
 		return true
--- a/node/interim.go
+++ b/node/interim.go
@@ -15,10 +15,3 @@
 func (firstCandidate) ObserveResult(cascade.Result) {}
 
 func (firstCandidate) ObserveRating(cascade.Rated) {}
-
-// noEvidence ignores ratings.
-type noEvidence struct{}
-
-func (noEvidence) Rated(document.Ref, bool) {}
-
-func (noEvidence) Failed(document.Ref) {}
--- /dev/null
+++ b/node/rollouts/rollouts.go
@@ -0,0 +1,221 @@
+// Package rollouts runs the roll-outs' controller of one instance: it feeds it
+// with the fold's state, this instance's counters and those of the peers, and
+// appends what it asks for.
+package rollouts
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+	"github.com/wigeonusher/wigeonusher/policy/session"
+	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
+)
+
+const (
+	// stepInterval is the time between steps of the controller.
+	stepInterval = 500 * time.Millisecond
+	// rankKey is the key by which instances are ranked for proposals.
+	rankKey = "rollouts"
+	// maxCounters bounds the counters taken from one digest.
+	maxCounters = 64
+)
+
+// State gives the fold of the roll-outs.
+type State interface {
+	// Rollouts calls a function with the fold, under its lock.
+	Rollouts(read func(*rollout.Fold))
+}
+
+// Writer appends entries to the control stream.
+type Writer interface {
+	Add(entry platform.Entry) error
+}
+
+// Peers ranks this instance among the live ones.
+type Peers interface {
+	FleetRank(key string) int
+	// LiveCount returns the number of live instances of the fleet.
+	LiveCount() int
+}
+
+// Rollouts is an instance's part in the roll-outs. Its methods may be called
+// from several goroutines.
+type Rollouts struct {
+	instance platform.InstanceID
+	state    State
+	writer   Writer
+	peers    Peers
+	logger   *logrus.Entry
+	ledger   *rollout.Ledger
+	entries  atomic.Uint64
+
+	mu         sync.Mutex
+	merger     *rollout.Merger
+	controller *rollout.Controller
+	statuses   []rollout.Status
+}
+
+// New returns roll-outs of an instance that was granted nothing yet.
+func New(instance platform.InstanceID, state State, writer Writer, peers Peers, logger *logrus.Entry) *Rollouts {
+	return &Rollouts{
+		instance:   instance,
+		state:      state,
+		writer:     writer,
+		peers:      peers,
+		logger:     logger,
+		ledger:     rollout.NewLedger(instance),
+		merger:     rollout.NewMerger(),
+		controller: rollout.NewController(instance),
+	}
+}
+
+// Expose implements session.Exposer.
+func (r *Rollouts) Expose(model document.ModelName, id session.ID, allowed func(document.VersionName) bool) (document.VersionName, bool) {
+	return r.ledger.Expose(model, id, allowed)
+}
+
+// Charge counts a later request of a session.
+func (r *Rollouts) Charge(ref document.Ref) { r.ledger.Charge(ref) }
+
+// Rated implements feedback.Evidence.
+func (r *Rollouts) Rated(ref document.Ref, good bool) { r.ledger.Observe(ref, good) }
+
+// Failed implements feedback.Evidence.
+func (r *Rollouts) Failed(ref document.Ref) { r.ledger.Observe(ref, false) }
+
+// Statuses returns the runs as this instance last saw them.
+func (r *Rollouts) Statuses() []rollout.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.statuses
+}
+
+// Refresh takes the fold's state over. It runs after every change of the fold,
+// so that a brake stops new exposure at once.
+func (r *Rollouts) Refresh(fold *rollout.Fold) {
+	statuses := fold.Statuses()
+	r.ledger.Update(statuses, func(id document.RolloutID) rollout.Allotment {
+		return fold.Allotted(id, r.instance)
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statuses = statuses
+}
+
+// Run steps the controller until the context ends.
+func (r *Rollouts) Run(ctx context.Context) error {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			r.step(now)
+		}
+	}
+}
+
+func (r *Rollouts) step(now time.Time) {
+	tick := rollout.Tick{
+		Allotments: map[rollout.Run]rollout.Allotment{},
+		Needs:      r.ledger.Needs(),
+		Rank:       r.peers.FleetRank(rankKey),
+		Live:       r.peers.LiveCount(),
+	}
+	r.state.Rollouts(func(fold *rollout.Fold) {
+		tick.Statuses = fold.Statuses()
+		for _, status := range tick.Statuses {
+			tick.Allotments[status.Run] = fold.Allotted(status.Run.ID, r.instance)
+		}
+	})
+	r.mu.Lock()
+	for _, counter := range r.ledger.Counters() {
+		r.merger.Merge(counter)
+	}
+	r.merger.Retain(tick.Statuses)
+	tick.Evidence = r.merger.Total
+	effects := r.controller.Step(now, tick)
+	r.mu.Unlock()
+	for _, effect := range effects {
+		r.carryOut(effect)
+	}
+}
+
+func (r *Rollouts) carryOut(effect rollout.Effect) {
+	switch effect := effect.(type) {
+	case rollout.AppendVerdict:
+		r.logger.WithFields(logrus.Fields{
+			"rollout": effect.Verdict.Run.ID,
+			"move":    effect.Verdict.Move,
+			"reason":  effect.Verdict.Reason,
+		}).Info("roll-out verdict proposed")
+		r.add(rollout.KindVerdict, effect.Verdict)
+	case rollout.AppendGrant:
+		r.add(rollout.KindGrant, effect.Grant)
+	case rollout.StopLocally:
+		r.logger.WithFields(logrus.Fields{
+			"rollout": effect.Run.ID,
+			"reason":  effect.Reason,
+		}).Warn("roll-out stopped at this instance")
+		r.ledger.Stop(effect.Run)
+	}
+}
+
+func (r *Rollouts) add(kind platform.Kind, body any) {
+	id := string(kind) + "/" + string(r.instance) + "/" + strconv.FormatUint(r.entries.Add(1), 10)
+	entry, err := platform.NewEntry(id, kind, r.instance, body)
+	if err != nil {
+		return
+	}
+	if err := r.writer.Add(entry); err != nil {
+		r.logger.WithError(err).Warn("roll-out entry not added")
+	}
+}
+
+// Fill implements cluster.Gossip.
+func (r *Rollouts) Fill(_ time.Time, digest *peerpb.Digest) {
+	for _, counter := range r.ledger.Counters() {
+		digest.Candidates = append(digest.Candidates, &peerpb.CandidateCount{
+			Rollout:       counter.Key(),
+			Exposed:       uint64(counter.Exposed),
+			Good:          uint64(counter.Evidence.CandidateGood),
+			Bad:           uint64(counter.Evidence.CandidateBad),
+			IncumbentGood: uint64(counter.Evidence.IncumbentGood),
+			IncumbentBad:  uint64(counter.Evidence.IncumbentBad),
+		})
+	}
+}
+
+// Heard implements cluster.Gossip.
+func (r *Rollouts) Heard(_ time.Time, digest *peerpb.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, count := range digest.Candidates {
+		run, step, ok := rollout.ParseKey(count.Rollout)
+		if !ok || i == maxCounters {
+			return
+		}
+		r.merger.Merge(rollout.Counter{
+			Instance: platform.InstanceID(digest.Instance),
+			Sequence: digest.Sequence,
+			Run:      run,
+			Step:     step,
+			Exposed:  int(count.Exposed),
+			Evidence: rollout.Evidence{
+				CandidateGood: int(count.Good),
+				CandidateBad:  int(count.Bad),
+				IncumbentGood: int(count.IncumbentGood),
+				IncumbentBad:  int(count.IncumbentBad),
+			},
+		})
+	}
+}
--- a/node/run.go
+++ b/node/run.go
@@ -44,7 +44,7 @@
 		p.billWriter.Run, p.books.Run,
 		p.sessionWriter.Run, p.sessions.Run, n.followSessions,
 		p.cluster.Run, p.directory.RunList, p.directory.RunLoads,
-		p.limits.Run, p.pools.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
+		p.limits.Run, p.pools.Run, p.rollouts.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
 		n.announce, n.watchReady,
 		func(ctx context.Context) error { return peer.Serve(ctx, n.peers, p.handlerOfPeers) },
 	}
@@ -217,6 +217,7 @@
 		Peers:         p.cluster.All(),
 		Endpoints:     p.directory.All(),
 		Verdicts:      p.control.Verdicts(),
+		Rollouts:      p.rollouts.Statuses(),
 	}
 	select {
 	case <-n.ready:
--- a/node/sessions/sessions.go
+++ b/node/sessions/sessions.go
@@ -84,25 +84,45 @@
 	}
 }
 
-// Resolve returns the birth of a session. token and id may be empty, not both.
-// The error is session.ErrToken or [ErrForeignToken].
-func (s *Sessions) Resolve(ctx context.Context, account document.AccountID, id session.ID, token string) (session.Birth, error) {
-	if token != "" {
-		return s.fromToken(account, id, token)
+// Query asks for the versions of one request.
+type Query struct {
+	Account document.AccountID
+	// Session and Token name the session; either may be empty.
+	Session session.ID
+	Token   string
+	// Models are those that the request may use.
+	Models []document.ModelName
+}
+
+// Found is the answer to a [Query].
+type Found struct {
+	Birth session.Birth
+	// Fresh tells that the session was born by this request.
+	Fresh bool
+}
+
+// Resolve returns the birth of the session that the query names. The error is
+// session.ErrToken or [ErrForeignToken].
+func (s *Sessions) Resolve(ctx context.Context, query Query) (Found, error) {
+	if query.Token != "" {
+		birth, err := s.fromToken(query.Account, query.Session, query.Token)
+		return Found{Birth: birth}, err
 	}
-	if birth, ok := s.table.Lookup(account, id, time.Now()); ok {
-		return birth, nil
+	if birth, ok := s.table.Lookup(query.Account, query.Session, time.Now()); ok {
+		return Found{Birth: birth}, nil
 	}
-	birth := s.fromOwners(ctx, account, id)
-	return s.table.Adopt(birth, time.Now()), nil
+	found := s.fromOwners(ctx, query)
+	found.Birth = s.table.Adopt(found.Birth, time.Now())
+	return found, nil
 }
 
 // Token returns the signed token of a birth.
 func (s *Sessions) Token(birth session.Birth) string { return session.Sign(s.key, birth) }
 
 // Single returns pins for a request outside any session.
-func (s *Sessions) Single(account document.AccountID, requestID string) session.Birth {
-	return session.NewBirth(s.policies.Policy(), s.exposer, account, session.ID(requestID), time.Now())
+func (s *Sessions) Single(query Query, requestID string) Found {
+	birth := session.NewBirth(s.policies.Policy(), s.exposer, query.Account, session.ID(requestID), time.Now(), query.Models...)
+	return Found{Birth: birth, Fresh: true}
 }
 
 // Len returns the number of sessions remembered.
@@ -122,35 +142,37 @@
 // fromOwners asks the session's owners in turn, and lets the session be born
 // here if none answers. A session born without its owners meets no candidate,
 // so that zones cut off from each other still choose alike.
-func (s *Sessions) fromOwners(ctx context.Context, account document.AccountID, id session.ID) session.Birth {
-	ranked := s.rank(account, id)
-	request := &peerpb.LookupSessionRequest{Account: string(account), Session: string(id)}
+func (s *Sessions) fromOwners(ctx context.Context, query Query) Found {
+	ranked := s.rank(query.Account, query.Session)
+	request := &peerpb.LookupSessionRequest{Account: string(query.Account), Session: string(query.Session)}
+	for _, model := range query.Models {
+		request.Models = append(request.Models, string(model))
+	}
 	for _, owner := range ranked[:min(owners, len(ranked))] {
 		if owner.ID == s.peers.Self().ID {
-			return s.bear(ctx, account, id, s.exposer, ranked)
+			return Found{Birth: s.bear(ctx, query, s.exposer, ranked), Fresh: true}
 		}
 		reply, err := s.lookups.LookupSession(ctx, owner.Address, request)
 		if err != nil || !reply.Found {
 			continue
 		}
-		birth, ok := decodeBirth(reply.Birth)
-		if ok {
-			return birth
+		if birth, ok := decodeBirth(reply.Birth); ok {
+			return Found{Birth: birth, Fresh: reply.Born}
 		}
 	}
-	return s.bear(ctx, account, id, session.NoExposure{}, ranked)
+	return Found{Birth: s.bear(ctx, query, session.NoExposure{}, ranked), Fresh: true}
 }
 
-// bear makes the birth of a session, remembers it and tells the other owner.
-func (s *Sessions) bear(ctx context.Context, account document.AccountID, id session.ID, exposer session.Exposer, ranked []membership.Peer) session.Birth {
-	birth := session.NewBirth(s.policies.Policy(), exposer, account, id, time.Now())
+// bear makes the birth of a session, remembers it and tells the other owner,
+// which may know an earlier one.
+func (s *Sessions) bear(ctx context.Context, query Query, exposer session.Exposer, ranked []membership.Peer) session.Birth {
+	birth := session.NewBirth(s.policies.Policy(), exposer, query.Account, query.Session, time.Now(), query.Models...)
 	birth = s.table.Adopt(birth, time.Now())
-	s.queue(birth)
 	encoded, err := json.Marshal(birth)
 	if err != nil {
 		return birth
 	}
-	request := &peerpb.LookupSessionRequest{Account: string(account), Session: string(id), Birth: encoded}
+	request := &peerpb.LookupSessionRequest{Account: string(query.Account), Session: string(query.Session), Birth: encoded}
 	for _, owner := range ranked[:min(owners, len(ranked))] {
 		if owner.ID == s.peers.Self().ID {
 			continue
@@ -163,6 +185,7 @@
 			birth = s.table.Adopt(known, time.Now())
 		}
 	}
+	s.queue(birth)
 	return birth
 }
 
@@ -172,21 +195,26 @@
 	if s.policies.Policy() == nil {
 		return &peerpb.LookupSessionReply{}, nil
 	}
-	account := document.AccountID(request.Account)
-	id := session.ID(request.Session)
-	birth, known := s.table.Lookup(account, id, time.Now())
+	query := Query{Account: document.AccountID(request.Account), Session: session.ID(request.Session)}
+	for _, model := range request.Models {
+		query.Models = append(query.Models, document.ModelName(model))
+	}
+	birth, known := s.table.Lookup(query.Account, query.Session, time.Now())
 	told, valid := decodeBirth(request.Birth)
+	reply := &peerpb.LookupSessionReply{Found: true}
 	switch {
-	case valid && told.Account == account && told.Session == id:
+	case valid && told.Account == query.Account && told.Session == query.Session:
 		birth = s.table.Adopt(told, time.Now())
 	case !known:
-		birth = s.bear(context.Background(), account, id, s.exposer, s.rank(account, id))
+		birth = s.bear(context.Background(), query, s.exposer, s.rank(query.Account, query.Session))
+		reply.Born = true
 	}
 	encoded, err := json.Marshal(birth)
 	if err != nil {
 		return nil, eris.Wrap(err, "sessions: encode birth")
 	}
-	return &peerpb.LookupSessionReply{Found: true, Birth: encoded}, nil
+	reply.Birth = encoded
+	return reply, nil
 }
 
 // rank orders the live instances of the whole fleet for a session.
