--- /dev/null
+++ b/node/added_time_test.go
@@ -0,0 +1,99 @@
+package node_test
+
+import (
+	"bufio"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/standin/endpoint"
+	"github.com/wigeonusher/wigeonusher/standin/engine"
+)
+
+// streamTimes are the times of one stream, from its request on.
+type streamTimes struct {
+	first time.Duration
+	later []time.Duration
+}
+
+// stream sends a streamed chat request and notes when its frames come.
+func stream(b *testing.B, client *http.Client, url, model string) streamTimes {
+	b.Helper()
+	request, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(chatBody(model, true)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	request.Header.Set("X-Attempt-Id", "bench")
+	started := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", response.StatusCode)
+	}
+	var times streamTimes
+	last := started
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if !strings.HasPrefix(scanner.Text(), "data:") {
+			continue
+		}
+		now := time.Now()
+		if times.first == 0 {
+			times.first = now.Sub(started)
+		} else {
+			times.later = append(times.later, now.Sub(last))
+		}
+		last = now
+	}
+	return times
+}
+
+func quantile(times []time.Duration, q float64) float64 {
+	slices.Sort(times)
+	return float64(times[int(q*float64(len(times)-1))].Microseconds())
+}
+
+// BenchmarkAddedTime compares streams through an instance with streams from
+// the same engine stand-in called directly.
+func BenchmarkAddedTime(b *testing.B) {
+	f := newFleet(b)
+	profile := engine.DefaultProfile()
+	profile.FirstToken, profile.PrefillPerToken, profile.PerToken = 2*time.Millisecond, 0, time.Millisecond
+	server := engine.New(engine.Config{
+		Identity: endpoint.Identity{ID: "bench", Pool: platform.PoolName("models"), Zone: "a", InstanceList: f.list.URL()},
+		Loaded:   []string{"small@v1"},
+		Profiles: map[string]engine.Profile{"small@v1": profile},
+	})
+	if err := server.Listen(loopback); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { server.Close() })
+	f.publishDefault()
+	n := f.startReady("a")
+	f.eventually("chat is served", func() bool { return f.tryChat(n.Node) })
+	ways := []struct{ name, url, model string }{
+		{"direct", server.URL(), "small@v1"},
+		{"instance", "http://" + n.Addresses().Caller, "small"},
+	}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			var first, later []time.Duration
+			for b.Loop() {
+				times := stream(b, http.DefaultClient, way.url, way.model)
+				first = append(first, times.first)
+				later = append(later, times.later...)
+			}
+			b.ReportMetric(quantile(first, 0.5), "first-p50-µs")
+			b.ReportMetric(quantile(first, 0.99), "first-p99-µs")
+			b.ReportMetric(quantile(later, 0.5), "frame-p50-µs")
+			b.ReportMetric(quantile(later, 0.99), "frame-p99-µs")
+		})
+	}
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -34,7 +34,7 @@
 
 // fleet is a small fleet on loopback, with its stand-ins.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	log       *logservice.Server
 	list      *instancelist.Server
 	ratings   *ratings.Server
@@ -45,7 +45,7 @@
 	proposals int
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, revisions: map[config.SectionName]config.Revision{}}
 	f.log = logservice.New(logservice.Config{})
