Peers and endpoints: property tests, cost, and sightings per peer

Causes found by the tests: - A peer known by hearsay only was believed dead without ever being tried. It now ages from the first try on. - After a cut, the two best-scored dead contacts of a zone were tried again and again. Dead ones are now tried in turn. - Sightings were spread over all digests in turn, so that one peer could miss some of them every time; 24 endpoints were still in use after 3 s.

--- a/coord/membership/endpoints.go
+++ b/coord/membership/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -15,8 +16,10 @@
 	// MaxLatched bounds the EndpointIDs remembered as leaving after the
 	// endpoint itself was forgotten.
 	MaxLatched = 8192
-	// MaxSightings bounds the sightings told to peers in one digest.
-	MaxSightings = 32
+	// MaxSightings bounds the sightings told to a peer in one digest.
+	MaxSightings = 64
+	// TellTimes is how often a sighting is told to one peer.
+	TellTimes = 3
 )
 
 // EndpointsConfig sets the periods of the tracker. Zero fields take the
@@ -81,11 +84,11 @@
 	succeeded   time.Time
 }
 
-// told counts how often a sighting went to peers.
+// told counts how often a sighting went to each peer.
 type told struct {
 	sighting Sighting
-	since    time.Time
-	times    int
+	since    time.Time // zero until first asked for
+	times    map[platform.InstanceID]int
 }
 
 // NewEndpoints returns a tracker that knows no endpoint.
@@ -212,24 +215,39 @@
 	return ok && entry.belief() == EndpointLive
 }
 
-// Sightings returns at most [MaxSightings] sightings to tell peers, the least
-// told first, and takes them as told once more.
+// Sightings returns at most [MaxSightings] sightings to tell all peers alike. A
+// caller that knows the peer asks [Endpoints.SightingsFor] instead, which
+// repeats less and omits nothing.
 func (e *Endpoints) Sightings(now time.Time) []Sighting {
+	const everyone platform.InstanceID = ""
+	return e.sightings(now, everyone, math.MaxInt)
+}
+
+// SightingsFor returns at most [MaxSightings] sightings to tell one peer, the
+// least told first, and takes them as told once more. Each is told to the peer
+// [TellTimes] times, because a digest can be lost.
+func (e *Endpoints) SightingsFor(now time.Time, peer platform.InstanceID) []Sighting {
+	return e.sightings(now, peer, TellTimes)
+}
+
+func (e *Endpoints) sightings(now time.Time, peer platform.InstanceID, times int) []Sighting {
 	e.observe(now)
 	e.expire()
-	pending := make([]*told, 0, len(e.telling))
+	var pending []*told
 	for _, telling := range e.telling {
-		pending = append(pending, telling)
+		if telling.times[peer] < times {
+			pending = append(pending, telling)
+		}
 	}
 	slices.SortFunc(pending, func(a, b *told) int {
-		if order := cmp.Compare(a.times, b.times); order != 0 {
+		if order := cmp.Compare(a.times[peer], b.times[peer]); order != 0 {
 			return order
 		}
 		return cmp.Compare(a.sighting.ID, b.sighting.ID)
 	})
 	var sightings []Sighting
 	for _, telling := range pending[:min(len(pending), MaxSightings)] {
-		telling.times++
+		telling.times[peer]++
 		sightings = append(sightings, telling.sighting)
 	}
 	return sightings
@@ -306,7 +324,7 @@
 	if _, ok := e.telling[sighting.ID]; !ok && len(e.telling) >= MaxEndpoints {
 		return
 	}
-	e.telling[sighting.ID] = &told{sighting: sighting, since: e.now}
+	e.telling[sighting.ID] = &told{sighting: sighting, times: map[platform.InstanceID]int{}}
 }
 
 func (e *Endpoints) expire() {
@@ -319,6 +337,9 @@
 		}
 	}
 	for id, telling := range e.telling {
+		if telling.since.IsZero() {
+			telling.since = e.now
+		}
 		if e.now.Sub(telling.since) >= e.cfg.TellFor {
 			delete(e.telling, id)
 		}
--- /dev/null
+++ b/coord/membership/endpoints_test.go
@@ -0,0 +1,254 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/membership"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+const pool platform.PoolName = "pool"
+
+func usable(tracker *membership.Endpoints, id platform.EndpointID) bool {
+	for _, endpoint := range tracker.Usable(pool) {
+		if endpoint.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func drawListing(t *rapid.T, version uint64) platform.InstanceListing {
+	listing := platform.InstanceListing{Version: version}
+	for _, id := range []platform.EndpointID{"a", "b", "c"} {
+		states := []platform.ListedState{platform.ListedLive, platform.ListedLive, platform.ListedLive, platform.ListedLeaving, "absent"}
+		state := rapid.SampledFrom(states).Draw(t, "state")
+		if state != "absent" {
+			listing.Endpoints = append(listing.Endpoints, platform.ListedEndpoint{ID: id, Pool: pool, State: state})
+		}
+	}
+	return listing
+}
+
+// The list comes late, old and again, or not at all; endpoints and peers say
+// what they will. An endpoint that any source has said to be leaving gets no
+// work ever after, and an older list changes nothing.
+func TestLeavingIsNeverUndone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := membership.NewEndpoints(membership.EndpointsConfig{})
+		now := time.Unix(0, 0)
+		leaving := map[platform.EndpointID]bool{}
+		newest := uint64(0)
+		drawID := func(t *rapid.T) platform.EndpointID {
+			return rapid.SampledFrom([]platform.EndpointID{"a", "b", "c"}).Draw(t, "id")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				for id := range leaving {
+					assert.Assert(t, !usable(tracker, id) && !tracker.MayDispatch(id), "%s", id)
+				}
+			},
+			"list": func(t *rapid.T) {
+				listing := drawListing(t, uint64(rapid.IntRange(1, 20).Draw(t, "version")))
+				before := tracker.All()
+				used := tracker.Listed(now, listing)
+				assert.Equal(t, used, listing.Version >= newest)
+				if !used {
+					assert.DeepEqual(t, tracker.All(), before)
+					return
+				}
+				newest = listing.Version
+				for _, row := range listing.Endpoints {
+					leaving[row.ID] = leaving[row.ID] || row.State == platform.ListedLeaving
+					if !leaving[row.ID] {
+						delete(leaving, row.ID)
+					}
+				}
+			},
+			"endpoint says": func(t *rapid.T) {
+				id := drawID(t)
+				tracker.SaidLeaving(id)
+				leaving[id] = true
+			},
+			"peer says": func(t *rapid.T) {
+				id, says := drawID(t), rapid.Bool().Draw(t, "leaving")
+				tracker.Sighted(now, id, says, rapid.Bool().Draw(t, "dead"))
+				if says {
+					leaving[id] = true
+				}
+			},
+			"fails":    func(t *rapid.T) { tracker.Failed(now, drawID(t)) },
+			"succeeds": func(t *rapid.T) { tracker.Succeeded(now, drawID(t)) },
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second)
+				tracker.Tick(now)
+			},
+		})
+	})
+}
+
+func live(ids ...platform.EndpointID) platform.InstanceListing {
+	listing := platform.InstanceListing{Version: 1}
+	for _, id := range ids {
+		listing.Endpoints = append(listing.Endpoints, platform.ListedEndpoint{ID: id, Pool: pool, State: platform.ListedLive})
+	}
+	return listing
+}
+
+// An endpoint is down after failures in a row, for a time that doubles, and a
+// success ends it.
+func TestDownIsTemporary(t *testing.T) {
+	cfg := membership.DefaultEndpointsConfig()
+	tracker := membership.NewEndpoints(cfg)
+	now := time.Unix(0, 0)
+	tracker.Listed(now, live("a"))
+	period := cfg.DownFor
+	for range 10 {
+		for range cfg.FailuresDown {
+			assert.Assert(t, usable(tracker, "a"))
+			tracker.Failed(now, "a")
+		}
+		tracker.Tick(now.Add(period - 1))
+		assert.Assert(t, !usable(tracker, "a"))
+		now = now.Add(period)
+		tracker.Tick(now)
+		period = min(2*period, cfg.DownCap)
+	}
+	tracker.Sighted(now, "a", false, true)
+	assert.Assert(t, !usable(tracker, "a"))
+	tracker.Succeeded(now, "a")
+	tracker.Sighted(now, "a", false, true)
+	assert.Assert(t, usable(tracker, "a"), "own success outweighs hearsay")
+}
+
+// The last list stays in use while the service is down. One that is gone from a
+// newer list stays in use for the stated period and no longer.
+func TestAbsenceAndOutageOfTheList(t *testing.T) {
+	cfg := membership.DefaultEndpointsConfig()
+	tracker := membership.NewEndpoints(cfg)
+	now := time.Unix(0, 0)
+	tracker.Listed(now, live("a", "b"))
+	now = now.Add(24 * time.Hour)
+	tracker.Tick(now)
+	assert.Assert(t, usable(tracker, "a") && usable(tracker, "b"))
+	newer := live("b")
+	newer.Version = 2
+	tracker.Listed(now, newer)
+	tracker.Tick(now.Add(cfg.ForgetAfter - 1))
+	assert.Assert(t, usable(tracker, "a"))
+	tracker.Tick(now.Add(cfg.ForgetAfter))
+	assert.Assert(t, !usable(tracker, "a") && usable(tracker, "b"))
+}
+
+// Only one instance learns, from the endpoint itself, that it leaves; the list
+// is stale or down. Within a few seconds no instance gives it work, in its zone
+// and in the others.
+func TestLeavingSpreadsWithoutTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"))
+		for i := range rapid.IntRange(2, 24).Draw(t, "instances") {
+			f.members = append(f.members, f.newMember(zones[i%len(zones)]))
+		}
+		var listed []platform.EndpointID
+		for i := range rapid.IntRange(1, membership.MaxSightings).Draw(t, "endpoints") {
+			listed = append(listed, platform.EndpointID(fmt.Sprint("e", i)))
+		}
+		for _, m := range f.members {
+			m.tracker.Listed(f.now, live(listed...))
+		}
+		f.introduce()
+		f.run(10 * time.Second)
+		f.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		told := rapid.SampledFrom(f.members).Draw(t, "told")
+		for _, id := range listed {
+			told.tracker.SaidLeaving(id)
+		}
+		stale := rapid.Bool().Draw(t, "stale list")
+		const ownZone, everywhere = 3 * time.Second, 10 * time.Second
+		for passed := time.Duration(0); passed < everywhere; passed += tick {
+			f.run(tick)
+			for _, m := range f.members {
+				if stale {
+					m.tracker.Listed(f.now, live(listed...))
+				}
+				if passed >= ownZone && m.self.Zone == told.self.Zone {
+					assert.Equal(t, len(m.tracker.Usable(pool)), 0, "%s after %s", m.self.ID, passed)
+				}
+			}
+		}
+		for _, m := range f.members {
+			assert.Equal(t, len(m.tracker.Usable(pool)), 0, "%s", m.self.ID)
+		}
+	})
+}
+
+// What one digest tells is bounded, and everything is told to every peer, a
+// bounded number of times.
+func TestSightingsAreBoundedAndComplete(t *testing.T) {
+	tracker := membership.NewEndpoints(membership.EndpointsConfig{})
+	const leaving = 10 * membership.MaxSightings
+	for i := range leaving {
+		tracker.SaidLeaving(platform.EndpointID(fmt.Sprint(i)))
+	}
+	for _, peer := range []platform.InstanceID{"x", "y"} {
+		told := map[platform.EndpointID]int{}
+		for range membership.TellTimes * leaving / membership.MaxSightings {
+			sightings := tracker.SightingsFor(time.Unix(0, 0), peer)
+			assert.Equal(t, len(sightings), membership.MaxSightings)
+			for _, sighting := range sightings {
+				told[sighting.ID]++
+			}
+		}
+		for _, times := range told {
+			assert.Equal(t, times, membership.TellTimes)
+		}
+		assert.Equal(t, len(told), leaving)
+		assert.Equal(t, len(tracker.SightingsFor(time.Unix(0, 0), peer)), 0)
+	}
+	assert.Equal(t, len(tracker.Sightings(time.Unix(0, 0))), membership.MaxSightings)
+}
+
+func FuzzHeard(f *testing.F) {
+	f.Add("peer", "east", "10.0.0.1:1", uint64(1), false, uint64(9), "other")
+	f.Add("", "", "", uint64(0), true, uint64(0), "")
+	f.Fuzz(func(t *testing.T, id, zone, address string, sequence uint64, leaving bool, next uint64, known string) {
+		fleet := newFleet(1)
+		table := fleet.newMember("east").table
+		digest := membership.Digest{
+			ID: platform.InstanceID(id), Zone: platform.Zone(zone), Address: address,
+			Sequence: sequence, Leaving: leaving, ControlNext: platform.Offset(next),
+		}
+		for i := range 2 * membership.MaxKnownPeers {
+			knownID := platform.InstanceID(fmt.Sprint(known, i))
+			digest.Peers = append(digest.Peers, membership.KnownPeer{ID: knownID, Zone: platform.Zone(zone), Address: address})
+		}
+		table.Heard(fleet.now, digest)
+		table.Tick(fleet.now.Add(time.Hour))
+		table.Targets(fleet.now, fleet.rnd)
+		assert.Assert(t, len(table.All()) <= membership.MaxKnownPeers+1)
+	})
+}
+
+func BenchmarkListed(b *testing.B) {
+	for _, endpoints := range []int{15, 150, 1500} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			tracker := membership.NewEndpoints(membership.EndpointsConfig{})
+			var ids []platform.EndpointID
+			for i := range endpoints {
+				ids = append(ids, platform.EndpointID(fmt.Sprint("endpoint-", i)))
+			}
+			listing := live(ids...)
+			now := time.Unix(0, 0)
+			for b.Loop() {
+				listing.Version++
+				now = now.Add(time.Second)
+				tracker.Listed(now, listing)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coord/membership/example_test.go
@@ -0,0 +1,28 @@
+package membership_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/membership"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// The endpoint says that it leaves; a list that still has it as live does not
+// bring it back.
+func Example() {
+	now := time.Unix(0, 0)
+	listing := platform.InstanceListing{Version: 1, Endpoints: []platform.ListedEndpoint{
+		{ID: "engine-1", Pool: "chat", State: platform.ListedLive},
+		{ID: "engine-2", Pool: "chat", State: platform.ListedLive},
+	}}
+	endpoints := membership.NewEndpoints(membership.DefaultEndpointsConfig())
+	endpoints.Listed(now, listing)
+	endpoints.SaidLeaving("engine-1")
+	listing.Version = 2
+	endpoints.Listed(now, listing)
+	for _, endpoint := range endpoints.Usable("chat") {
+		fmt.Println(endpoint.ID)
+	}
+	// Output: engine-2
+}
--- a/coord/membership/peers.go
+++ b/coord/membership/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -85,15 +86,17 @@
 	cfg        PeersConfig
 	sequence   uint64
 	peers      map[platform.InstanceID]*peerEntry
+	order      []*peerEntry // the same, by ID
 	departures *latch[platform.InstanceID]
 }
 
 type peerEntry struct {
 	Peer
-	sequence  uint64
-	addedAt   time.Time
-	contacted time.Time
-	diedAt    time.Time
+	sequence       uint64
+	score          uint64 // for self as the key
+	firstContacted time.Time
+	contacted      time.Time
+	diedAt         time.Time
 }
 
 // NewPeers returns a table that knows self only.
@@ -126,7 +129,7 @@
 		return false
 	}
 	if !ok {
-		entry = &peerEntry{Peer: Peer{ID: digest.ID, Zone: digest.Zone}, addedAt: now}
+		entry = &peerEntry{Peer: Peer{ID: digest.ID, Zone: digest.Zone}}
 		if !p.insert(entry) {
 			return false
 		}
@@ -137,14 +140,14 @@
 	entry.LastSeen = now
 	entry.ControlNext = max(entry.ControlNext, digest.ControlNext)
 	for _, known := range digest.Peers[:min(len(digest.Peers), MaxKnownPeers)] {
-		p.Introduce(now, known)
+		p.Introduce(known)
 	}
 	return true
 }
 
 // Introduce adds a peer known by hearsay. It changes nothing about a peer that
 // the table has already.
-func (p *Peers) Introduce(now time.Time, known KnownPeer) {
+func (p *Peers) Introduce(known KnownPeer) {
 	if !wellFormed(known.ID, known.Zone, known.Address) || known.ID == p.self.ID {
 		return
 	}
@@ -152,20 +155,21 @@
 		return
 	}
 	p.insert(&peerEntry{
-		Peer:    Peer{ID: known.ID, Zone: known.Zone, Address: known.Address, Liveness: Unheard},
-		addedAt: now,
+		Peer: Peer{ID: known.ID, Zone: known.Zone, Address: known.Address, Liveness: Unheard},
 	})
 }
 
 // Tick moves silent peers on to suspect and dead, and forgets those that have
 // been dead for long.
 func (p *Peers) Tick(now time.Time) {
-	for id, entry := range p.peers {
+	p.order = slices.DeleteFunc(p.order, func(entry *peerEntry) bool {
 		p.age(now, entry)
-		if entry.Liveness == Dead && now.Sub(entry.diedAt) >= p.cfg.ForgetAfter {
-			delete(p.peers, id)
+		forgotten := entry.Liveness == Dead && now.Sub(entry.diedAt) >= p.cfg.ForgetAfter
+		if forgotten {
+			delete(p.peers, entry.ID)
 		}
-	}
+		return forgotten
+	})
 }
 
 // Targets returns the peers to exchange digests with now, the longest overdue
@@ -184,6 +188,9 @@
 	var targets []Peer
 	for _, entry := range due[:min(len(due), p.cfg.MaxTargets)] {
 		entry.contacted = now
+		if entry.firstContacted.IsZero() {
+			entry.firstContacted = now
+		}
 		targets = append(targets, entry.Peer)
 	}
 	return targets
@@ -196,7 +203,7 @@
 	if zone == p.self.Zone && p.self.Liveness == Alive {
 		live = append(live, p.self)
 	}
-	for _, entry := range p.peers {
+	for _, entry := range p.order {
 		if entry.Zone == zone && entry.Liveness == Alive {
 			live = append(live, entry.Peer)
 		}
@@ -208,10 +215,9 @@
 // All returns all peers in the table by ID, without self.
 func (p *Peers) All() []Peer {
 	all := make([]Peer, 0, len(p.peers))
-	for _, entry := range p.peers {
+	for _, entry := range p.order {
 		all = append(all, entry.Peer)
 	}
-	sortByID(all)
 	return all
 }
 
@@ -258,10 +264,13 @@
 // sample draws from the peers heard themselves. Hearsay is not passed on, or a
 // dead peer would be kept alive by rumour.
 func (p *Peers) sample(rnd *rand.Rand) []KnownPeer {
-	all := p.All()
-	rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if len(p.order) == 0 {
+		return nil
+	}
 	var known []KnownPeer
-	for _, peer := range all {
+	begin := rnd.IntN(len(p.order))
+	for i := range p.order {
+		peer := p.order[(begin+i)%len(p.order)]
 		if len(known) == MaxKnownPeers {
 			break
 		}
@@ -273,85 +282,128 @@
 }
 
 // contacts returns the peers to exchange digests with: all of the own zone,
-// and the best-ranked few of every other one. Dead peers are tried on, at the
-// usual interval, until they are forgotten.
+// and the most preferred few of every other one. Dead peers of the own zone
+// are tried on, at the usual interval, until they are forgotten.
 func (p *Peers) contacts() []*peerEntry {
-	byZone := map[platform.Zone][]*peerEntry{}
-	for _, entry := range p.peers {
-		byZone[entry.Zone] = append(byZone[entry.Zone], entry)
-	}
 	var contacts []*peerEntry
-	for zone, entries := range byZone {
-		p.sortByPreference(entries)
-		if zone != p.self.Zone {
-			entries = entries[:min(len(entries), p.cfg.OtherZoneContacts)]
+	others := map[platform.Zone][]*peerEntry{}
+	for _, entry := range p.order {
+		if entry.Zone == p.self.Zone {
+			contacts = append(contacts, entry)
+		} else {
+			others[entry.Zone] = append(others[entry.Zone], entry)
 		}
-		contacts = append(contacts, entries...)
 	}
-	slices.SortFunc(contacts, func(a, b *peerEntry) int { return cmp.Compare(a.ID, b.ID) })
+	for _, zone := range slices.Sorted(maps.Keys(others)) {
+		entries := others[zone]
+		slices.SortFunc(entries, comparePreference)
+		contacts = append(contacts, entries[:min(len(entries), p.cfg.OtherZoneContacts)]...)
+	}
 	return contacts
 }
 
-// sortByPreference puts peers that are not dead first, each group by its score
-// for this instance.
-func (p *Peers) sortByPreference(entries []*peerEntry) {
-	slices.SortFunc(entries, func(a, b *peerEntry) int {
-		if aDead, bDead := a.Liveness == Dead, b.Liveness == Dead; aDead != bDead {
-			if aDead {
-				return 1
-			}
-			return -1
-		}
-		return compareScores(string(p.self.ID), string(a.ID), string(b.ID))
-	})
+// comparePreference orders peers of one zone: those alive first, by their score
+// for this instance; then the others by liveness, those longest untried first,
+// so that after a cut all of them are tried in turn.
+func comparePreference(a, b *peerEntry) int {
+	if order := cmp.Compare(a.preference(), b.preference()); order != 0 {
+		return order
+	}
+	if order := a.contacted.Compare(b.contacted); order != 0 && a.Liveness != Alive {
+		return order
+	}
+	if order := cmp.Compare(b.score, a.score); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+func (e *peerEntry) preference() int {
+	return slices.Index([]Liveness{Alive, Unheard, Suspect, Dead}, e.Liveness)
 }
 
 // insert adds the entry, if need be in place of the least preferred peer of
 // its zone. It reports whether the entry is in the table.
 func (p *Peers) insert(entry *peerEntry) bool {
+	entry.score = score(string(p.self.ID), string(entry.ID))
 	bound := MaxOtherZonePeers
 	if entry.Zone == p.self.Zone {
 		bound = MaxOwnZonePeers
 	}
-	var zone []*peerEntry
-	zones := map[platform.Zone]bool{p.self.Zone: true}
-	for _, other := range p.peers {
-		zones[other.Zone] = true
-		if other.Zone == entry.Zone {
-			zone = append(zone, other)
+	count, last := 0, entry
+	for _, other := range p.order {
+		if other.Zone != entry.Zone {
+			continue
+		}
+		count++
+		if comparePreference(other, last) > 0 {
+			last = other
 		}
 	}
-	if !zones[entry.Zone] && len(zones) > MaxOtherZones {
+	if count == 0 && !p.hasRoomForZone(entry.Zone) {
 		return false
 	}
+	if count >= bound {
+		if last == entry {
+			return false
+		}
+		p.remove(last.ID)
+	}
 	p.peers[entry.ID] = entry
-	if len(zone) < bound {
+	place, _ := p.find(entry.ID)
+	p.order = slices.Insert(p.order, place, entry)
+	return true
+}
+
+// hasRoomForZone reports whether a peer of a zone without peers may be added.
+func (p *Peers) hasRoomForZone(zone platform.Zone) bool {
+	if zone == p.self.Zone {
 		return true
 	}
-	zone = append(zone, entry)
-	p.sortByPreference(zone)
-	last := zone[len(zone)-1]
-	delete(p.peers, last.ID)
-	return last != entry
+	zones := map[platform.Zone]bool{}
+	for _, entry := range p.order {
+		zones[entry.Zone] = true
+	}
+	delete(zones, p.self.Zone)
+	return len(zones) < MaxOtherZones
+}
+
+func (p *Peers) remove(id platform.InstanceID) {
+	if place, ok := p.find(id); ok {
+		p.order = slices.Delete(p.order, place, place+1)
+		delete(p.peers, id)
+	}
+}
+
+// find returns the peer's place in the order by ID.
+func (p *Peers) find(id platform.InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(p.order, id, func(entry *peerEntry, id platform.InstanceID) int {
+		return cmp.Compare(entry.ID, id)
+	})
 }
 
 func (p *Peers) depart(id platform.InstanceID) {
 	p.departures.add(id)
-	delete(p.peers, id)
+	p.remove(id)
 }
 
 func (p *Peers) age(now time.Time, entry *peerEntry) {
-	silence := now.Sub(entry.addedAt)
-	if entry.LastSeen.After(entry.addedAt) {
-		silence = now.Sub(entry.LastSeen)
-	}
 	interval := p.interval(entry.Zone)
+	suspectAfter := interval * time.Duration(p.cfg.SuspectIntervals)
+	deadAfter := interval * time.Duration(p.cfg.DeadIntervals)
+	silence := now.Sub(entry.LastSeen)
+	if entry.Liveness == Unheard {
+		silence = 0
+		if !entry.firstContacted.IsZero() {
+			silence = now.Sub(entry.firstContacted)
+		}
+	}
 	switch {
 	case entry.Liveness == Dead:
-	case silence >= interval*time.Duration(p.cfg.DeadIntervals):
+	case silence >= deadAfter:
 		entry.Liveness = Dead
 		entry.diedAt = now
-	case silence >= interval*time.Duration(p.cfg.SuspectIntervals) && entry.Liveness == Alive:
+	case silence >= suspectAfter && entry.Liveness == Alive:
 		entry.Liveness = Suspect
 	}
 }
--- a/coord/membership/rank.go
+++ b/coord/membership/rank.go
@@ -64,7 +64,7 @@
 // zones returns all zones with an instance that is live, and the own one.
 func (p *Peers) zones() []platform.Zone {
 	zones := []platform.Zone{p.self.Zone}
-	for _, entry := range p.peers {
+	for _, entry := range p.order {
 		if entry.Liveness == Alive && !slices.Contains(zones, entry.Zone) {
 			zones = append(zones, entry.Zone)
 		}
--- a/coord/tail/sim_test.go
+++ b/coord/tail/sim_test.go
@@ -164,7 +164,7 @@
 	n.peers.Tick(w.now)
 	n.peers.SetControlNext(n.stream.Next())
 	for _, other := range w.nodes {
-		n.peers.Introduce(w.now, membership.KnownPeer{ID: other.id, Zone: other.zone, Address: string(other.id)})
+		n.peers.Introduce(membership.KnownPeer{ID: other.id, Zone: other.zone, Address: string(other.id)})
 	}
 	for _, target := range n.peers.Targets(w.now, w.rnd) {
 		other := w.node(target.ID)
