outbox: let one instance append for the others of its zone

Cause: an outbox in each instance makes the append rate grow with the number of instances.

An entry given away may be logged by others, so it is no longer withdrawn as never logged, and the offset to read back from is kept for each entry. Ruled out: a separate forwarding queue, which would hold every entry twice.

--- a/coord/outbox/doc.go
+++ b/coord/outbox/doc.go
@@ -31,6 +31,16 @@
 // or until its owner removes it. [Outbox.Withdraw] is the removal that is
 // certain: it succeeds only for entries that no append can have carried.
 //
+// # One appender for many instances
+//
+// With an outbox in each instance the rate of appends grows with the number of
+// instances. Where they all follow the stream, one of them can append for the
+// others: the others say [Delegated], hand their entries to it with
+// [Forwarded], and settle what they meet in the stream with [Outbox.Observe].
+// An entry that does not turn up within [Config].Patience is appended by its
+// own outbox after all, under the same ID. Who appends is a matter of cost, not
+// of safety: two appenders, or none, do no harm.
+//
 // # Bounds
 //
 // [Outbox.Add] reports [ErrFull] at MaxEntries or MaxBytes. Work whose entry
--- a/coord/outbox/event.go
+++ b/coord/outbox/event.go
@@ -8,7 +8,7 @@
 type BatchID uint64
 
 // Event is something that happened. The types are [Tick], [AppendResult],
-// [ReadResult] and [EndSeen].
+// [ReadResult], [EndSeen], [Delegated] and [Forwarded].
 type Event interface{ isEvent() }
 
 // Tick says that time has passed.
@@ -39,10 +39,21 @@
 // read-back the records before.
 type EndSeen struct{ Next platform.Offset }
 
+// Delegated says whether another instance appends for this one. While it
+// does, an entry is appended here only if [Outbox.Observe] has not named it
+// after [Config].Patience.
+type Delegated struct{ Active bool }
+
+// Forwarded says that another instance may have been given the entries, and
+// may append them. It must come before they are sent.
+type Forwarded struct{ IDs []string }
+
 func (Tick) isEvent()         {}
 func (AppendResult) isEvent() {}
 func (ReadResult) isEvent()   {}
 func (EndSeen) isEvent()      {}
+func (Delegated) isEvent()    {}
+func (Forwarded) isEvent()    {}
 
 // Effect is something for the caller to do. The types are [Append],
 // [ReadBack] and [Settled].
--- a/coord/outbox/outbox.go
+++ b/coord/outbox/outbox.go
@@ -31,6 +31,9 @@
 	// StallAfter is the age at which an append without an answer makes the
 	// log count as unavailable; 0 means never.
 	StallAfter time.Duration
+	// Patience is how long an entry waits for another instance to append it,
+	// see [Delegated].
+	Patience time.Duration
 }
 
 // maxDoublings keeps the doubled pause from overflowing; the cap is reached
@@ -69,16 +72,17 @@
 	// mustRead is set from an append of unknown outcome until a read-back
 	// has reached the end of the stream.
 	mustRead bool
+	readFrom platform.Offset // start of the last read-back
 
-	// end is the highest end of the stream that is known; from is an end that
-	// was known before any exposed entry was first appended.
-	end  platform.Offset
-	from platform.Offset
+	// end is the highest end of the stream that is known.
+	end platform.Offset
+	// patient is set while another instance appends for this one.
+	patient bool
 }
 
 // New returns an empty outbox.
 func New(cfg Config, random Random) *Outbox {
-	return &Outbox{cfg: cfg, random: random, queue: newQueue(), end: 1, from: 1}
+	return &Outbox{cfg: cfg, random: random, queue: newQueue(), end: 1}
 }
 
 // Add takes an entry over. An ID that is already held is taken once. The
@@ -112,6 +116,10 @@
 		effects = o.onRead(now, event)
 	case EndSeen:
 		o.end = max(o.end, event.Next)
+	case Delegated:
+		o.patient = event.Active
+	case Forwarded:
+		o.queue.expose(event.IDs, o.end)
 	}
 	return append(effects, o.proceed(now)...)
 }
@@ -147,7 +155,7 @@
 	case o.phase == pausing:
 		return o.resumeAt, true
 	case o.phase == idle && o.Len() > 0:
-		return o.started.Add(o.cfg.MinInterval), true
+		return o.dueAt(), true
 	default:
 		return time.Time{}, false
 	}
@@ -191,14 +199,13 @@
 		o.pause(now)
 		return effects
 	}
-	advanced := result.Next > o.from
-	o.from = max(o.from, result.Next)
-	o.end = max(o.end, o.from)
-	if !result.Complete && advanced {
+	o.queue.notBefore(result.Next)
+	o.end = max(o.end, result.Next)
+	if !result.Complete && result.Next > o.readFrom {
 		return append(effects, o.readBack(now)...)
 	}
 	o.mustRead = !result.Complete
-	if !o.mustRead && len(o.queue.exposed()) == 0 {
+	if !o.mustRead && !o.queue.hasExposed() {
 		o.phase, o.failures = idle, 0
 		return effects
 	}
@@ -208,38 +215,48 @@
 
 // proceed starts what is due.
 func (o *Outbox) proceed(now time.Time) []Effect {
+	o.queue.stamp(now)
 	if o.phase == pausing && !now.Before(o.resumeAt) {
-		if o.mustRead && len(o.queue.exposed()) > 0 {
+		if o.mustRead && o.queue.hasExposed() {
 			return o.readBack(now)
 		}
 		o.mustRead = false
 		o.phase = idle
 	}
-	if o.phase != idle || o.Len() == 0 || now.Before(o.started.Add(o.cfg.MinInterval)) {
+	if o.phase != idle || o.Len() == 0 || now.Before(o.dueAt()) {
 		return nil
 	}
 	return o.append(now)
 }
 
-func (o *Outbox) append(now time.Time) []Effect {
-	if len(o.queue.exposed()) == 0 {
-		o.from = o.end
+// dueAt returns when the next append may start, if there is an entry.
+func (o *Outbox) dueAt() time.Time {
+	due := o.started.Add(o.cfg.MinInterval)
+	if !o.patient {
+		return due
+	}
+	if patience := o.queue.items[0].since.Add(o.cfg.Patience); patience.After(due) {
+		return patience
 	}
+	return due
+}
+
+func (o *Outbox) append(now time.Time) []Effect {
 	o.batch++
 	o.phase, o.since, o.started = appending, now, now
-	return []Effect{Append{Batch: o.batch, Entries: o.queue.depart(o.queue.head())}}
+	return []Effect{Append{Batch: o.batch, Entries: o.queue.depart(o.queue.head(), o.end)}}
 }
 
 func (o *Outbox) readBack(now time.Time) []Effect {
-	ids := o.queue.exposed()
+	ids, from := o.queue.seek()
 	if len(ids) == 0 {
 		o.mustRead = false
 		o.phase = idle
 		return nil
 	}
 	o.batch++
-	o.phase, o.since = reading, now
-	return []Effect{ReadBack{Batch: o.batch, From: o.from, IDs: ids}}
+	o.phase, o.since, o.readFrom = reading, now, from
+	return []Effect{ReadBack{Batch: o.batch, From: from, IDs: ids}}
 }
 
 // pause waits before the next try, for the base pause doubled with each
--- a/coord/outbox/outboxtest/outboxtest.go
+++ b/coord/outbox/outboxtest/outboxtest.go
@@ -123,8 +123,14 @@
 // Waiting tells whether a call of the log waits for its answer.
 func (w *Writer) Waiting() bool { return w.append != nil || w.read != nil }
 
-// Reading tells whether that call is a read-back.
-func (w *Writer) Reading() bool { return w.read != nil }
+// Sought returns the IDs that the read-back in flight looks for; nil if there
+// is none.
+func (w *Writer) Sought() []string {
+	if w.read == nil {
+		return nil
+	}
+	return w.read.IDs
+}
 
 // Answer answers the call that waits, if there is one.
 func (w *Writer) Answer(now time.Time, fault Fault) {
