--- a/coord/outbox/outbox_test.go
+++ b/coord/outbox/outbox_test.go
@@ -271,3 +271,25 @@
 		}
 	}
 }
+
+// TestForwardedDuringReadBack forwards an entry that a read-back in flight
+// does not look for. The next one has to start before it.
+func TestForwardedDuringReadBack(t *testing.T) {
+	log := outboxtest.NewLog()
+	w := newWriter(log)
+	assert.NilError(t, w.Box.Add(entryOf(t, "a")))
+	w.Step(epoch, outbox.Tick{})
+	w.Answer(epoch, outboxtest.LostBefore)
+	assert.DeepEqual(t, w.Sought(), []string{"a"})
+	assert.NilError(t, w.Box.Add(entryOf(t, "b")))
+	w.Step(epoch, outbox.Forwarded{IDs: []string{"b"}})
+	payload, err := platform.EncodeEntries([]platform.Entry{entryOf(t, "b")})
+	assert.NilError(t, err)
+	log.Append(payload)
+	w.Answer(epoch, outboxtest.None)
+	later := epoch.Add(config.RetryCap)
+	w.Step(later, outbox.Tick{})
+	w.Answer(later, outboxtest.LostBefore)
+	w.Answer(later, outboxtest.None)
+	assert.Equal(t, w.Box.Len(), 1)
+}
