--- a/coord/outcome/outcome.go
+++ b/coord/outcome/outcome.go
@@ -1,6 +1,3 @@
-// Package outcome says what became of a call. The type is closed: an outcome
-// of [NotRun] can only be had from an [Attempt] that never let a byte leave
-// for an endpoint, so a refusal that says "not run" is true by construction.
 package outcome
 
 import "sync/atomic"
--- /dev/null
+++ b/coord/outcome/outcome_test.go
@@ -0,0 +1,49 @@
+package outcome_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/outbox/outboxtest"
+	"github.com/wigeonusher/wigeonusher/coord/outcome"
+)
+
+func TestMain(m *testing.M) { os.Exit(outboxtest.Main(m, 4205, 20, 100)) }
+
+// TestNotRunIsLostForGood draws orders of events: "not run" ends with the first
+// departure and does not come back, and "ran" needs an answer.
+func TestNotRunIsLostForGood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var attempt outcome.Attempt
+		departed, answered := false, false
+		t.Repeat(map[string]func(*rapid.T){
+			"depart": func(*rapid.T) { attempt.Depart(); departed = true },
+			"answer": func(*rapid.T) { attempt.Answer(); answered = true },
+			"": func(t *rapid.T) {
+				o := attempt.Outcome()
+				assert.Equal(t, o.IsNotRun(), !departed && !answered)
+				assert.Equal(t, o.IsRan(), answered)
+				assert.Equal(t, o.IsUnknown(), departed && !answered)
+				assert.Equal(t, attempt.Departed(), departed)
+			},
+		})
+	})
+	assert.Assert(t, outcome.Outcome{}.IsUnknown())
+}
+
+func Example() {
+	var attempt outcome.Attempt
+	fmt.Println(attempt.Outcome())
+	attempt.Depart()
+	fmt.Println(attempt.Outcome())
+	attempt.Answer()
+	fmt.Println(attempt.Outcome())
+	// Output:
+	// not_run
+	// unknown
+	// ran
+}
