--- a/cmd/internal/tool/config.go
+++ b/cmd/internal/tool/config.go
@@ -22,6 +22,7 @@
 	Diff     diffCommand     `cmd:"" help:"Compare a file with the section in force."`
 	Publish  publishCommand  `cmd:"" help:"Replace a section of the document."`
 	History  historyCommand  `cmd:"" help:"List the proposals and what became of them."`
+	HashKey  hashKeyCommand  `cmd:"" name:"hash-key" help:"Hash an API key for the accounts section."`
 }
 
 // validateCommand checks a file.
--- /dev/null
+++ b/cmd/internal/tool/key.go
@@ -0,0 +1,46 @@
+package tool
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/policy/document"
+)
+
+// hashKeyCommand hashes an API key for the accounts section.
+type hashKeyCommand struct{}
+
+// Help implements kong.HelpProvider.
+func (hashKeyCommand) Help() string {
+	return `Reads the key from standard input, so that it shows in no list of processes and in no
+shell history, and prints the digest for "key_hashes".
+
+Example:
+  wigeonusher config hash-key < key.txt`
+}
+
+// keyDigest is what hash-key prints.
+type keyDigest struct {
+	KeyHash string `json:"key_hash"`
+}
+
+// Run hashes the first line of the input.
+func (c *hashKeyCommand) Run(env *environment) error {
+	line, err := bufio.NewReader(env.in).ReadString('\n')
+	if err != nil && !eris.Is(err, io.EOF) {
+		return eris.Wrap(err, "read key")
+	}
+	key := strings.TrimRight(line, "\r\n")
+	if key == "" {
+		return withCode(ExitUsage, eris.New("the key is empty"))
+	}
+	digest := keyDigest{KeyHash: document.HashKey(key)}
+	return env.print(digest, func(w io.Writer) error {
+		_, err := fmt.Fprintln(w, digest.KeyHash)
+		return err
+	})
+}
--- a/cmd/internal/tool/tool.go
+++ b/cmd/internal/tool/tool.go
@@ -29,6 +29,7 @@
 // environment is what commands work with besides their arguments.
 type environment struct {
 	ctx    context.Context
+	in     io.Reader
 	out    io.Writer
 	err    io.Writer
 	json   bool
@@ -46,7 +47,7 @@
 ` + exitHelp
 
 // Main runs the tool with the arguments given and returns its exit code.
-func Main(ctx context.Context, arguments []string, out, errors io.Writer) ExitCode {
+func Main(ctx context.Context, arguments []string, in io.Reader, out, errors io.Writer) ExitCode {
 	var line commands
 	exited := ExitOK
 	stop := false
@@ -72,6 +73,7 @@
 	}
 	env := &environment{
 		ctx:    ctx,
+		in:     in,
 		out:    out,
 		err:    errors,
 		json:   line.JSON,
--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -42,8 +42,12 @@
 }
 
 func (o *operator) run(arguments ...string) (tool.ExitCode, string) {
+	return o.runWith("", arguments...)
+}
+
+func (o *operator) runWith(input string, arguments ...string) (tool.ExitCode, string) {
 	var out, errors bytes.Buffer
-	code := tool.Main(context.Background(), arguments, &out, &errors)
+	code := tool.Main(context.Background(), arguments, strings.NewReader(input), &out, &errors)
 	return code, out.String() + errors.String()
 }
 
@@ -205,3 +209,12 @@
 	code, _ = o.run("load", "--deployment", "sheetline", "--caller", "192.0.2.1:80")
 	assert.Equal(t, code, tool.ExitFindings)
 }
+
+func TestHashKey(t *testing.T) {
+	o := newOperator(t)
+	code, text := o.runWith("secret\n", "config", "hash-key")
+	assert.Equal(t, code, tool.ExitOK)
+	assert.Equal(t, strings.TrimSpace(text), document.HashKey("secret"))
+	code, _ = o.runWith("", "config", "hash-key")
+	assert.Equal(t, code, tool.ExitUsage)
+}
--- a/cmd/wigeonusher/main.go
+++ b/cmd/wigeonusher/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := tool.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	code := tool.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(int(code))
 }
