--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -64,7 +64,7 @@
 func (c *Cluster) Introduce(known membership.KnownPeer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers.Introduce(time.Now(), known)
+	c.peers.Introduce(known)
 }
 
 // Self returns this instance.
