Peers: no stale hearsay in the way; sightings told until the peer tells back

The peer's own word that it knows is now the acknowledgement, and a sighting is told until it comes.

Ruled out: a higher count of tellings, which only makes the miss rarer.

--- a/coord/membership/endpoints.go
+++ b/coord/membership/endpoints.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -18,8 +17,10 @@
 	MaxLatched = 8192
 	// MaxSightings bounds the sightings told to a peer in one digest.
 	MaxSightings = 64
-	// TellTimes is how often a sighting is told to one peer.
-	TellTimes = 3
+	// MaxToldPeers bounds the peers remembered for one sighting.
+	MaxToldPeers = 256
+	// BroadcastTimes is how often [Endpoints.Sightings] returns a sighting.
+	BroadcastTimes = 10
 )
 
 // EndpointsConfig sets the periods of the tracker. Zero fields take the
@@ -49,7 +50,7 @@
 		DownFor:      2 * time.Second,
 		DownCap:      30 * time.Second,
 		TrustSuccess: 2 * time.Second,
-		TellFor:      60 * time.Second,
+		TellFor:      5 * time.Minute,
 	}
 }
 
@@ -84,11 +85,18 @@
 	succeeded   time.Time
 }
 
-// told counts how often a sighting went to each peer.
+// told is a sighting with what is known of each peer's knowledge of it.
 type told struct {
 	sighting Sighting
 	since    time.Time // zero until first asked for
-	times    map[platform.InstanceID]int
+	peers    map[platform.InstanceID]*toldPeer
+}
+
+// toldPeer is one peer's part in spreading one sighting. The peer's own word
+// that it knows is the acknowledgement; a digest that was sent is not.
+type toldPeer struct {
+	known bool // the peer has told it
+	sent  int  // how often it was told to the peer since
 }
 
 // NewEndpoints returns a tracker that knows no endpoint.
@@ -132,11 +140,18 @@
 // SaidLeaving latches that the endpoint itself said it leaves.
 func (e *Endpoints) SaidLeaving(id platform.EndpointID) { e.latchLeaving(id) }
 
-// Sighted takes in a peer's sighting.
+// Sighted takes in a sighting of a peer that is not named.
 func (e *Endpoints) Sighted(now time.Time, id platform.EndpointID, leaving, dead bool) {
+	e.SightedBy(now, "", Sighting{ID: id, Leaving: leaving, Dead: dead})
+}
+
+// SightedBy takes in a peer's sighting.
+func (e *Endpoints) SightedBy(now time.Time, peer platform.InstanceID, sighting Sighting) {
 	e.observe(now)
-	if leaving {
+	id, dead := sighting.ID, sighting.Dead
+	if sighting.Leaving {
 		e.latchLeaving(id)
+		e.acknowledge(peer, id)
 	}
 	entry, ok := e.endpoints[id]
 	if !dead || !ok || entry.down {
@@ -215,44 +230,71 @@
 	return ok && entry.belief() == EndpointLive
 }
 
-// Sightings returns at most [MaxSightings] sightings to tell all peers alike. A
-// caller that knows the peer asks [Endpoints.SightingsFor] instead, which
-// repeats less and omits nothing.
+// Sightings returns at most [MaxSightings] sightings to tell all peers alike,
+// each [BroadcastTimes] times. A caller that knows its peers asks
+// [Endpoints.SightingsFor] instead, which repeats less and omits nothing.
 func (e *Endpoints) Sightings(now time.Time) []Sighting {
-	const everyone platform.InstanceID = ""
-	return e.sightings(now, everyone, math.MaxInt)
+	return e.sightings(now, "", func(peer *toldPeer) bool { return peer.sent < BroadcastTimes })
 }
 
 // SightingsFor returns at most [MaxSightings] sightings to tell one peer, the
-// least told first, and takes them as told once more. Each is told to the peer
-// [TellTimes] times, because a digest can be lost.
+// least told first. Each is told until the peer has told it as well; so one
+// that is lost with a digest, or waits for the end of a cut, is told again.
 func (e *Endpoints) SightingsFor(now time.Time, peer platform.InstanceID) []Sighting {
-	return e.sightings(now, peer, TellTimes)
+	return e.sightings(now, peer, func(peer *toldPeer) bool { return !peer.known || peer.sent == 0 })
 }
 
-func (e *Endpoints) sightings(now time.Time, peer platform.InstanceID, times int) []Sighting {
+func (e *Endpoints) sightings(now time.Time, id platform.InstanceID, wanted func(*toldPeer) bool) []Sighting {
 	e.observe(now)
 	e.expire()
 	var pending []*told
 	for _, telling := range e.telling {
-		if telling.times[peer] < times {
+		if wanted(telling.peer(id)) {
 			pending = append(pending, telling)
 		}
 	}
 	slices.SortFunc(pending, func(a, b *told) int {
-		if order := cmp.Compare(a.times[peer], b.times[peer]); order != 0 {
+		if order := cmp.Compare(a.peer(id).sent, b.peer(id).sent); order != 0 {
 			return order
 		}
 		return cmp.Compare(a.sighting.ID, b.sighting.ID)
 	})
 	var sightings []Sighting
 	for _, telling := range pending[:min(len(pending), MaxSightings)] {
-		telling.times[peer]++
+		telling.peer(id).sent++
 		sightings = append(sightings, telling.sighting)
 	}
 	return sightings
 }
 
+// acknowledge notes that the peer knows of the sighting. When it tells again
+// what it has told before, it has not heard that this instance knows.
+func (e *Endpoints) acknowledge(id platform.InstanceID, endpoint platform.EndpointID) {
+	telling, ok := e.telling[endpoint]
+	if !ok || id == "" {
+		return
+	}
+	peer := telling.peer(id)
+	if peer.known {
+		peer.sent = 0
+	}
+	peer.known = true
+}
+
+// peer returns the peer's part. Their number is bounded: beyond MaxToldPeers
+// all are forgotten, and told once more.
+func (t *told) peer(id platform.InstanceID) *toldPeer {
+	peer, ok := t.peers[id]
+	if !ok {
+		if len(t.peers) >= MaxToldPeers {
+			clear(t.peers)
+		}
+		peer = &toldPeer{}
+		t.peers[id] = peer
+	}
+	return peer
+}
+
 func (c EndpointsConfig) withDefaults() EndpointsConfig {
 	defaults := DefaultEndpointsConfig()
 	return EndpointsConfig{
@@ -324,7 +366,7 @@
 	if _, ok := e.telling[sighting.ID]; !ok && len(e.telling) >= MaxEndpoints {
 		return
 	}
-	e.telling[sighting.ID] = &told{sighting: sighting, times: map[platform.InstanceID]int{}}
+	e.telling[sighting.ID] = &told{sighting: sighting, peers: map[platform.InstanceID]*toldPeer{}}
 }
 
 func (e *Endpoints) expire() {
--- a/coord/membership/peers.go
+++ b/coord/membership/peers.go
@@ -303,11 +303,14 @@
 }
 
 // comparePreference orders peers of one zone: those alive first, by their score
-// for this instance; then the others by liveness, those longest untried first,
-// so that after a cut all of them are tried in turn.
+// for this instance; then the others, those longest untried first, so that all
+// of them are tried in turn and no stale hearsay stands in their way.
 func comparePreference(a, b *peerEntry) int {
-	if order := cmp.Compare(a.preference(), b.preference()); order != 0 {
-		return order
+	if aAlive, bAlive := a.Liveness == Alive, b.Liveness == Alive; aAlive != bAlive {
+		if aAlive {
+			return -1
+		}
+		return 1
 	}
 	if order := a.contacted.Compare(b.contacted); order != 0 && a.Liveness != Alive {
 		return order
@@ -318,10 +321,6 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-func (e *peerEntry) preference() int {
-	return slices.Index([]Liveness{Alive, Unheard, Suspect, Dead}, e.Liveness)
-}
-
 // insert adds the entry, if need be in place of the least preferred peer of
 // its zone. It reports whether the entry is in the table.
 func (p *Peers) insert(entry *peerEntry) bool {
