rollout: small extensions for undecided runs

Ruled out: a lower level of suspicion, which lets a version failing 30% get more exposure before the brake.

A verdict now names the allowance it wants; the fold caps it as before. A run whose allowance is spent and whose answers are all in gets a quarter of the budget more.

--- a/policy/rollout/controller.go
+++ b/policy/rollout/controller.go
@@ -16,6 +16,9 @@
 	// suspicion is the evidence against the candidate, as a factor, above
 	// which a run neither advances nor is extended.
 	suspicion = 5
+	// undecidedParts divides the budget into the parts by which the allowance
+	// of an undecided run grows.
+	undecidedParts = 4
 	// advanceDoubt, completeDoubt and extendDoubt bound the probability that
 	// the candidate exceeds the error rate that must not be tolerated.
 	advanceDoubt  = 0.05
@@ -36,6 +39,9 @@
 	// RankDelay is the wait per rank before an instance proposes a verdict
 	// that a lower rank would propose too.
 	RankDelay = 2 * time.Second
+	// QuietDelay is how long no answer must have come in before a run that is
+	// undecided is given a little more exposure.
+	QuietDelay = 15 * time.Second
 	// RepeatDelay is the wait before a proposal without effect is repeated.
 	RepeatDelay = 10 * time.Second
 )
@@ -88,6 +94,9 @@
 	test *Test
 	step int
 	seen Evidence
+	// latest is the evidence at the last look, and changed when it last grew.
+	latest  Evidence
+	changed time.Time
 	// braked is set once the evidence has crossed the level.
 	braked bool
 	// due is the move that is due, since when, and when it was last proposed.
@@ -135,15 +144,14 @@
 		return nil
 	}
 	evidence := tick.Evidence(status.Run, status.Step)
-	w.observe(status.Step, evidence)
+	w.observe(now, status.Step, evidence)
 	var effects []Effect
-	move, reason := w.decide(status, evidence)
-	if move == Brake && !w.braked {
+	verdict := w.decide(now, status, evidence)
+	if verdict.Move == Brake && !w.braked {
 		w.braked = true
-		effects = append(effects, StopLocally{Run: status.Run, Reason: reason})
+		effects = append(effects, StopLocally{Run: status.Run, Reason: verdict.Reason})
 	}
-	if w.ready(now, move, tick.Rank) {
-		verdict := Verdict{Run: status.Run, Step: status.Step, Move: move, Evidence: evidence, Reason: reason}
+	if w.ready(now, verdict.Move, tick.Rank) {
 		effects = append(effects, AppendVerdict{Verdict: verdict})
 	}
 	if grant, ok := c.ask(now, w, status, tick); ok {
@@ -153,11 +161,15 @@
 }
 
 // observe gives the test the answers that are new since the last look.
-func (w *watch) observe(step int, evidence Evidence) {
+func (w *watch) observe(now time.Time, step int, evidence Evidence) {
 	if step != w.step {
 		w.step = step
 		w.seen = Evidence{}
 	}
+	if evidence != w.latest {
+		w.latest = evidence
+		w.changed = now
+	}
 	block, ok := evidence.minus(w.seen)
 	if !ok {
 		return
@@ -171,37 +183,71 @@
 	w.test.Observe(block)
 }
 
-// decide returns the move that is due, or none.
-func (w *watch) decide(status Status, evidence Evidence) (Move, string) {
-	against := w.test.LogE()
-	if w.braked || against >= math.Log(1/falseStopChance) {
+// decide returns the verdict that is due, or one without a move.
+func (w *watch) decide(now time.Time, status Status, evidence Evidence) Verdict {
+	verdict := Verdict{Run: status.Run, Step: status.Step, Evidence: evidence}
+	verdict.Move, verdict.Reason = w.move(now, status, evidence)
+	switch verdict.Move {
+	case Advance, Complete:
+		verdict.Allowance = justified(status, evidence)
+	case Extend:
+		verdict.Allowance = status.Allowed + max(1, status.Rollout.Budget/undecidedParts)
+		if w.trusted(status, evidence) {
+			verdict.Allowance = justified(status, evidence)
+		}
+	}
+	return verdict
+}
+
+func (w *watch) move(now time.Time, status Status, evidence Evidence) (Move, string) {
+	if w.braked || w.test.LogE() >= math.Log(1/falseStopChance) {
 		return Brake, describe("candidate fails more often than the incumbent", evidence)
 	}
-	if status.Complete || !status.Exposing() || against >= math.Log(suspicion) {
+	if status.Complete || !status.Exposing() {
 		return "", ""
 	}
+	trusted := w.trusted(status, evidence)
 	doubt := evidence.probabilityAbove(status.Rollout.MaxErrorRate)
 	answers := evidence.Candidate()
 	switch {
-	case status.LastStep() && answers >= completeAnswers && doubt <= completeDoubt:
+	case trusted && status.LastStep() && answers >= completeAnswers && doubt <= completeDoubt:
 		return Complete, describe("candidate holds at the last step", evidence)
-	case !status.LastStep() && answers >= advanceAnswers && doubt <= advanceDoubt:
+	case trusted && !status.LastStep() && answers >= advanceAnswers && doubt <= advanceDoubt:
 		return Advance, describe("candidate holds at the step", evidence)
-	case answers >= min(extendAnswers, status.Rollout.Budget/2) && doubt <= extendDoubt && worthExtending(status, evidence):
+	case trusted && worthExtending(status, evidence):
 		return Extend, describe("evidence allows more exposure", evidence)
+	case w.stuck(now, status):
+		return Extend, describe("undecided, more answers needed", evidence)
 	default:
 		return "", ""
 	}
 }
 
-// worthExtending reports whether most of the allowance is granted and the
-// step's good answers would raise it by enough.
+// trusted reports whether the evidence rather speaks for the candidate.
+func (w *watch) trusted(status Status, evidence Evidence) bool {
+	return w.test.LogE() < math.Log(suspicion) &&
+		evidence.Candidate() >= min(extendAnswers, status.Rollout.Budget/2) &&
+		evidence.probabilityAbove(status.Rollout.MaxErrorRate) <= extendDoubt
+}
+
+// stuck reports whether the allowance is spent and all answers seem to be in.
+func (w *watch) stuck(now time.Time, status Status) bool {
+	return status.Granted >= status.Allowed && now.Sub(w.changed) >= QuietDelay
+}
+
+// justified returns the allowance that good answers earn.
+func justified(status Status, evidence Evidence) int {
+	good := min(status.Proven+evidence.CandidateGood, status.Granted)
+	return max(status.Allowed, status.Rollout.Budget+ExposurePerGood*good)
+}
+
+// worthExtending reports whether most of the allowance is granted and the good
+// answers would raise it by enough.
 func worthExtending(status Status, evidence Evidence) bool {
 	const used = 0.5
-	good := min(evidence.CandidateGood, status.Granted)
-	gain := float64(ExposurePerGood * (good - status.StepGood))
-	return float64(status.Granted) >= used*float64(status.Allowed) &&
-		gain >= (extendGrowth-1)*float64(status.Allowed)
+	allowed := float64(status.Allowed)
+	return float64(status.Granted) >= used*allowed &&
+		float64(justified(status, evidence)) >= extendGrowth*allowed
 }
 
 // ready reports whether the move should be proposed now: by the lowest rank at
--- a/policy/rollout/fold.go
+++ b/policy/rollout/fold.go
@@ -51,10 +51,11 @@
 	Reason   string                            `json:"reason"`
 	Granted  int                               `json:"granted"`
 	Grants   map[platform.InstanceID]allotment `json:"grants"`
-	// EarlierGood and StepGood count the good answers of the candidate in
-	// accepted evidence, of earlier steps and of the present one.
-	EarlierGood int `json:"earlier_good"`
-	StepGood    int `json:"step_good"`
+	// Extra is what accepted evidence added to the budget.
+	Extra int `json:"extra"`
+	// Proven counts the candidate's good answers of earlier steps in accepted
+	// evidence.
+	Proven int `json:"proven"`
 }
 
 // allotment is what one instance was granted.
@@ -234,20 +235,20 @@
 	if r.Braked || r.Complete || verdict.Step != r.Step {
 		return false
 	}
-	good := min(verdict.Evidence.CandidateGood, r.Granted)
+	good := min(r.Proven+verdict.Evidence.CandidateGood, r.Granted)
+	extra := min(verdict.Allowance-r.Rollout.Budget, ExposurePerGood*good)
 	last := r.Step >= len(r.Rollout.Steps)-1
 	switch {
-	case verdict.Move == Extend && good > r.StepGood:
-		r.StepGood = good
+	case verdict.Move == Extend && extra > r.Extra:
 	case verdict.Move == Advance && !last:
-		r.EarlierGood += max(good, r.StepGood)
-		r.StepGood = 0
+		r.Proven = max(r.Proven, good)
 		r.Step++
 	case verdict.Move == Complete && last:
 		r.Complete = true
 	default:
 		return false
 	}
+	r.Extra = max(r.Extra, extra)
 	r.Reason = verdict.Reason
 	return true
 }
@@ -274,9 +275,7 @@
 }
 
 // allowed never shrinks during a run.
-func (r *runState) allowed() int {
-	return r.Rollout.Budget + ExposurePerGood*(r.EarlierGood+r.StepGood)
-}
+func (r *runState) allowed() int { return r.Rollout.Budget + r.Extra }
 
 func (r *runState) share() float64 {
 	switch {
@@ -299,7 +298,7 @@
 		Reason:   r.Reason,
 		Share:    r.share(),
 		Allowed:  r.allowed(),
-		StepGood: r.StepGood,
+		Proven:   r.Proven,
 		Rollout:  r.Rollout,
 	}
 }
@@ -315,6 +314,6 @@
 	}
 	return r.Run.ID == id &&
 		r.Step >= 0 && r.Step < len(r.Rollout.Steps) &&
-		r.EarlierGood >= 0 && r.StepGood >= 0 &&
+		r.Extra >= 0 && r.Proven >= 0 &&
 		r.Granted == sum && r.Granted <= r.allowed()
 }
--- a/policy/rollout/rollout.go
+++ b/policy/rollout/rollout.go
@@ -44,7 +44,7 @@
 const (
 	// Advance goes on to the next step.
 	Advance Move = "advance"
-	// Extend stays at the step and raises the allowance by the evidence.
+	// Extend stays at the step and raises the allowance.
 	Extend Move = "extend"
 	// Brake gives the candidate to no new session, for good.
 	Brake Move = "brake"
@@ -60,7 +60,11 @@
 	Move Move `json:"move"`
 	// Evidence is what the writer had seen at the step.
 	Evidence Evidence `json:"evidence"`
-	Reason   string   `json:"reason"`
+	// Allowance is the allowance that the writer holds to be justified. The
+	// fold never goes beyond the budget plus [ExposurePerGood] for each good
+	// answer of the candidate.
+	Allowance int    `json:"allowance,omitempty"`
+	Reason    string `json:"reason"`
 }
 
 // Grant allots a part of the run's exposure budget to one instance. It counts
@@ -127,9 +131,9 @@
 	Share float64 `json:"share"`
 	// Allowed is the run's allowance: Granted never exceeds it.
 	Allowed int `json:"allowed"`
-	// StepGood counts the candidate's good answers at the step that the
-	// allowance takes into account.
-	StepGood int `json:"step_good"`
+	// Proven counts the candidate's good answers of earlier steps in accepted
+	// evidence.
+	Proven int `json:"proven"`
 	// Rollout is the definition of the run.
 	Rollout document.Rollout `json:"rollout"`
 }
