--- a/policy/cascade/cascade.go
+++ b/policy/cascade/cascade.go
@@ -1,5 +1,3 @@
-// Package cascade plans which model versions a request tries, and learns from
-// ratings which of them are good enough.
 package cascade
 
 import (
@@ -60,6 +58,10 @@
 	PromptTokens int
 	AnswerTokens int
 	Failed       bool
+	// Escalated tells that an earlier step's answer had fallen short, with the
+	// confidence Before, in [0, 1]: the lower, the harder the request.
+	Escalated bool
+	Before    float64
 }
 
 // Rated is a rating that arrived for an answer given earlier.
--- a/policy/experiment/registry.go
+++ b/policy/experiment/registry.go
@@ -18,6 +18,7 @@
 // experiments lists all experiments.
 func experiments() []experiment {
 	return []experiment{
+		{name: "cascade", run: runCascade},
 		{name: "rollout", run: runRollout},
 	}
 }
