--- /dev/null
+++ b/policy/rollout/budget_test.go
@@ -0,0 +1,243 @@
+package rollout_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/coord/finding"
+	"github.com/wigeonusher/wigeonusher/coord/fold"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+	"github.com/wigeonusher/wigeonusher/policy/session"
+)
+
+// instance is one instance with its folds and its ledger.
+type instance struct {
+	id     platform.InstanceID
+	config *config.Fold
+	runs   *rollout.Fold
+	next   int
+	ledger *rollout.Ledger
+	cut    bool
+}
+
+func newInstance(id platform.InstanceID) *instance {
+	accept := func(*config.Document) finding.List { return nil }
+	documents := config.NewFold(accept, nil)
+	return &instance{
+		id:     id,
+		config: documents,
+		runs:   rollout.NewFold(documents.Document, nil),
+		ledger: rollout.NewLedger(id),
+	}
+}
+
+func (i *instance) parts() []fold.Part { return []fold.Part{i.config, i.runs} }
+
+// read applies entries up to the given one and hands the result to the ledger.
+func (i *instance) read(log []platform.Entry, until int) {
+	for ; i.next < until; i.next++ {
+		position := platform.Position{Offset: platform.Offset(i.next + 1)}
+		for _, part := range i.parts() {
+			part.Apply(position, log[i.next])
+		}
+	}
+	i.ledger.Update(i.runs.Statuses(), func(id document.RolloutID) rollout.Allotment {
+		return i.runs.Allotted(id, i.id)
+	})
+}
+
+func (i *instance) snapshot(t *rapid.T) string {
+	snapshot, err := i.runs.Snapshot()
+	assert.NilError(t, err)
+	return string(snapshot)
+}
+
+// budgetModel draws faults and checks the budget after each of them.
+type budgetModel struct {
+	log       []platform.Entry
+	judge     *instance
+	instances []*instance
+	born      int
+	sessions  int
+	sequence  uint64
+	section   config.Revision
+	// exposed counts exposure by run, of dead instances too.
+	exposed map[rollout.Run]int
+	// allowed is the highest allowance of each run that the log ever held.
+	allowed map[rollout.Run]int
+}
+
+func (m *budgetModel) spawn() *instance {
+	m.born++
+	return newInstance(platform.InstanceID(fmt.Sprint("i-", m.born)))
+}
+
+func (m *budgetModel) pick(t *rapid.T) *instance {
+	return rapid.SampledFrom(m.instances).Draw(t, "instance")
+}
+
+func (m *budgetModel) append(t *rapid.T, kind platform.Kind, body any) {
+	entry, err := platform.NewEntry(fmt.Sprint("e-", len(m.log)), kind, "writer", body)
+	assert.NilError(t, err)
+	m.log = append(m.log, entry)
+}
+
+func (m *budgetModel) publish(t *rapid.T, r document.Rollout) {
+	body, err := json.Marshal(map[document.RolloutID]document.Rollout{"r": r})
+	assert.NilError(t, err)
+	m.append(t, config.KindProposal, config.Proposal{Section: document.SectionRollouts, Base: m.section, Body: body})
+	m.judge.read(m.log, len(m.log))
+	m.section = m.judge.config.Document().Sections[document.SectionRollouts].Revision
+}
+
+func sampleRollout() document.Rollout {
+	return document.Rollout{
+		Model:        "m",
+		Candidate:    "v2",
+		State:        document.RolloutRunning,
+		Steps:        []float64{0.5, 0.8, 1},
+		Budget:       6,
+		MaxErrorRate: 0.05,
+	}
+}
+
+// arrive lets sessions begin at an instance.
+func (m *budgetModel) arrive(t *rapid.T) {
+	at := m.pick(t)
+	always := func(document.VersionName) bool { return true }
+	for range rapid.IntRange(1, 8).Draw(t, "sessions") {
+		m.sessions++
+		_, exposed := at.ledger.Expose("m", session.ID(fmt.Sprint(m.sessions)), always)
+		if !exposed {
+			continue
+		}
+		status, ok := at.runs.Status("r")
+		assert.Assert(t, ok)
+		assert.Assert(t, !status.Braked, "a new session met a braked candidate")
+		assert.Equal(t, status.Rollout.State, document.RolloutRunning)
+		if !status.Complete {
+			m.exposed[status.Run]++
+		}
+	}
+}
+
+func (m *budgetModel) currentRun() rollout.Run {
+	status, _ := m.judge.runs.Status("r")
+	return status.Run
+}
+
+func (m *budgetModel) grant(t *rapid.T) {
+	m.sequence++
+	m.append(t, rollout.KindGrant, rollout.Grant{
+		Run:      m.currentRun(),
+		Instance: m.pick(t).id,
+		Requests: rapid.IntRange(0, 10).Draw(t, "requests"),
+		Sequence: m.sequence,
+	})
+}
+
+func (m *budgetModel) verdict(t *rapid.T) {
+	moves := []rollout.Move{rollout.Advance, rollout.Extend, rollout.Extend, rollout.Brake, rollout.Complete, "other"}
+	m.append(t, rollout.KindVerdict, rollout.Verdict{
+		Run:       m.currentRun(),
+		Step:      rapid.IntRange(0, 2).Draw(t, "step"),
+		Move:      rapid.SampledFrom(moves).Draw(t, "move"),
+		Evidence:  rollout.Evidence{CandidateGood: rapid.IntRange(0, 5).Draw(t, "good")},
+		Allowance: rapid.IntRange(0, 40).Draw(t, "allowance"),
+	})
+}
+
+func (m *budgetModel) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"arrive":  m.arrive,
+		"grant":   m.grant,
+		"verdict": m.verdict,
+		"read": func(t *rapid.T) {
+			at := m.pick(t)
+			if !at.cut {
+				at.read(m.log, rapid.IntRange(at.next, len(m.log)).Draw(t, "until"))
+			}
+		},
+		"cut or heal": func(t *rapid.T) {
+			at := m.pick(t)
+			at.cut = !at.cut
+		},
+		"append again": func(t *rapid.T) {
+			entry := rapid.SampledFrom(m.log).Draw(t, "entry")
+			entry.ID += "'"
+			m.log = append(m.log, entry)
+		},
+		"append garbage": func(t *rapid.T) {
+			body := rapid.SampledFrom([]string{`{}`, `[]`, `{"step":-1}`, `{"requests":-5}`, `null`}).Draw(t, "body")
+			kind := rapid.SampledFrom([]platform.Kind{rollout.KindGrant, rollout.KindVerdict, config.KindProposal}).Draw(t, "kind")
+			m.log = append(m.log, platform.Entry{ID: fmt.Sprint("g-", len(m.log)), Kind: kind, Body: json.RawMessage(body)})
+		},
+		"kill and replace": func(t *rapid.T) {
+			at := rapid.IntRange(0, len(m.instances)-1).Draw(t, "at")
+			fresh := m.spawn()
+			if rapid.Bool().Draw(t, "from snapshot") {
+				fresh.restore(t, m.judge)
+			}
+			m.instances[at] = fresh
+		},
+		"edit": func(t *rapid.T) {
+			r := sampleRollout()
+			states := []document.RolloutState{document.RolloutRunning, document.RolloutRunning, document.RolloutPaused, document.RolloutAborted}
+			r.State = rapid.SampledFrom(states).Draw(t, "state")
+			m.publish(t, r)
+		},
+		"": m.check,
+	}
+}
+
+// restore starts an instance from another one's snapshot.
+func (i *instance) restore(t *rapid.T, from *instance) {
+	for n, part := range from.parts() {
+		snapshot, err := part.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, i.parts()[n].Restore(snapshot))
+	}
+	i.next = from.next
+}
+
+func (m *budgetModel) check(t *rapid.T) {
+	for m.judge.next < len(m.log) {
+		m.judge.read(m.log, m.judge.next+1)
+		if status, ok := m.judge.runs.Status("r"); ok {
+			assert.Assert(t, status.Granted <= status.Allowed, "grants above the allowance: %+v", status)
+			m.allowed[status.Run] = max(m.allowed[status.Run], status.Allowed)
+		}
+	}
+	for run, exposed := range m.exposed {
+		assert.Assert(t, exposed <= m.allowed[run], "%s: %d exposed, %d allowed", run, exposed, m.allowed[run])
+	}
+	for _, at := range m.instances {
+		if at.next == m.judge.next {
+			assert.Equal(t, at.snapshot(t), m.judge.snapshot(t))
+		}
+	}
+}
+
+// TestExposureStaysInsideTheAllowance draws cuts, kills, repeated and late
+// records, garbage, races of verdicts and operators' edits.
+func TestExposureStaysInsideTheAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &budgetModel{exposed: map[rollout.Run]int{}, allowed: map[rollout.Run]int{}}
+		m.judge = newInstance("judge")
+		for range 3 {
+			m.instances = append(m.instances, m.spawn())
+		}
+		m.publish(t, sampleRollout())
+		for _, at := range m.instances {
+			at.read(m.log, len(m.log))
+		}
+		t.Repeat(m.actions())
+	})
+}
--- /dev/null
+++ b/policy/rollout/fold_test.go
@@ -0,0 +1,144 @@
+package rollout_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+	"github.com/wigeonusher/wigeonusher/policy/session"
+	"pgregory.net/rapid"
+)
+
+// fold applies verdicts to a fresh run with everything granted and returns the
+// result.
+func foldVerdicts(t *rapid.T, verdicts ...rollout.Verdict) rollout.Status {
+	m := &budgetModel{judge: newInstance("judge")}
+	m.publish(t, sampleRollout())
+	run := m.currentRun()
+	m.append(t, rollout.KindGrant, rollout.Grant{Run: run, Instance: "a", Requests: 99, Sequence: 1})
+	for _, verdict := range verdicts {
+		verdict.Run = run
+		m.append(t, rollout.KindVerdict, verdict)
+	}
+	m.judge.read(m.log, len(m.log))
+	status, ok := m.judge.runs.Status("r")
+	assert.Assert(t, ok)
+	return status
+}
+
+func TestVerdicts(t *testing.T) {
+	good := rollout.Evidence{CandidateGood: 3}
+	cases := []struct {
+		name     string
+		verdicts []rollout.Verdict
+		step     int
+		braked   bool
+		complete bool
+		allowed  int
+		share    float64
+	}{
+		{"none", nil, 0, false, false, 6, 0.5},
+		{"first advance wins", []rollout.Verdict{{Move: rollout.Advance}, {Move: rollout.Advance}}, 1, false, false, 6, 0.8},
+		{"brake of an earlier step counts", []rollout.Verdict{{Move: rollout.Advance}, {Move: rollout.Brake}}, 1, true, false, 6, 0},
+		{"advance after a brake is dropped", []rollout.Verdict{{Move: rollout.Brake}, {Move: rollout.Advance}}, 0, true, false, 6, 0},
+		{"extension is capped by the evidence", []rollout.Verdict{{Move: rollout.Extend, Evidence: good, Allowance: 99}}, 0, false, false, 18, 0.5},
+		{"extension is capped by the writer", []rollout.Verdict{{Move: rollout.Extend, Evidence: good, Allowance: 8}}, 0, false, false, 8, 0.5},
+		{"evidence is capped by the grants", []rollout.Verdict{{Move: rollout.Extend, Evidence: rollout.Evidence{CandidateGood: 900}, Allowance: 9999}}, 0, false, false, 30, 0.5},
+		{"last step leaves a comparison", []rollout.Verdict{{Move: rollout.Advance}, {Step: 1, Move: rollout.Advance}}, 2, false, false, 6, rollout.MaxShare},
+		{"complete before the last step is dropped", []rollout.Verdict{{Move: rollout.Complete}}, 0, false, false, 6, 0.5},
+		{"complete", []rollout.Verdict{{Move: rollout.Advance}, {Step: 1, Move: rollout.Advance}, {Step: 2, Move: rollout.Complete}}, 2, false, true, 6, 1},
+		{"brake after complete", []rollout.Verdict{{Move: rollout.Advance}, {Step: 1, Move: rollout.Advance}, {Step: 2, Move: rollout.Complete}, {Step: 2, Move: rollout.Brake}}, 2, true, true, 6, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, rapid.MakeCheck(func(t *rapid.T) {
+			status := foldVerdicts(t, c.verdicts...)
+			assert.Equal(t, status.Step, c.step)
+			assert.Equal(t, status.Braked, c.braked)
+			assert.Equal(t, status.Complete, c.complete)
+			assert.Equal(t, status.Allowed, c.allowed)
+			assert.Equal(t, status.Share, c.share)
+		}))
+	}
+}
+
+// TestLedgerOverdraws shows that later requests of a session are charged, and
+// paid for before the next session begins.
+func TestLedgerOverdraws(t *testing.T) {
+	ledger := rollout.NewLedger("a")
+	status := rollout.Status{Run: rollout.Run{ID: "r", Revision: 1}, Share: 1, Rollout: sampleRollout()}
+	allot := func(requests int) {
+		ledger.Update([]rollout.Status{status}, func(document.RolloutID) rollout.Allotment {
+			return rollout.Allotment{Run: status.Run, Requests: requests}
+		})
+	}
+	always := func(document.VersionName) bool { return true }
+	expose := func(id session.ID) bool {
+		_, ok := ledger.Expose("m", id, always)
+		return ok
+	}
+	allot(1)
+	assert.Assert(t, expose("s1"))
+	ledger.Charge(document.Ref{Model: "m", Version: "v2"})
+	assert.Assert(t, !expose("s2"))
+	assert.DeepEqual(t, ledger.Needs()[status.Run], rollout.Need{Run: status.Run, Left: -1, Wanted: 1})
+	allot(2)
+	assert.Assert(t, !expose("s2"))
+	allot(3)
+	assert.Assert(t, expose("s2"))
+	ledger.Stop(status.Run)
+	allot(10)
+	assert.Assert(t, !expose("s3"))
+}
+
+func TestMergerKeepsTheLatestOfEachInstance(t *testing.T) {
+	merger := rollout.NewMerger()
+	run := rollout.Run{ID: "r", Revision: 1}
+	counter := func(id platform.InstanceID, sequence uint64, good int) rollout.Counter {
+		return rollout.Counter{Instance: id, Sequence: sequence, Run: run, Evidence: rollout.Evidence{CandidateGood: good}}
+	}
+	for _, c := range []rollout.Counter{counter("a", 2, 7), counter("a", 1, 3), counter("a", 2, 9), counter("b", 1, 5)} {
+		merger.Merge(c)
+	}
+	assert.Equal(t, merger.Total(run, 0).CandidateGood, 12)
+	merger.Retain(nil)
+	assert.Equal(t, merger.Total(run, 0).CandidateGood, 0)
+}
+
+func FuzzParseKey(f *testing.F) {
+	f.Add("7/0/r")
+	f.Add("7/1/a/b")
+	f.Add("//")
+	f.Fuzz(func(t *testing.T, key string) {
+		run, step, ok := rollout.ParseKey(key)
+		if !ok {
+			return
+		}
+		again := rollout.Counter{Run: run, Step: step}
+		gotRun, gotStep, ok := rollout.ParseKey(again.Key())
+		assert.Assert(t, ok && gotRun == run && gotStep == step)
+	})
+}
+
+// FuzzFold applies arbitrary bodies and restores arbitrary snapshots.
+func FuzzFold(f *testing.F) {
+	f.Add([]byte(`{"run":{"id":"r","revision":1024},"step":0,"move":"brake"}`), []byte(`{"section":1,"runs":{}}`))
+	f.Add([]byte(`{"run":{"id":"r","revision":1024},"requests":5,"sequence":1}`), []byte(`{"runs":{"r":null}}`))
+	f.Add([]byte(`{"step":-1}`), []byte(`{"runs":{"r":{"run":{"id":"r"},"rollout":{"steps":[0.5],"budget":3},"granted":9}}}`))
+	f.Fuzz(func(t *testing.T, body, snapshot []byte) {
+		at := newInstance("a")
+		if at.runs.Restore(json.RawMessage(snapshot)) == nil {
+			for _, status := range at.runs.Statuses() {
+				assert.Assert(t, status.Granted <= status.Allowed)
+			}
+		}
+		for _, kind := range []platform.Kind{rollout.KindVerdict, rollout.KindGrant} {
+			at.runs.Apply(platform.Position{Offset: 1}, platform.Entry{ID: "e", Kind: kind, Body: body})
+		}
+		_, err := at.runs.Snapshot()
+		assert.NilError(t, err)
+	})
+}
