placement: ask the owner of an endpoint for its load

Cause: at 85% utilisation a join-shortest-queue oracle hardly ever waits, so what counts is meeting one of the few free slots. Reports of 1 to 5 s and even peers' digests of 1 s are older than that knowledge lives. Ruled out: faster digests (22 nodes a zone: tens of KB/s a node), a fixed share of slots for each instance (loses the pooling).

--- a/policy/placement/doc.go
+++ b/policy/placement/doc.go
@@ -20,12 +20,24 @@
 // and its uncertainty enters the expected wait. Own requests that the report
 // already counts are not counted again.
 //
+// # Asking the owner
+//
+// Late knowledge is not enough when nearly all slots are taken: a request that
+// meets a full endpoint waits although another has a free slot. So each
+// endpoint has an owner among the instances ([PollShare]), which counts all
+// dispatches to it ([LoadTable.Reserve], [LoadTable.Release]). A [Search] asks
+// the owners of the likeliest endpoints, one after the other, until one has a
+// free slot. An owner that does not answer costs accuracy, never the request.
+// Peers repeat what they have in flight in their digests
+// ([LoadTable.PeerInFlight]), which mends counts after lost messages.
+//
 // # Prefix caches
 //
 // [PrefixIndex] keeps, for each endpoint, hashes of prompt prefixes that it is
 // believed to hold: those that this instance sent there and those that the
 // engine's cache events name. Events come late and with gaps, so the index is
-// a guess that costs one prefill when it is wrong. It is bounded.
+// a guess that costs one prefill when it is wrong; a gap before a block that
+// is known does not end a match. The index is bounded.
 //
 // # Concurrency
 //
--- a/policy/placement/estimate.go
+++ b/policy/placement/estimate.go
@@ -38,38 +38,54 @@
 	return math.Exp(-float64(age.Milliseconds()) / serviceMillis)
 }
 
+// others is what is known of the requests that are not this instance's own.
+type others struct {
+	count float64
+	fresh float64
+}
+
+// others returns the newer of the endpoint's report and the peers' own words.
+func (c Candidate) others(serviceMillis float64) others {
+	if c.PeerAge > 0 && c.PeerAge < c.ReportAge {
+		return others{count: float64(c.PeerInFlight), fresh: freshness(c.PeerAge, serviceMillis)}
+	}
+	return others{
+		count: float64(c.othersAtReport() + c.PeerSent),
+		fresh: freshness(c.ReportAge, serviceMillis),
+	}
+}
+
 // estimates returns the expected load of each candidate. This instance's own
-// requests are counted exactly. Those of others are known as of the report;
-// as the report ages, they regress to the mean of the pool.
+// requests are counted exactly. Those of others are known as of some time ago;
+// as that knowledge ages, they regress to the mean of the pool.
 func estimates(candidates []Candidate, serviceMillis float64) []estimate {
-	mean, meanSent := meanPerSlot(candidates, serviceMillis)
+	known := make([]others, len(candidates))
+	for i, candidate := range candidates {
+		known[i] = candidate.others(serviceMillis)
+	}
+	mean := meanPerSlot(candidates, known)
 	result := make([]estimate, len(candidates))
 	for i, candidate := range candidates {
-		slots := float64(candidate.slots())
-		fresh := freshness(candidate.ReportAge, serviceMillis)
-		reported := float64(candidate.othersAtReport() + candidate.PeerSent)
-		expected := mean * slots
-		others := max(0, expected+fresh*(reported-(mean+meanSent)*slots))
+		expected := mean * float64(candidate.slots())
+		rest := max(0, expected+known[i].fresh*(known[i].count-expected))
 		result[i] = estimate{
-			outstanding: float64(candidate.InFlight) + others,
-			variance:    (1 - fresh) * expected,
+			outstanding: float64(candidate.InFlight) + rest,
+			variance:    (1 - known[i].fresh) * expected,
 		}
 	}
 	return result
 }
 
-// meanPerSlot returns the mean of the others' reported requests and of the
-// peers' dispatches since, both per slot and weighted by freshness.
-func meanPerSlot(candidates []Candidate, serviceMillis float64) (others, sent float64) {
-	var slots float64
-	for _, candidate := range candidates {
-		fresh := freshness(candidate.ReportAge, serviceMillis)
-		slots += fresh * float64(candidate.slots())
-		others += fresh * float64(candidate.othersAtReport())
-		sent += fresh * float64(candidate.PeerSent)
+// meanPerSlot returns the mean of the others' requests per slot, weighted by
+// freshness.
+func meanPerSlot(candidates []Candidate, known []others) float64 {
+	var slots, count float64
+	for i, candidate := range candidates {
+		slots += known[i].fresh * float64(candidate.slots())
+		count += known[i].fresh * known[i].count
 	}
 	if slots == 0 {
-		return 0, 0
+		return 0
 	}
-	return others / slots, sent / slots
+	return count / slots
 }
--- a/policy/placement/load_table.go
+++ b/policy/placement/load_table.go
@@ -79,6 +79,41 @@
 	}
 }
 
+// PeerInFlight takes from a peer's digest how many dispatches to the endpoint
+// the peer had in flight, age before now.
+func (t *LoadTable) PeerInFlight(now time.Time, peer platform.InstanceID, endpoint platform.EndpointID, inFlight int, age time.Duration) {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.load(endpoint).peers.told(peer, inFlight, now.Add(-max(0, age)))
+}
+
+// Reserve answers a peer's ask for an endpoint that this instance owns. It
+// returns the requests that all instances are known to have there. If there is
+// a free slot, or if the peer will dispatch in any case, the dispatch is
+// counted and granted is true.
+func (t *LoadTable) Reserve(now time.Time, peer platform.InstanceID, endpoint platform.EndpointID, slots int, inAnyCase bool) (outstanding int, granted bool) {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	load := shard.load(endpoint)
+	others, _ := load.peers.sum(now)
+	outstanding = load.inFlight + others
+	granted = inAnyCase || outstanding < slots
+	if granted {
+		load.peers.add(peer, 1, now)
+	}
+	return outstanding, granted
+}
+
+// Release counts the end of a dispatch that was granted to a peer.
+func (t *LoadTable) Release(now time.Time, peer platform.InstanceID, endpoint platform.EndpointID) {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.load(endpoint).peers.add(peer, -1, now)
+}
+
 // Fill completes the candidate with what the table knows of it.
 func (t *LoadTable) Fill(now time.Time, candidate *Candidate) {
 	shard := t.shard(candidate.ID)
@@ -87,6 +122,7 @@
 	load, ok := shard.endpoints[candidate.ID]
 	if !ok {
 		candidate.ReportAge = NoReportAge
+		candidate.PeerAge = NoReportAge
 		return
 	}
 	load.fill(now, candidate)
@@ -155,6 +191,7 @@
 	queued     int
 	inFlight   int
 	history    history
+	peers      peerLoads
 	failures   failureRate
 	firstToken smoothedDelay
 }
@@ -163,6 +200,7 @@
 	candidate.InFlight = l.inFlight
 	candidate.FailureRate = l.failures.at(now)
 	candidate.FirstTokenMillis = l.firstToken.at(now)
+	candidate.PeerInFlight, candidate.PeerAge = l.peers.sum(now)
 	candidate.ReportAge = NoReportAge
 	if !l.reported {
 		return
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -25,6 +25,11 @@
 	InFlight int
 	// Ended counts this instance's dispatches that ended since the report.
 	Ended int
+	// PeerInFlight sums the peers' dispatches that had not ended when they
+	// told of them, PeerAge ago on the mean. PeerAge is [NoReportAge] if no
+	// peer told of any lately.
+	PeerInFlight int
+	PeerAge      time.Duration
 	// PrefixTokens estimates how many tokens of the prompt the endpoint holds
 	// in its prefix cache.
 	PrefixTokens int
--- a/policy/placement/prefix_index.go
+++ b/policy/placement/prefix_index.go
@@ -88,6 +88,9 @@
 }
 
 // Match returns how many tokens of the prompt the endpoint is believed to hold.
+// The deepest known block decides: a block is of use only together with all
+// before it, so engines evict from the end, and a gap before a known block is a
+// lost event.
 func (x *PrefixIndex) Match(endpoint platform.EndpointID, hashes []uint64) int {
 	shard := x.shard(endpoint)
 	shard.mu.Lock()
@@ -96,9 +99,9 @@
 	if !ok {
 		return 0
 	}
-	held := 0
-	for held < len(hashes) && blocks.Contains(hashes[held]) {
-		held++
+	held := len(hashes)
+	for held > 0 && !blocks.Contains(hashes[held-1]) {
+		held--
 	}
 	return held * x.blockTokens
 }
--- a/policy/placement/scheduler.go
+++ b/policy/placement/scheduler.go
@@ -37,14 +37,22 @@
 // Pick chooses the candidate that runs the request. The error is
 // [ErrNoCandidate].
 func (s *Scheduler) Pick(random Random, request Request, candidates []Candidate) (Candidate, error) {
-	for _, filter := range s.filters {
-		candidates = filter.Filter(request, candidates)
-	}
+	candidates = s.filter(request, candidates)
 	if len(candidates) == 0 {
 		return Candidate{}, ErrNoCandidate
 	}
-	scores := s.sum(request, candidates)
-	return candidates[s.picker.Pick(random, candidates, scores)], nil
+	return candidates[s.pick(random, request, candidates)], nil
+}
+
+func (s *Scheduler) pick(random Random, request Request, candidates []Candidate) int {
+	return s.picker.Pick(random, candidates, s.sum(request, candidates))
+}
+
+func (s *Scheduler) filter(request Request, candidates []Candidate) []Candidate {
+	for _, filter := range s.filters {
+		candidates = filter.Filter(request, candidates)
+	}
+	return candidates
 }
 
 func (s *Scheduler) sum(request Request, candidates []Candidate) []float64 {
--- a/policy/placement/scheduler_test.go
+++ b/policy/placement/scheduler_test.go
@@ -126,3 +126,147 @@
 	}
 	return false
 }
+
+// TestSearchEndsAtAFreeSlot: whatever the owners answer, or whether they do, a
+// search asks for no endpoint twice, stays within its asks, ends, and ends at
+// the first endpoint that has a free slot.
+func TestSearchEndsAtAFreeSlot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := rapid.SliceOfN(drawCandidate(), 1, 12).Draw(t, "candidates")
+		for i := range candidates {
+			candidates[i].ID = platform.EndpointID(fmt.Sprint(i))
+		}
+		asks := rapid.IntRange(0, 15).Draw(t, "asks")
+		scheduler := placement.New(placement.Standard(placement.Tuning{}))
+		search, err := scheduler.Search(newRandom(1), placement.Request{PromptTokens: 1000}, candidates, asks)
+		assert.NilError(t, err)
+		var asked []platform.EndpointID
+		free := platform.EndpointID("")
+		for {
+			candidate, ask := search.Next()
+			if !ask {
+				assert.Assert(t, free == "" || candidate.ID == free)
+				return
+			}
+			assert.Assert(t, free == "" && len(asked) < asks && !contains(asked, candidate.ID))
+			asked = append(asked, candidate.ID)
+			if rapid.Bool().Draw(t, "lost") {
+				search.Unanswered(candidate)
+				continue
+			}
+			running := rapid.IntRange(0, 20).Draw(t, "running")
+			search.Answer(candidate, running, 0)
+			if running < max(1, candidate.Slots) {
+				free = candidate.ID
+			}
+		}
+	})
+}
+
+// TestLoadTableCountsOnce: under reordered and repeated reports, and ends
+// without a beginning, the table's counts are those of a plain list.
+func TestLoadTableCountsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := placement.NewLoadTable()
+		now, newest := time.Unix(1000, 0), time.Time{}
+		inFlight, running := 0, 0
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				table.Dispatched(now, "e")
+				inFlight++
+			case 1:
+				table.Finished(now, "e", 0, false)
+				inFlight = max(0, inFlight-1)
+			default:
+				age := time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond
+				load := rapid.IntRange(0, 9).Draw(t, "load")
+				taken := table.Report(now, "e", load, 0, age)
+				assert.Equal(t, taken, now.Add(-age).After(newest))
+				if taken {
+					newest, running = now.Add(-age), load
+				}
+			}
+			candidate := placement.Candidate{ID: "e"}
+			table.Fill(now, &candidate)
+			assert.Equal(t, candidate.InFlight, inFlight)
+			assert.Equal(t, candidate.Running, running)
+			assert.Assert(t, candidate.Sent >= 0 && candidate.Ended >= 0)
+		}
+	})
+}
+
+func TestOwnerCountsReservations(t *testing.T) {
+	table := placement.NewLoadTable()
+	now := time.Unix(1000, 0)
+	table.Dispatched(now, "e")
+	outstanding, granted := table.Reserve(now, "peer", "e", 2, false)
+	assert.Assert(t, granted && outstanding == 1)
+	outstanding, granted = table.Reserve(now, "other", "e", 2, false)
+	assert.Assert(t, !granted && outstanding == 2)
+	table.Release(now, "peer", "e")
+	_, granted = table.Reserve(now, "other", "e", 2, false)
+	assert.Assert(t, granted)
+	// A digest mends the count of a peer whose end was lost.
+	table.PeerInFlight(now.Add(time.Second), "other", "e", 0, 0)
+	outstanding, _ = table.Reserve(now.Add(time.Second), "peer", "e", 2, false)
+	assert.Equal(t, outstanding, 1)
+}
+
+func TestPollShareIsAPartition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var peers []platform.InstanceID
+		for i := range rapid.IntRange(1, 9).Draw(t, "peers") {
+			peers = append(peers, platform.InstanceID(fmt.Sprint("i", i)))
+		}
+		var endpoints []platform.EndpointID
+		for i := range rapid.IntRange(0, 20).Draw(t, "endpoints") {
+			endpoints = append(endpoints, platform.EndpointID(fmt.Sprint("e", i)))
+		}
+		owners := make(map[platform.EndpointID]int)
+		for _, peer := range peers {
+			for _, endpoint := range placement.PollShare(peer, peers, endpoints) {
+				owners[endpoint]++
+			}
+		}
+		assert.Equal(t, len(owners), len(endpoints))
+		for _, count := range owners {
+			assert.Equal(t, count, 1)
+		}
+	})
+}
+
+func TestPrefixIndexMatchesAcrossLostEvents(t *testing.T) {
+	index := placement.NewPrefixIndex(placement.PrefixConfig{BlockTokens: 10, MaxBlocks: 4})
+	hashes := placement.PrefixHashes("0123456789012345678901234567890123456789"+"0123456789012345678901234567890123456789", 10)
+	assert.Equal(t, len(hashes), 2)
+	index.Observe("e", hashes[1:]) // the event of the first block was lost
+	assert.Equal(t, index.Match("e", hashes), 20)
+	index.Evict("e", hashes[1:])
+	assert.Equal(t, index.Match("e", hashes), 0)
+	index.Observe("e", []uint64{1, 2, 3, 4, 5, 6})
+	assert.Equal(t, index.Match("e", []uint64{1, 2, 3, 4}), 40)
+	assert.Equal(t, index.Match("e", []uint64{1, 2, 3, 4, 5, 6}), 40)
+}
+
+func Example() {
+	table := placement.NewLoadTable()
+	now := time.Unix(1_700_000_000, 0)
+	table.Report(now, "busy", 8, 5, time.Second)
+	table.Report(now, "idle", 1, 0, time.Second)
+
+	candidates := []placement.Candidate{
+		{ID: "busy", Zone: "z1", Slots: 8},
+		{ID: "idle", Zone: "z2", Slots: 8},
+	}
+	for i := range candidates {
+		table.Fill(now, &candidates[i])
+	}
+	scheduler := placement.New(placement.Standard(placement.Tuning{
+		Distances: placement.Distances{DefaultMillis: 1.2},
+	}))
+	chosen, err := scheduler.Pick(newRandom(1), placement.Request{Zone: "z1"}, candidates)
+	fmt.Println(chosen.ID, err)
+	// Output: idle <nil>
+}
