--- a/coord/quota/shares.go
+++ b/coord/quota/shares.go
@@ -25,7 +25,7 @@
 // Defaults of [Config].
 const (
 	DefaultDemandExpiry = 5 * time.Second
-	DefaultDemandWindow = 2 * time.Second
+	DefaultDemandWindow = time.Second
 	DefaultMaxDemands   = 256
 	DefaultMaxInstances = 1024
 )
