--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonusher/wigeonusher/cmd/internal/control"
 	"github.com/wigeonusher/wigeonusher/cmd/internal/fleet"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/standin/check"
@@ -47,6 +48,8 @@
 	Held       bool         `json:"held"`
 	Load       *load.Report `json:"load"`
 	Table      *check.Table `json:"table"`
+	// Moves are what instances did of their own accord.
+	Moves []control.Event `json:"moves"`
 	// Failures are steps of the script that did not succeed.
 	Failures []string `json:"failures,omitempty"`
 }
@@ -85,6 +88,10 @@
 	}
 	d.settle(ctx, report)
 	table := check.Judge(d.history(report))
+	moves, err := d.operator.moves(ctx)
+	if err != nil {
+		return nil, err
+	}
 	return &Result{
 		Deployment: config.Deployment,
 		Seed:       config.Seed,
@@ -92,6 +99,7 @@
 		Held:       table.Held && len(d.failures) == 0,
 		Load:       report,
 		Table:      table,
+		Moves:      moves,
 		Failures:   d.failures,
 	}, nil
 }
@@ -172,7 +180,7 @@
 	history.Observations = report.Observations
 	history.Strong = document.Ref{Model: fixture.Strong, Version: fixture.V1}
 	history.SettleGrace = settleGrace
-	history.ExposureLimit = -1
+	history.ExposureLimit = d.env.Deployment.Rollouts[badRollout].Budget
 	history.CrashedEndpoints = crashed
 	history.MarkedRequests = marked
 	history.Samples = d.samples.all()
--- a/cmd/internal/demo/operator.go
+++ b/cmd/internal/demo/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -57,6 +58,15 @@
 	return nil
 }
 
+// moves returns what instances did of their own accord.
+func (o *operator) moves(ctx context.Context) ([]control.Event, error) {
+	if err := o.reader.CatchUp(ctx); err != nil {
+		return nil, err
+	}
+	isProposal := func(event control.Event) bool { return event.IsProposal() }
+	return slices.DeleteFunc(append([]control.Event{}, o.reader.Events()...), isProposal), nil
+}
+
 func entryID(count int) string {
 	return operatorName + "/" + time.Now().UTC().Format(time.RFC3339Nano) + "/" + string(rune('a'+count))
 }
--- a/cmd/internal/demo/script.go
+++ b/cmd/internal/demo/script.go
@@ -28,6 +28,8 @@
 	drainedEngine platform.EndpointID = "large-02"
 )
 
+const badRollout = fixture.RolloutCheap
+
 const (
 	crashMark   = "CRASH-THIS-ENDPOINT"
 	markedEvery = 700
@@ -47,18 +49,18 @@
 // script lists what happens, in order.
 func script() []step {
 	return []step{
-		{0.05, "roll-outs of cheap@v2 and mid@v2 begin", (*demonstration).beginRollouts},
+		{0.05, "roll-outs of cheap@v2 and strong@v2 begin", (*demonstration).beginRollouts},
 		{0.10, "desks lose one answer in five after taking effect", (*demonstration).loseAnswers},
 		{0.20, "desks answer again", (*demonstration).desksHealthy},
 		{0.22, "the open connections of an engine and of a desk go silent for good", (*demonstration).silence},
-		{0.25, "mid@v2 turns bad on every engine", (*demonstration).turnBad},
+		{0.25, "cheap@v2 turns bad on every engine", (*demonstration).turnBad},
 		{0.35, "one instance is killed", (*demonstration).killInstance},
 		{0.38, "one desk freezes", (*demonstration).freezeDesk},
 		{0.43, "the frozen desk goes on where it was", (*demonstration).desksHealthy},
 		{0.45, "the log service goes down", (*demonstration).logDown},
 		{0.57, "the log service is back", (*demonstration).logUp},
 		{0.60, "the killed instance is replaced", (*demonstration).replaceInstance},
-		{0.62, "an operator withdraws mid@v2", (*demonstration).withdraw},
+		{0.62, "an operator withdraws cheap@v2", (*demonstration).withdraw},
 		{0.70, "one engine leaves", (*demonstration).drainEngine},
 		{0.72, "one instance is stopped in the planned way", (*demonstration).stopInstance},
 	}
@@ -92,7 +94,7 @@
 }
 
 func (d *demonstration) turnBad(context.Context) error {
-	bad := document.Ref{Model: fixture.Mid, Version: fixture.V2}.String()
+	bad := document.Ref{Model: fixture.Cheap, Version: fixture.V2}.String()
 	d.crashes.setFaults(d.env, faults.Set{
 		CrashMarker: crashMark,
 		BadVersions: map[string]float64{bad: badShare},
@@ -124,14 +126,14 @@
 	for name, model := range d.env.Deployment.Models {
 		versions := map[document.VersionName]document.Version{}
 		for versionName, version := range model.Versions {
-			if name == fixture.Mid && versionName == fixture.V2 {
+			if name == fixture.Cheap && versionName == fixture.V2 {
 				version.State = document.VersionWithdrawn
 			}
 			versions[versionName] = version
 		}
 		models[name] = document.Model{Stable: model.Stable, Versions: versions}
 	}
-	return d.operator.publish(ctx, document.SectionModels, models, "mid@v2 answers badly")
+	return d.operator.publish(ctx, document.SectionModels, models, "cheap@v2 answers badly")
 }
 
 func (d *demonstration) drainEngine(context.Context) error {
--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -166,7 +166,7 @@
 func TestAuditListsAutomaticMoves(t *testing.T) {
 	o := newOperator(t)
 	entry, err := platform.NewEntry("v1", rollout.KindVerdict, "entry-01-ff", rollout.Verdict{
-		Run: rollout.Run{ID: fixture.RolloutMid}, Move: rollout.Brake, Reason: "bad ratings",
+		Run: rollout.Run{ID: fixture.RolloutStrong}, Move: rollout.Brake, Reason: "bad ratings",
 	})
 	assert.NilError(t, err)
 	payload, err := platform.EncodeEntries([]platform.Entry{entry})
@@ -174,7 +174,7 @@
 	o.log.Append(platform.StreamControl, payload)
 	code, text := o.run("audit", "--automatic", "--log", o.log.URL())
 	assert.Equal(t, code, tool.ExitOK)
-	assert.Assert(t, strings.Contains(text, "rollout/mid-v2"), text)
+	assert.Assert(t, strings.Contains(text, "rollout/strong-v2"), text)
 	assert.Assert(t, strings.Contains(text, "bad ratings"), text)
 	assert.Assert(t, !strings.Contains(text, "section/"), text)
 }
--- a/standin/check/figures.go
+++ b/standin/check/figures.go
@@ -20,6 +20,10 @@
 	for _, bills := range j.bills {
 		f.Bills += len(bills)
 	}
+	f.Runs = map[string]int{}
+	for _, run := range j.history.EngineRuns {
+		f.Runs[run.Ref]++
+	}
 	var firstTokens []time.Duration
 	chats := 0
 	billed := 0
--- a/standin/check/table.go
+++ b/standin/check/table.go
@@ -75,6 +75,9 @@
 	// Quality is by task class.
 	Quality map[string]Quality `json:"quality_by_class"`
 
+	// Runs counts runs of engines by "model@version".
+	Runs map[string]int `json:"runs_by_version"`
+
 	FirstTokenP50 float64 `json:"first_token_p50_ms"`
 	FirstTokenP95 float64 `json:"first_token_p95_ms"`
 	FirstTokenP99 float64 `json:"first_token_p99_ms"`
@@ -137,6 +140,9 @@
 		quality := f.Quality[class]
 		fmt.Fprintf(out, "good answers, %s\t%.3f of %d (target %.3f)\n", class, quality.Good, quality.Answers, quality.Target)
 	}
+	for _, ref := range sortedKeys(f.Runs) {
+		fmt.Fprintf(out, "runs of %s\t%d\n", ref, f.Runs[ref])
+	}
 	fmt.Fprintf(out, "first token p50 / p95 / p99, ms\t%.1f / %.1f / %.1f\n", f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99)
 	fmt.Fprintf(out, "\npromise\tchecked\tbroken\n")
 	for _, row := range t.Rows {
