--- a/node/assemble.go
+++ b/node/assemble.go
@@ -230,8 +230,8 @@
 	if n.settings.Platform.Ratings != "" {
 		rating = platformhttp.NewRatings(n.settings.Platform.Ratings, &http.Client{}, n.id)
 	}
-	p.feedback = feedback.New(n.id, rating, firstCandidate{}, p.rollouts, n.log)
-	p.cluster.Join(p.controlTail, p.intentTail, p.directory, p.limits, p.suspects, p.rollouts)
+	p.feedback = feedback.New(n.id, rating, p.rollouts, n.log)
+	p.cluster.Join(p.controlTail, p.intentTail, p.directory, p.limits, p.suspects, p.rollouts, p.feedback)
 	return nil
 }
 
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -125,12 +125,12 @@
 		answer, stepTrouble := d.runStep(ctx, request, step.Ref, out, result)
 		if stepTrouble != nil {
 			trouble = stepTrouble
-			if last {
+			if last || stepTrouble.Type == problem.CrashSuspect {
 				break
 			}
 			continue
 		}
-		d.learn(request, step.Ref, answer)
+		d.learn(request, step.Ref, answer, result.Answer)
 		result.Ref, result.Answer = step.Ref, answer
 		trouble = nil
 		if last {
@@ -146,7 +146,7 @@
 // fallBack gives the answer of an earlier step if the last one was not to be
 // had.
 func (d *Dispatcher) fallBack(request *Request, result *Result, held *buffer, sink Sink, trouble *problem.Problem) (*Result, *problem.Problem) {
-	if result.Answer == nil || trouble.Type == problem.AnswerInterrupted {
+	if result.Answer == nil || trouble.Type == problem.AnswerInterrupted || trouble.Type == problem.CrashSuspect {
 		result.Answer = nil
 		return result, trouble
 	}
@@ -154,16 +154,23 @@
 	return result, held.flush(request, sink)
 }
 
-func (d *Dispatcher) learn(request *Request, ref document.Ref, answer *engine.Answer) {
+// learn tells the planner of an answer. earlier is the answer that fell short
+// before it, nil if there is none.
+func (d *Dispatcher) learn(request *Request, ref document.Ref, answer, earlier *engine.Answer) {
 	usage := answer.Usage()
 	d.speeds.add(ref, answer.FirstToken, answer.Took, usage.CompletionTokens)
-	d.Planner.Answered(request, cascade.Result{
+	result := cascade.Result{
 		Class:        request.Class,
 		Ref:          ref,
 		Confidence:   answer.Confidence(),
 		PromptTokens: usage.PromptTokens,
 		AnswerTokens: usage.CompletionTokens,
-	}, answer.Text())
+	}
+	if earlier != nil {
+		result.Escalated = true
+		result.Before = earlier.Confidence()
+	}
+	d.Planner.Answered(request, result, answer.Text())
 }
 
 func (d *Dispatcher) attemptID() string {
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -57,7 +57,7 @@
 	if trouble := s.choosePool(); trouble != nil {
 		return nil, trouble
 	}
-	s.fingerprint = suspect.NewFingerprint(string(request.Account), s.pool, request.Raw)
+	s.fingerprint = fingerprintOf(request)
 	s.prefix = d.Endpoints.PrefixHashes(request.Prompt)
 	slot, trouble := s.enter(ctx)
 	if trouble != nil {
@@ -75,6 +75,13 @@
 	return answer, nil
 }
 
+// fingerprintOf identifies the request over all pools, so that the steps of a
+// cascade together cost no more endpoints than one.
+func fingerprintOf(request *Request) suspect.Fingerprint {
+	const anyPool = ""
+	return suspect.NewFingerprint(string(request.Account), anyPool, request.Raw)
+}
+
 // choosePool takes the first pool that serves the version and has endpoints.
 func (s *step) choosePool() *problem.Problem {
 	policy := s.dispatcher.Policies.Policy()
--- a/node/feedback/feedback.go
+++ b/node/feedback/feedback.go
@@ -50,20 +50,21 @@
 	logger   *logrus.Entry
 
 	mu      sync.Mutex
-	planner cascade.Planner
+	planner *cascade.Learned
+	export  export
 
 	pending *expirable.LRU[string, cascade.Result]
 	queue   chan platform.RatedAnswer
 }
 
-// New returns a feedback loop. service may be nil: then nothing is rated.
-func New(instance platform.InstanceID, service platform.RatingService, planner cascade.Planner, evidence Evidence, logger *logrus.Entry) *Feedback {
+// New returns a feedback loop around a planner that has learned nothing. service may be nil: then nothing is rated.
+func New(instance platform.InstanceID, service platform.RatingService, evidence Evidence, logger *logrus.Entry) *Feedback {
 	return &Feedback{
 		instance: instance,
 		service:  service,
 		evidence: evidence,
 		logger:   logger,
-		planner:  planner,
+		planner:  cascade.NewLearned(instance),
 		pending:  expirable.NewLRU[string, cascade.Result](maxPending, nil, pendingFor),
 		queue:    make(chan platform.RatedAnswer, queueLength),
 	}
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -9,7 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/settings"
+	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/standin/faults"
 )
 
@@ -77,12 +79,30 @@
 }
 
 func TestCrashingRequestCostsAtMostTwoEndpoints(t *testing.T) {
+	for _, model := range []string{"small", "auto"} {
+		t.Run(model, func(t *testing.T) { testCrashingRequest(t, model) })
+	}
+}
+
+// testCrashingRequest sends a request that crashes what runs it, through all
+// instances in turn. The cascade has a pool of its own for each step.
+func testCrashingRequest(t *testing.T, model string) {
 	f, nodes := newModels(t, 3, nil)
+	f.addEngines(3, "strong", "large@v1")
+	f.publish(document.SectionEndpoints, map[platform.PoolName]document.Pool{
+		"desk":   {Slots: 8, Service: "desk"},
+		"models": {Slots: 8, Serves: []document.Ref{{Model: "small", Version: "v1"}, {Model: "small", Version: "v2"}}},
+		"strong": {Slots: 8, Serves: []document.Ref{{Model: "large", Version: "v1"}}},
+	})
+	for _, n := range nodes {
+		f.eventually("the pools are in force", func() bool { return revision(n.Node) == uint64(f.revisions[document.SectionEndpoints]) })
+		f.eventually("all engines are known", func() bool { return len(n.Status().Endpoints) == 6 })
+	}
 	const marker = "poison"
 	for _, engine := range f.engines {
 		engine.Faults.Set(faults.Set{CrashMarker: marker})
 	}
-	body := strings.Replace(chatBody("small", false), "tag this order", marker, 1)
+	body := strings.Replace(chatBody(model, false), "tag this order", marker, 1)
 	for i := range 9 {
 		got, err := f.tryCall(nodes[i%3].Node, http.MethodPost, "/v1/chat/completions", body)
 		assert.NilError(t, err)
