--- a/coord/fold/keeper.go
+++ b/coord/fold/keeper.go
@@ -13,6 +13,9 @@
 	// MaxRecords is the number of records since the last snapshot's base
 	// that makes one due. It bounds what a fresh reader has to fold.
 	MaxRecords uint64
+	// MaxBytes is the size of those records, in bytes of payload, that makes
+	// one due.
+	MaxBytes int
 	// MaxAge is the age of the last snapshot that makes one due. It must be
 	// well below the log's retention.
 	MaxAge time.Duration
@@ -27,6 +30,7 @@
 func DefaultKeeperConfig() KeeperConfig {
 	return KeeperConfig{
 		MaxRecords: 1000,
+		MaxBytes:   4 << 20,
 		MaxAge:     2 * time.Hour,
 		Stagger:    5 * time.Second,
 		RetryAfter: time.Minute,
@@ -39,6 +43,8 @@
 	Next platform.Offset
 	// SnapshotBase is [Stream.SnapshotBase].
 	SnapshotBase platform.Offset
+	// Bytes is [Stream.BytesSinceSnapshot].
+	Bytes int
 	// MismatchBase is [Stream.MismatchBase].
 	MismatchBase platform.Offset
 	// First is the log's lowest retained offset, 0 if unknown.
@@ -62,6 +68,7 @@
 	defaults := DefaultKeeperConfig()
 	cfg = KeeperConfig{
 		MaxRecords: cmp.Or(cfg.MaxRecords, defaults.MaxRecords),
+		MaxBytes:   cmp.Or(cfg.MaxBytes, defaults.MaxBytes),
 		MaxAge:     cmp.Or(cfg.MaxAge, defaults.MaxAge),
 		Stagger:    cmp.Or(cfg.Stagger, defaults.Stagger),
 		RetryAfter: cmp.Or(cfg.RetryAfter, defaults.RetryAfter),
@@ -101,10 +108,13 @@
 	if view.Next <= 1 {
 		return false
 	}
-	if view.MismatchBase > k.base {
+	records := uint64(view.Next - min(k.base, view.Next))
+	switch {
+	case view.MismatchBase > k.base:
 		return true
-	}
-	if uint64(view.Next-min(k.base, view.Next)) >= k.cfg.MaxRecords || now.Sub(k.baseAt) >= k.cfg.MaxAge {
+	case records >= k.cfg.MaxRecords || view.Bytes >= k.cfg.MaxBytes:
+		return true
+	case now.Sub(k.baseAt) >= k.cfg.MaxAge:
 		return true
 	}
 	return view.First > 1 && view.First+(view.Next-min(view.First, view.Next))/2 > k.base
--- a/coord/fold/stream.go
+++ b/coord/fold/stream.go
@@ -43,6 +43,8 @@
 	window   *window
 	onReport func(Report)
 	progress chunkProgress
+	// bytes is the size of the records since the newest snapshot.
+	bytes int
 	// mismatch is the base of the newest snapshot that differed.
 	mismatch platform.Offset
 }
@@ -67,6 +69,10 @@
 // the log, 0 if none.
 func (s *Stream) SnapshotBase() platform.Offset { return s.progress.base }
 
+// BytesSinceSnapshot returns the payload bytes of the records folded since the
+// newest snapshot, or since a restore.
+func (s *Stream) BytesSinceSnapshot() int { return s.bytes }
+
 // MismatchBase returns the base of the newest snapshot in the log that was
 // found to differ from the stream's state, 0 if none. A newer snapshot should
 // supersede it soon.
@@ -78,6 +84,7 @@
 	if record.Offset != s.next {
 		return false
 	}
+	s.bytes += len(record.Payload)
 	entries, err := platform.DecodeEntries(record.Payload)
 	if err != nil {
 		s.onReport(Report{Position: platform.Position{Offset: record.Offset}, Reason: RecordMalformed})
@@ -121,6 +128,7 @@
 	}
 	s.window = restored
 	s.next = snapshot.Next
+	s.bytes = 0
 	s.progress = chunkProgress{base: max(s.progress.base, snapshot.LogBase)}
 	return nil
 }
@@ -156,9 +164,13 @@
 		s.report(position, entry, SnapshotMismatched)
 		return
 	}
+	base := s.progress.base
 	if !s.progress.add(chunk) {
 		s.report(position, entry, SnapshotDamaged)
 	}
+	if s.progress.base > base {
+		s.bytes = 0
+	}
 }
 
 // matches compares the digest of a snapshot based at the stream's own offset.
--- a/coord/tail/peer.go
+++ b/coord/tail/peer.go
@@ -123,13 +123,16 @@
 // usesHints reports whether a peer that is ahead should be read now. A reader
 // of the log gives the log a moment first.
 func (t *Tailer) usesHints() bool {
-	if !t.isReader() || t.needsSnapshot() && t.cfg.Bootstrap == PeerFirst {
-		return t.cfg.Bootstrap != SnapshotFirst || t.ready || t.log.failures > 0
-	}
-	if t.log.failures > 0 {
+	switch {
+	case t.log.failures > 0:
+		return true
+	case t.cfg.Bootstrap != PeerFirst && !t.ready:
+		return false
+	case !t.isReader() || t.needsSnapshot():
 		return true
+	default:
+		return !t.peers.aheadSince.IsZero() && t.now.Sub(t.peers.aheadSince) >= t.cfg.HintLag
 	}
-	return !t.peers.aheadSince.IsZero() && t.now.Sub(t.peers.aheadSince) >= t.cfg.HintLag
 }
 
 // upstream returns the sources that rank above self in the own zone and are not
--- a/coord/tail/search.go
+++ b/coord/tail/search.go
@@ -4,8 +4,12 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// searchGrowth is the factor by which a search goes further back each time.
-const searchGrowth = 4
+const (
+	// firstSpan is the number of records that a search looks through first.
+	firstSpan = 64
+	// searchGrowth is the factor by which it goes further back each time.
+	searchGrowth = 4
+)
 
 // search looks for a snapshot from the log's end backwards, span by span.
 type search struct {
@@ -26,7 +30,7 @@
 	if t.search == nil {
 		t.assembler.Reset()
 		t.search = &search{end: t.log.end, high: t.log.end}
-		t.search.extend(t.cfg.SnapshotGap, t.searchFloor())
+		t.search.extend(firstSpan, t.searchFloor())
 	}
 	if t.search.cursor >= t.search.high && !t.extendSearch() {
 		return nil, false
--- a/coord/tail/sim_test.go
+++ b/coord/tail/sim_test.go
@@ -35,6 +35,7 @@
 	reference *node             // folds every record at once
 	revisions []config.Revision // in force, by next offset
 
+	keeper     fold.KeeperConfig
 	logDown    bool
 	logLatency time.Duration
 	cutFromLog map[platform.Zone]bool
@@ -75,6 +76,7 @@
 		rnd:        rand.New(rand.NewPCG(seed, 1)),
 		now:        time.Unix(1000, 0),
 		first:      1,
+		keeper:     fold.KeeperConfig{MaxRecords: 40},
 		cutFromLog: map[platform.Zone]bool{},
 		cutZones:   map[[2]platform.Zone]bool{},
 		revisions:  []config.Revision{0, 0},
@@ -83,7 +85,9 @@
 	return w
 }
 
-func (w *world) newNode(zone platform.Zone) *node {
+func (w *world) newNode(zone platform.Zone) *node { return w.newNodeWith(zone, tail.PeerFirst) }
+
+func (w *world) newNodeWith(zone platform.Zone, bootstrap tail.Bootstrap) *node {
 	w.born++
 	id := platform.InstanceID(fmt.Sprintf("%s-%d", zone, w.born))
 	f := config.NewFold(func(*config.Document) finding.List { return nil }, nil)
@@ -92,8 +96,8 @@
 		zone:    zone,
 		fold:    f,
 		stream:  fold.NewStream(f),
-		tailer:  tail.New(tail.Config{Self: id, Zone: zone, Seed: w.rnd.Uint64(), Readers: readers}, 1),
-		keeper:  fold.NewKeeper(w.now, fold.KeeperConfig{MaxRecords: 40}),
+		tailer:  tail.New(tail.Config{Self: id, Zone: zone, Seed: w.rnd.Uint64(), Readers: readers, Bootstrap: bootstrap}, 1),
+		keeper:  fold.NewKeeper(w.now, w.keeper),
 		peers:   membership.NewPeers(membership.Peer{ID: id, Zone: zone, Address: string(id)}, membership.PeersConfig{}),
 		bornEnd: w.end(),
 	}
@@ -116,8 +120,11 @@
 
 // publish appends a proposal that will be accepted.
 func (w *world) publish(name config.SectionName) {
+	w.publishBody(name, json.RawMessage(fmt.Sprint(len(w.log))))
+}
+
+func (w *world) publishBody(name config.SectionName, body json.RawMessage) {
 	base := w.reference.fold.Document().Base(name)
-	body := json.RawMessage(fmt.Sprint(len(w.log)))
 	proposal := config.Proposal{Section: name, Base: base, Author: "operator", Body: body}
 	entry, err := platform.NewEntry(fmt.Sprint("e", len(w.log)), config.KindProposal, "tool", proposal)
 	assert.NilError(w.t, err)
@@ -291,6 +298,7 @@
 	view := fold.KeeperView{
 		Next:         n.stream.Next(),
 		SnapshotBase: n.stream.SnapshotBase(),
+		Bytes:        n.stream.BytesSinceSnapshot(),
 		MismatchBase: n.stream.MismatchBase(),
 		First:        n.tailer.First(),
 	}
