rollout: sharper budget property

Exposure is now compared with the grants rather than the allowance, two roll-outs share the model, and restored folds are compared by their statuses too.

--- a/policy/rollout/budget_test.go
+++ b/policy/rollout/budget_test.go
@@ -70,8 +70,8 @@
 	section   config.Revision
 	// exposed counts exposure by run, of dead instances too.
 	exposed map[rollout.Run]int
-	// allowed is the highest allowance of each run that the log ever held.
-	allowed map[rollout.Run]int
+	// granted is what the log granted of each run, of runs that ended too.
+	granted map[rollout.Run]int
 }
 
 func (m *budgetModel) spawn() *instance {
@@ -89,8 +89,16 @@
 	m.log = append(m.log, entry)
 }
 
+// publish edits roll-out r, and q, which follows another candidate of the same
+// model and runs only while r does not.
 func (m *budgetModel) publish(t *rapid.T, r document.Rollout) {
-	body, err := json.Marshal(map[document.RolloutID]document.Rollout{"r": r})
+	q := r
+	q.Candidate = "v3"
+	q.State = document.RolloutPaused
+	if r.State != document.RolloutRunning {
+		q.State = document.RolloutRunning
+	}
+	body, err := json.Marshal(map[document.RolloutID]document.Rollout{"r": r, "q": q})
 	assert.NilError(t, err)
 	m.append(t, config.KindProposal, config.Proposal{Section: document.SectionRollouts, Base: m.section, Body: body})
 	m.judge.read(m.log, len(m.log))
@@ -114,11 +122,15 @@
 	always := func(document.VersionName) bool { return true }
 	for range rapid.IntRange(1, 8).Draw(t, "sessions") {
 		m.sessions++
-		_, exposed := at.ledger.Expose("m", session.ID(fmt.Sprint(m.sessions)), always)
+		candidate, exposed := at.ledger.Expose("m", session.ID(fmt.Sprint(m.sessions)), always)
 		if !exposed {
 			continue
 		}
-		status, ok := at.runs.Status("r")
+		id := document.RolloutID("r")
+		if candidate == "v3" {
+			id = "q"
+		}
+		status, ok := at.runs.Status(id)
 		assert.Assert(t, ok)
 		assert.Assert(t, !status.Braked, "a new session met a braked candidate")
 		assert.Equal(t, status.Rollout.State, document.RolloutRunning)
@@ -128,15 +140,15 @@
 	}
 }
 
-func (m *budgetModel) currentRun() rollout.Run {
-	status, _ := m.judge.runs.Status("r")
-	return status.Run
+// someRun draws one of the runs in force.
+func (m *budgetModel) someRun(t *rapid.T) rollout.Run {
+	return rapid.SampledFrom(m.judge.runs.Statuses()).Draw(t, "run").Run
 }
 
 func (m *budgetModel) grant(t *rapid.T) {
 	m.sequence++
 	m.append(t, rollout.KindGrant, rollout.Grant{
-		Run:      m.currentRun(),
+		Run:      m.someRun(t),
 		Instance: m.pick(t).id,
 		Requests: rapid.IntRange(0, 10).Draw(t, "requests"),
 		Sequence: m.sequence,
@@ -146,7 +158,7 @@
 func (m *budgetModel) verdict(t *rapid.T) {
 	moves := []rollout.Move{rollout.Advance, rollout.Extend, rollout.Extend, rollout.Brake, rollout.Complete, "other"}
 	m.append(t, rollout.KindVerdict, rollout.Verdict{
-		Run:       m.currentRun(),
+		Run:       m.someRun(t),
 		Step:      rapid.IntRange(0, 2).Draw(t, "step"),
 		Move:      rapid.SampledFrom(moves).Draw(t, "move"),
 		Evidence:  rollout.Evidence{CandidateGood: rapid.IntRange(0, 5).Draw(t, "good")},
@@ -165,6 +177,13 @@
 				at.read(m.log, rapid.IntRange(at.next, len(m.log)).Draw(t, "until"))
 			}
 		},
+		"read all": func(t *rapid.T) {
+			for _, at := range m.instances {
+				if !at.cut {
+					at.read(m.log, len(m.log))
+				}
+			}
+		},
 		"cut or heal": func(t *rapid.T) {
 			at := m.pick(t)
 			at.cut = !at.cut
@@ -210,17 +229,18 @@
 func (m *budgetModel) check(t *rapid.T) {
 	for m.judge.next < len(m.log) {
 		m.judge.read(m.log, m.judge.next+1)
-		if status, ok := m.judge.runs.Status("r"); ok {
+		for _, status := range m.judge.runs.Statuses() {
 			assert.Assert(t, status.Granted <= status.Allowed, "grants above the allowance: %+v", status)
-			m.allowed[status.Run] = max(m.allowed[status.Run], status.Allowed)
+			m.granted[status.Run] = status.Granted
 		}
 	}
 	for run, exposed := range m.exposed {
-		assert.Assert(t, exposed <= m.allowed[run], "%s: %d exposed, %d allowed", run, exposed, m.allowed[run])
+		assert.Assert(t, exposed <= m.granted[run], "%s: %d exposed, %d granted", run, exposed, m.granted[run])
 	}
 	for _, at := range m.instances {
 		if at.next == m.judge.next {
 			assert.Equal(t, at.snapshot(t), m.judge.snapshot(t))
+			assert.DeepEqual(t, at.runs.Statuses(), m.judge.runs.Statuses())
 		}
 	}
 }
@@ -229,7 +249,7 @@
 // records, garbage, races of verdicts and operators' edits.
 func TestExposureStaysInsideTheAllowance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &budgetModel{exposed: map[rollout.Run]int{}, allowed: map[rollout.Run]int{}}
+		m := &budgetModel{exposed: map[rollout.Run]int{}, granted: map[rollout.Run]int{}}
 		m.judge = newInstance("judge")
 		for range 3 {
 			m.instances = append(m.instances, m.spawn())
--- a/policy/rollout/fold_test.go
+++ b/policy/rollout/fold_test.go
@@ -18,7 +18,8 @@
 func foldVerdicts(t *rapid.T, verdicts ...rollout.Verdict) rollout.Status {
 	m := &budgetModel{judge: newInstance("judge")}
 	m.publish(t, sampleRollout())
-	run := m.currentRun()
+	status, _ := m.judge.runs.Status("r")
+	run := status.Run
 	m.append(t, rollout.KindGrant, rollout.Grant{Run: run, Instance: "a", Requests: 99, Sequence: 1})
 	for _, verdict := range verdicts {
 		verdict.Run = run
@@ -65,6 +66,22 @@
 	}
 }
 
+func TestGrantsCountOnceAndForTheirRun(t *testing.T) {
+	rapid.MakeCheck(func(t *rapid.T) {
+		m := &budgetModel{judge: newInstance("judge")}
+		m.publish(t, sampleRollout())
+		status, _ := m.judge.runs.Status("r")
+		grant := rollout.Grant{Run: status.Run, Instance: "a", Requests: 2, Sequence: 1}
+		m.append(t, rollout.KindGrant, grant)
+		m.append(t, rollout.KindGrant, grant)
+		grant.Run.Revision++
+		grant.Sequence++
+		m.append(t, rollout.KindGrant, grant)
+		m.judge.read(m.log, len(m.log))
+		assert.Equal(t, m.judge.runs.Allotted("r", "a").Requests, 2)
+	})(t)
+}
+
 // TestLedgerOverdraws shows that later requests of a session are charged, and
 // paid for before the next session begins.
 func TestLedgerOverdraws(t *testing.T) {
--- a/policy/rollout/main_test.go
+++ b/policy/rollout/main_test.go
@@ -13,5 +13,6 @@
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		_ = flag.Set("rapid.seed", "20240501")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
