--- a/policy/experiment/registry.go
+++ b/policy/experiment/registry.go
@@ -20,6 +20,9 @@
 	return []experiment{
 		{name: "cascade", run: runCascade},
 		{name: "rollout", run: runRollout},
+		{name: "placement", run: runPlacement},
+		{name: "admission", run: runAdmission},
+		{name: "quota", run: runQuota},
 	}
 }
 
