--- a/cmd/internal/tool/demo.go
+++ b/cmd/internal/tool/demo.go
@@ -12,9 +12,10 @@
 
 // demoCommand runs a demonstration.
 type demoCommand struct {
-	Deployment string        `help:"Shape of the fleet: sheetline or guild." enum:"sheetline,guild" default:"sheetline"`
-	Seed       uint64        `help:"Seed of the traffic, the answers and the faults." default:"1"`
-	Duration   time.Duration `help:"Length of the traffic, 10s to 25s." default:"20s"`
+	Deployment   string        `help:"Shape of the fleet: sheetline or guild." enum:"sheetline,guild" default:"sheetline"`
+	Seed         uint64        `help:"Seed of the traffic, the answers and the faults." default:"1"`
+	Duration     time.Duration `help:"Length of the traffic, 10s to 25s." default:"20s"`
+	Observations string        `help:"File for every observation, a JSON object per line." type:"path"`
 }
 
 // Help implements kong.HelpProvider.
@@ -42,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if err := writeFile(c.Observations, result.Load.WriteObservations); err != nil {
+		return err
+	}
 	if err := writeDemo(env.out, result); err != nil {
 		return err
 	}
