--- /dev/null
+++ b/node/dispatch/dispatch_test.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/coord/suspect"
+	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/policy/cascade"
+	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/policy/session"
+	"github.com/wigeonusher/wigeonusher/wire/engine"
+	"github.com/wigeonusher/wigeonusher/wire/openai"
+	"github.com/wigeonusher/wigeonusher/wire/problem"
+)
+
+// world stands in for all that a dispatcher uses. Each call of an engine runs
+// the next script.
+type world struct {
+	policy  *document.Policy
+	scripts []func(departed engine.Departure) error
+	calls   []document.Ref
+	plan    []cascade.Step
+}
+
+func (w *world) Policy() *document.Policy { return w.policy }
+
+func (w *world) Usable(...platform.PoolName) []platform.ListedEndpoint {
+	return []platform.ListedEndpoint{{ID: "e1", Address: "a1"}, {ID: "e2", Address: "a2"}, {ID: "e3", Address: "a3"}}
+}
+func (w *world) MayDispatch(platform.EndpointID) bool { return true }
+func (w *world) Candidate(_ time.Time, e platform.ListedEndpoint, slots int, _ []uint64) placement.Candidate {
+	return placement.Candidate{ID: e.ID, Address: e.Address, Slots: slots, ReportAge: placement.NoReportAge}
+}
+func (w *world) PrefixHashes(string) []uint64                                 { return nil }
+func (w *world) Dispatched(time.Time, platform.EndpointID, []uint64)          {}
+func (w *world) Finished(time.Time, platform.EndpointID, time.Duration, bool) {}
+func (w *world) Refused(platform.ListedEndpoint)                              {}
+func (w *world) Charge(document.Ref)                                          {}
+func (w *world) Reachable(context.Context, string) bool                       { return true }
+func (w *world) Answered(*Request, cascade.Result, string)                    {}
+func (w *world) Failed(document.TaskClass, document.Ref)                      {}
+func (w *world) Account(document.AccountID) *retry.Budget { return generous() }
+
+func (w *world) Pool(platform.PoolName) *retry.Budget { return generous() }
+
+func (w *world) Plan(document.ClassRule, float64, cascade.Request) cascade.Plan {
+	return cascade.Plan{Steps: w.plan}
+}
+
+func (w *world) Chat(_ context.Context, call engine.Call, departed engine.Departure, _ func(*openai.Chunk) error) (*engine.Answer, error) {
+	w.calls = append(w.calls, call.Ref)
+	script := w.scripts[0]
+	w.scripts = w.scripts[1:]
+	if err := script(departed); err != nil {
+		return nil, err
+	}
+	return &engine.Answer{}, nil
+}
+
+// generous returns a budget that allows every retry of a test.
+func generous() *retry.Budget {
+	return retry.NewBudget(retry.BudgetConfig{FloorPerSecond: 1e9, Cap: 100})
+}
+
+// noSuspects finds no request suspect.
+type noSuspects struct{ Suspects }
+
+func (noSuspects) Permission(suspect.Fingerprint) suspect.Permission { return suspect.Normal }
+func (noSuspects) Started(suspect.Fingerprint, platform.EndpointID)  {}
+func (noSuspects) Finished(suspect.Fingerprint, platform.EndpointID) {}
+
+type discard struct{}
+
+func (discard) Frame(document.Ref, *openai.Chunk) error { return nil }
+
+// policyWith returns a policy with two models; state is that of small@v1.
+func policyWith(state document.VersionState) *document.Policy {
+	version := func(state document.VersionState) map[document.VersionName]document.Version {
+		return map[document.VersionName]document.Version{"v1": {State: state}}
+	}
+	return &document.Policy{
+		Accounts: map[document.AccountID]document.Account{"acme": {Allow: []document.Grant{{Model: "small"}, {Model: "large"}}}},
+		Models: map[document.ModelName]document.Model{
+			"small": {Stable: "v1", Versions: version(state)},
+			"large": {Stable: "v1", Versions: version(document.VersionServing)},
+		},
+		Pools: map[platform.PoolName]document.Pool{
+			"models": {Slots: 8, Serves: []document.Ref{{Model: "small", Version: "v1"}, {Model: "large", Version: "v1"}}},
+		},
+		Routing: document.Routing{Classes: map[document.TaskClass]document.ClassRule{
+			"tagging": {Models: []document.ModelName{"small", "large"}},
+		}},
+	}
+}
+
+func newRequest(model document.ModelName) *Request {
+	return &Request{
+		ID:       "r1",
+		Account:  "acme",
+		Class:    "tagging",
+		Model:    model,
+		Birth:    session.Birth{Pins: map[document.ModelName]document.VersionName{"small": "v1", "large": "v1"}},
+		Body:     &openai.Request{},
+		Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+func newDispatcher(w *world) *Dispatcher {
+	return New(Config{
+		Instance:  "self",
+		Policies:  w,
+		Endpoints: w,
+		Pools:     admit.New(func(platform.PoolName, int) float64 { return 8 }, 8),
+		Engines:   w,
+		Suspects:  noSuspects{},
+		Planner:   w,
+		Budgets:   w,
+		Exposures: w,
+		Scheduler: placement.New(placement.Standard(placement.Tuning{})),
+	})
+}
+
+func TestRetryAfterAWithdrawalIsRefused(t *testing.T) {
+	w := &world{policy: policyWith(document.VersionServing)}
+	w.scripts = []func(engine.Departure) error{func(departed engine.Departure) error {
+		departed.Depart()
+		w.policy = policyWith(document.VersionWithdrawn)
+		return engine.ErrCut
+	}}
+	_, trouble := newDispatcher(w).Run(t.Context(), newRequest("small"), discard{})
+	assert.Equal(t, trouble.Type, problem.VersionWithdrawn)
+	assert.Equal(t, trouble.Outcome, "unknown")
+	assert.Equal(t, len(w.calls), 1)
+}
+
+func TestCascadeStepAfterAWithdrawnPermissionIsRefused(t *testing.T) {
+	large := document.Ref{Model: "large", Version: "v1"}
+	w := &world{
+		policy: policyWith(document.VersionServing),
+		plan:   []cascade.Step{{Ref: document.Ref{Model: "small", Version: "v1"}, Accept: 2}, {Ref: large}},
+	}
+	w.scripts = []func(engine.Departure) error{func(departed engine.Departure) error {
+		departed.Depart()
+		narrowed := policyWith(document.VersionServing)
+		narrowed.Accounts["acme"] = document.Account{Allow: []document.Grant{{Model: "small"}}}
+		w.policy = narrowed
+		return nil
+	}}
+	result, trouble := newDispatcher(w).Run(t.Context(), newRequest(""), discard{})
+	assert.Assert(t, trouble == nil)
+	assert.Assert(t, result.Degraded)
+	assert.DeepEqual(t, w.calls, []document.Ref{{Model: "small", Version: "v1"}})
+}
+
+func TestOutcomeFollowsWhatLeft(t *testing.T) {
+	refuse := func(departed engine.Departure) error {
+		departed.Depart()
+		return engine.ErrRefused
+	}
+	unreachable := func(engine.Departure) error { return engine.ErrUnreachable }
+	silent := func(departed engine.Departure) error {
+		departed.Depart()
+		return engine.ErrSilent
+	}
+	cases := []struct {
+		name    string
+		scripts []func(engine.Departure) error
+		outcome string
+		status  int
+	}{
+		{"refused everywhere", []func(engine.Departure) error{refuse, refuse, refuse}, "not_run", http.StatusServiceUnavailable},
+		{"unreachable everywhere", []func(engine.Departure) error{unreachable, unreachable, unreachable}, "not_run", http.StatusServiceUnavailable},
+		{"silent once, refused twice", []func(engine.Departure) error{silent, refuse, refuse}, "unknown", http.StatusBadGateway},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := &world{policy: policyWith(document.VersionServing), scripts: c.scripts}
+			_, trouble := newDispatcher(w).Run(t.Context(), newRequest("small"), discard{})
+			assert.Equal(t, trouble.Outcome, c.outcome)
+			assert.Equal(t, trouble.Status, c.status)
+			assert.Assert(t, trouble.RetryAfterMillis > 0)
+		})
+	}
+}
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -81,6 +82,9 @@
 	if errors.As(err, &wrongType) {
 		offset = wrongType.Offset
 	}
+	if _, quoted, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		offset = int64(max(0, bytes.Index(body, []byte(quoted))))
+	}
 	offset = min(offset, int64(len(body)))
 	return strconv.Itoa(1 + bytes.Count(body[:offset], []byte("\n")))
 }
