--- a/wire/problem/problem.go
+++ b/wire/problem/problem.go
@@ -39,7 +39,6 @@
 	KeyReused         Type = "idempotency-key-reused"
 	InProgress        Type = "in-progress"
 	NotReady          Type = "not-ready"
-	Stopping          Type = "stopping"
 	AnswerInterrupted Type = "answer-interrupted"
 	NotFound          Type = "not-found"
 )
