Digests tell own dispatches and polled loads only; peer bytes counted

Cause: each digest passed on all load reports known, those of peers too, so its size grew with the endpoints of the zone and not with this instance's share. Now it carries the endpoints that this instance polls, and its own dispatches of late. An instance that is unknown counts as gone only once there was time to hear of all: a fresh instance told a second caller of a key that the outcome was unknown while the first was at work (found by TestSameKeyAtTwoInstancesRunsOnce).

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -34,7 +34,10 @@
 	Sessions int `json:"sessions"`
 	Keys     int `json:"keys"`
 	// Queued are requests that wait for a slot.
-	Queued       int                   `json:"queued"`
+	Queued int `json:"queued"`
+	// PeerSent and PeerReceived are bytes of the peer protocol since the start.
+	PeerSent     uint64                `json:"peer_sent"`
+	PeerReceived uint64                `json:"peer_received"`
 	LogAvailable bool                  `json:"log_available"`
 	Peers        []membership.Peer     `json:"peers"`
 	Endpoints    []membership.Endpoint `json:"endpoints"`
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -77,6 +77,7 @@
 	log       *platformhttp.Log
 	list      *platformhttp.InstanceList
 	peers     *peer.Client
+	traffic   peer.Traffic
 	cluster   *cluster.Cluster
 	engines   *engine.Client
 	directory *directory.Directory
@@ -133,6 +134,7 @@
 	}
 	p.peers = peer.NewClient(peer.ClientConfig{
 		TLS:         peerTLS,
+		Traffic:     &p.traffic,
 		CallTimeout: peerCallTimeout,
 		IdleTimeout: peerIdleTimeout,
 		Connections: peerConnections,
@@ -306,6 +308,8 @@
 	gauge(`wigeonusher_idempotency_keys`, func() float64 { return float64(p.once.Keys()) })
 	gauge(`wigeonusher_queued_requests`, func() float64 { return float64(p.pools.Queued()) })
 	gauge(`wigeonusher_peers_alive`, func() float64 { return float64(len(p.cluster.Live())) })
+	gauge(`wigeonusher_peer_sent_bytes`, func() float64 { return float64(p.traffic.Sent()) })
+	gauge(`wigeonusher_peer_received_bytes`, func() float64 { return float64(p.traffic.Received()) })
 	gauge(`wigeonusher_log_available`, func() float64 {
 		if p.billWriter.Available(time.Now()) {
 			return 1
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -16,6 +16,9 @@
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
+// acquaintance is how long after its start an instance may not know a live one.
+const acquaintance = 10 * time.Second
+
 // Gossip is a part of the instance that tells peers something in every digest
 // and hears the same from them. Its methods may be called from several
 // goroutines.
@@ -34,6 +37,7 @@
 	interval time.Duration
 	log      *logrus.Entry
 	seeds    []string
+	started  time.Time
 
 	mu     sync.Mutex
 	peers  *membership.Peers
@@ -52,6 +56,7 @@
 		interval: interval,
 		log:      log,
 		seeds:    seeds,
+		started:  time.Now(),
 		peers:    membership.NewPeers(self, config),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -116,14 +121,15 @@
 	return count
 }
 
-// Gone reports whether an instance is believed dead or left, or is unknown.
+// Gone reports whether an instance is believed dead or left. One that is
+// unknown counts as gone once this instance has had time to hear of all.
 func (c *Cluster) Gone(id platform.InstanceID) bool {
 	for _, known := range c.All() {
 		if known.ID == id {
 			return known.Liveness == membership.Dead || known.Liveness == membership.Left
 		}
 	}
-	return id != c.Self().ID
+	return id != c.Self().ID && time.Since(c.started) >= acquaintance
 }
 
 // SetControlNext notes the offset that this instance wants next of the control
--- a/node/directory/gossip.go
+++ b/node/directory/gossip.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/placement"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
@@ -16,16 +17,14 @@
 
 // Fill implements cluster.Gossip.
 func (d *Directory) Fill(now time.Time, digest *peerpb.Digest) {
-	for i, report := range d.loads.Snapshot(now, maxReportAge) {
-		if i == maxReports {
+	own := d.ownShare()
+	for _, report := range d.loads.Snapshot(now, maxReportAge) {
+		if len(digest.Loads) == maxReports {
 			break
 		}
-		digest.Loads = append(digest.Loads, &peerpb.EndpointLoad{
-			Endpoint: string(report.Endpoint),
-			Running:  uint32(report.Running),
-			Queued:   uint32(report.Queued),
-			AgeMs:    uint64(report.Age.Milliseconds()),
-		})
+		if load := encodeLoad(report, own[report.Endpoint]); load != nil {
+			digest.Loads = append(digest.Loads, load)
+		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -38,14 +37,36 @@
 	}
 }
 
+// encodeLoad encodes what peers need to know of an endpoint: the report if
+// this instance polls it, and this instance's own dispatches. It returns nil
+// if there is neither.
+func encodeLoad(report placement.LoadReport, polled bool) *peerpb.EndpointLoad {
+	reported := polled && report.Reported
+	if !reported && !report.Used {
+		return nil
+	}
+	load := &peerpb.EndpointLoad{Endpoint: string(report.Endpoint), InFlight: uint32(report.InFlight)}
+	if reported {
+		load.Reported = true
+		load.Running = uint32(report.Running)
+		load.Queued = uint32(report.Queued)
+		load.AgeMs = uint64(report.Age.Milliseconds())
+	}
+	return load
+}
+
 // Heard implements cluster.Gossip.
 func (d *Directory) Heard(now time.Time, digest *peerpb.Digest) {
 	for i, load := range digest.Loads {
 		if i == maxReports {
 			break
 		}
-		age := time.Duration(load.AgeMs) * time.Millisecond
-		d.loads.Report(now, platform.EndpointID(load.Endpoint), int(load.Running), int(load.Queued), age)
+		endpoint := platform.EndpointID(load.Endpoint)
+		d.loads.PeerInFlight(now, platform.InstanceID(digest.Instance), endpoint, int(load.InFlight), 0)
+		if load.Reported {
+			age := time.Duration(load.AgeMs) * time.Millisecond
+			d.loads.Report(now, endpoint, int(load.Running), int(load.Queued), age)
+		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/directory/poll.go
+++ b/node/directory/poll.go
@@ -66,6 +66,15 @@
 	group.Wait()
 }
 
+// ownShare returns the IDs of the endpoints that this instance polls.
+func (d *Directory) ownShare() map[platform.EndpointID]bool {
+	own := map[platform.EndpointID]bool{}
+	for _, endpoint := range d.share() {
+		own[endpoint.ID] = true
+	}
+	return own
+}
+
 // share returns the endpoints of this zone that this instance polls.
 func (d *Directory) share() []membership.Endpoint {
 	self := d.config.Peers.Self()
--- a/node/dispatch/dispatch_test.go
+++ b/node/dispatch/dispatch_test.go
@@ -47,7 +47,7 @@
 func (w *world) Reachable(context.Context, string) bool                       { return true }
 func (w *world) Answered(*Request, cascade.Result, string)                    {}
 func (w *world) Failed(document.TaskClass, document.Ref)                      {}
-func (w *world) Account(document.AccountID) *retry.Budget { return generous() }
+func (w *world) Account(document.AccountID) *retry.Budget                     { return generous() }
 
 func (w *world) Pool(platform.PoolName) *retry.Budget { return generous() }
 
--- a/node/run.go
+++ b/node/run.go
@@ -46,7 +46,7 @@
 		p.cluster.Run, p.directory.RunList, p.directory.RunLoads,
 		p.limits.Run, p.pools.Run, p.rollouts.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
 		n.announce, n.watchReady,
-		func(ctx context.Context) error { return peer.Serve(ctx, n.peers, p.handlerOfPeers) },
+		func(ctx context.Context) error { return peer.Serve(ctx, p.traffic.Listen(n.peers), p.handlerOfPeers) },
 	}
 	for _, keeper := range p.keepers {
 		actors = append(actors, keeper.run)
@@ -218,6 +218,8 @@
 		Endpoints:     p.directory.All(),
 		Verdicts:      p.control.Verdicts(),
 		Rollouts:      p.rollouts.Statuses(),
+		PeerSent:      p.traffic.Sent(),
+		PeerReceived:  p.traffic.Received(),
 	}
 	select {
 	case <-n.ready:
--- a/policy/placement/load_table.go
+++ b/policy/placement/load_table.go
@@ -59,6 +59,7 @@
 	defer shard.mu.Unlock()
 	load := shard.load(endpoint)
 	load.inFlight++
+	load.usedAt = now
 	load.history.add(now, 1, 0)
 }
 
@@ -69,6 +70,7 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	load := shard.load(endpoint)
+	load.usedAt = now
 	if load.inFlight > 0 {
 		load.inFlight--
 		load.history.add(now, 0, 1)
@@ -136,8 +138,9 @@
 	delete(shard.endpoints, endpoint)
 }
 
-// Snapshot returns the reports that are no older than maxAge, for the digest
-// to peers. Their order is not defined.
+// Snapshot returns what the digest tells peers of endpoints: the reports that
+// are no older than maxAge, and this instance's own dispatches of late. The
+// order is not defined.
 func (t *LoadTable) Snapshot(now time.Time, maxAge time.Duration) []LoadReport {
 	var reports []LoadReport
 	for i := range t.shards {
@@ -146,12 +149,18 @@
 	return reports
 }
 
-// LoadReport is one endpoint's load as it was Age ago.
+// LoadReport is one endpoint's load. Running and Queued are as they were Age
+// ago, if Reported; InFlight counts this instance's own dispatches now.
 type LoadReport struct {
 	Endpoint platform.EndpointID
+	Reported bool
 	Running  int
 	Queued   int
 	Age      time.Duration
+	InFlight int
+	// Used tells whether this instance has dispatched there of late, so that
+	// peers hear of the last end too.
+	Used bool
 }
 
 func (t *LoadTable) shard(endpoint platform.EndpointID) *loadShard {
@@ -171,11 +180,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for endpoint, load := range s.endpoints {
-		age := max(0, now.Sub(load.reportedAt))
-		if !load.reported || age > maxAge {
-			continue
+		report := load.report(now, maxAge)
+		if report.Reported || report.Used {
+			report.Endpoint = endpoint
+			reports = append(reports, report)
 		}
-		reports = append(reports, LoadReport{Endpoint: endpoint, Running: load.running, Queued: load.queued, Age: age})
 	}
 	return reports
 }
@@ -190,12 +199,28 @@
 	running    int
 	queued     int
 	inFlight   int
+	usedAt     time.Time // of the last dispatch or end of one
 	history    history
 	peers      peerLoads
 	failures   failureRate
 	firstToken smoothedDelay
 }
 
+func (l *endpointLoad) report(now time.Time, maxAge time.Duration) LoadReport {
+	report := LoadReport{
+		InFlight: l.inFlight,
+		Used:     l.inFlight > 0 || now.Sub(l.usedAt) <= peerLoadExpiry,
+	}
+	age := max(0, now.Sub(l.reportedAt))
+	if l.reported && age <= maxAge {
+		report.Reported = true
+		report.Running = l.running
+		report.Queued = l.queued
+		report.Age = age
+	}
+	return report
+}
+
 func (l *endpointLoad) fill(now time.Time, candidate *Candidate) {
 	candidate.InFlight = l.inFlight
 	candidate.FailureRate = l.failures.at(now)
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -35,6 +35,8 @@
 	Connections int
 	// TLS encrypts the connections if not nil.
 	TLS *tls.Config
+	// Traffic counts the bytes if not nil.
+	Traffic *Traffic
 }
 
 // Client calls other instances. Its methods may be called from several
@@ -112,6 +114,7 @@
 		}
 		raw = secured
 	}
+	raw = c.config.Traffic.count(raw)
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
--- /dev/null
+++ b/wire/peer/traffic.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes that went over peer connections, those of TCP and
+// TLS apart.
+type Traffic struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// Sent returns the bytes written.
+func (t *Traffic) Sent() uint64 { return t.sent.Load() }
+
+// Received returns the bytes read.
+func (t *Traffic) Received() uint64 { return t.received.Load() }
+
+// Listen counts the bytes of the connections that the listener accepts.
+func (t *Traffic) Listen(inner net.Listener) net.Listener {
+	return &countingListener{Listener: inner, traffic: t}
+}
+
+// count wraps a connection. A nil Traffic counts nothing.
+func (t *Traffic) count(conn net.Conn) net.Conn {
+	if t == nil {
+		return conn
+	}
+	return &countingConn{Conn: conn, traffic: t}
+}
+
+type countingListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.count(conn), nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
