--- a/policy/rollout/fold_test.go
+++ b/policy/rollout/fold_test.go
@@ -159,3 +159,35 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestLedgerRemembersARunWhileAnotherOfItsModelIsInForce pauses a run whose
+// grants are spent, lets another run of the model in, and resumes the first.
+func TestLedgerRemembersARunWhileAnotherOfItsModelIsInForce(t *testing.T) {
+	ledger := rollout.NewLedger("a")
+	always := func(document.VersionName) bool { return true }
+	update := func(first, second document.RolloutState) {
+		var statuses []rollout.Status
+		for id, state := range map[document.RolloutID]document.RolloutState{"q": second, "r": first} {
+			r := sampleRollout()
+			r.State = state
+			status := rollout.Status{Run: rollout.Run{ID: id, Revision: 1}, Rollout: r}
+			if state == document.RolloutRunning {
+				status.Share = 1
+			}
+			statuses = append(statuses, status)
+		}
+		ledger.Update(statuses, func(document.RolloutID) rollout.Allotment {
+			return rollout.Allotment{Requests: 1}
+		})
+	}
+	expose := func(id session.ID) bool {
+		_, ok := ledger.Expose("m", id, always)
+		return ok
+	}
+	update(document.RolloutRunning, document.RolloutPaused)
+	assert.Assert(t, expose("s1"))
+	update(document.RolloutPaused, document.RolloutRunning)
+	assert.Assert(t, expose("s2"))
+	update(document.RolloutRunning, document.RolloutPaused)
+	assert.Assert(t, !expose("s3"), "the spent grant came back")
+}
