--- a/coord/quota/shares_test.go
+++ b/coord/quota/shares_test.go
@@ -138,6 +138,25 @@
 	})
 }
 
+// TestSuddenDemandStaysWithinTheLimit: what is left of the limit is divided, not
+// given to each.
+func TestSuddenDemandStaysWithinTheLimit(t *testing.T) {
+	fleet := []*quota.Shares{newShares(0, start, 10), newShares(1, start, 10)}
+	for i, shares := range fleet {
+		shares.HeardAll(start, platform.InstanceID(fmt.Sprint(1-i)), nil)
+		shares.Tick(start, 2)
+	}
+	allowed := 0
+	for ms := range 10_000 {
+		for _, shares := range fleet {
+			if ok, _ := shares.Allow(start.Add(time.Duration(ms)*time.Millisecond), "x"); ok {
+				allowed++
+			}
+		}
+	}
+	assert.Assert(t, allowed <= 110, "%d allowed", allowed)
+}
+
 func newShares(i int, now time.Time, limit float64) *quota.Shares {
 	shares := quota.New(platform.InstanceID(fmt.Sprint(i)), quota.Config{})
 	shares.SetLimits(now, []quota.Limit{{Account: "x", RequestsPerSecond: limit, Burst: int(limit)}})
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -81,8 +81,9 @@
 
 func TestQuietTimeSavesNoStorm(t *testing.T) {
 	budget := retry.NewBudget(retry.BudgetConfig{Cap: 3})
-	budget.Withdraw(start)
 	nextDay := start.Add(24 * time.Hour)
+	budget.Withdraw(start)
+	budget.Withdraw(nextDay)
 	for range 1000 {
 		budget.Deposit()
 	}
@@ -91,6 +92,10 @@
 		retries++
 	}
 	assert.Equal(t, retries, 3)
+	for range 11 {
+		budget.Deposit()
+	}
+	assert.Assert(t, budget.Withdraw(start), "time that runs backwards costs tokens")
 }
 
 func TestWithdrawAllTakesFromAllOrNone(t *testing.T) {
--- a/coord/suspect/decode_test.go
+++ b/coord/suspect/decode_test.go
@@ -67,6 +67,50 @@
 	assert.Equal(t, fold.Len(), 0)
 }
 
+func apply(fold *suspect.Fold, offset int, m *model, by *member, kind platform.Kind, body any) platform.Entry {
+	entry := m.entry(by, kind, body)
+	fold.Apply(platform.Position{Offset: platform.Offset(offset)}, entry)
+	return entry
+}
+
+// TestClaims: of the claims of one suspect, and of those for one endpoint, the
+// first wins, and only its own writer ends it.
+func TestClaims(t *testing.T) {
+	fold, m := suspect.NewFold(), &model{}
+	a, b := newMember("a"), newMember("b")
+	for i, fingerprint := range []suspect.Fingerprint{"x", "y"} {
+		apply(fold, i+1, m, a, suspect.KindReport, suspect.Report{Fingerprint: fingerprint, Pool: pool, Endpoint: "e0"})
+	}
+	first := apply(fold, 3, m, a, suspect.KindTry, suspect.Try{Fingerprint: "x", Pool: pool, Endpoint: "e1"})
+	second := apply(fold, 4, m, b, suspect.KindTry, suspect.Try{Fingerprint: "x", Pool: pool, Endpoint: "e2"})
+	sameEndpoint := apply(fold, 5, m, b, suspect.KindTry, suspect.Try{Fingerprint: "y", Pool: pool, Endpoint: "e1"})
+	apply(fold, 6, m, b, suspect.KindEnd, suspect.End{Fingerprint: "x"})
+	assert.Equal(t, fold.Try("x", first.ID, false), suspect.TryUnknown)
+	assert.Equal(t, fold.Try("x", first.ID, true), suspect.TryGranted)
+	assert.Equal(t, fold.Try("x", second.ID, true), suspect.TryDenied)
+	assert.Equal(t, fold.Try("y", sameEndpoint.ID, true), suspect.TryDenied)
+	assert.Assert(t, fold.Occupied("e1") && fold.Tried("x") && !fold.Tried("y"))
+
+	apply(fold, 7, m, a, suspect.KindEnd, suspect.End{Fingerprint: "x", Crashed: true})
+	assert.Equal(t, fold.Permission("x"), suspect.Refused)
+	assert.Assert(t, !fold.Occupied("e1"))
+}
+
+// TestLateHintIsNoNews: a peer's word that arrives after the log's does not
+// make a cleared request a suspect again.
+func TestLateHintIsNoNews(t *testing.T) {
+	fold, m, a := suspect.NewFold(), &model{}, newMember("a")
+	tracker := suspect.NewTracker(fold)
+	report := suspect.Report{Fingerprint: "x", Pool: pool, Endpoint: "e0"}
+	apply(fold, 1, m, a, suspect.KindReport, report)
+	apply(fold, 2, m, a, suspect.KindTry, suspect.Try{Fingerprint: "x", Pool: pool, Endpoint: "e1"})
+	apply(fold, 3, m, a, suspect.KindEnd, suspect.End{Fingerprint: "x"})
+	assert.Assert(t, !tracker.Heard(report))
+	assert.Equal(t, tracker.Permission("x"), suspect.Normal)
+	assert.Assert(t, tracker.Heard(suspect.Report{Fingerprint: "x", Pool: pool, Endpoint: "e9"}))
+	assert.Equal(t, tracker.Permission("x"), suspect.Isolated)
+}
+
 func Example() {
 	fold := suspect.NewFold()
 	tracker := suspect.NewTracker(fold)
