--- a/node/session_test.go
+++ b/node/session_test.go
@@ -43,6 +43,11 @@
 			return revision(n.Node) == uint64(f.revisions[document.SectionModels])
 		})
 	}
+	for i := range sessions {
+		id := fmt.Sprintf("s-%d", i)
+		next, _ := f.turn(nodes[(i+1)%3], header{"Session-Id", id})
+		assert.Equal(t, next, "small@v1", id)
+	}
 	version, _ := f.turn(nodes[0])
 	assert.Equal(t, version, "small@v2")
 	nodes[0].Kill()
