--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -34,8 +34,8 @@
 			Sessions:       100_000,
 		},
 		Timing: Timing{
-			HeartbeatMillis:      500,
-			LoadPollMillis:       500,
+			HeartbeatMillis:      1000,
+			LoadPollMillis:       1000,
 			ListPollMillis:       1000,
 			ProgressMillis:       10_000,
 			DrainLagMillis:       3000,
--- a/standin/instancelist/server.go
+++ b/standin/instancelist/server.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -139,7 +140,13 @@
 }
 
 func (s *Server) handleList(c echo.Context) error {
-	return c.JSON(http.StatusOK, s.Listing())
+	listing := s.Listing()
+	tag := `"` + strconv.FormatUint(listing.Version, 10) + `"`
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSON(http.StatusOK, listing)
 }
 
 func (s *Server) handleEndpoint(c echo.Context) error {
--- a/wire/platformhttp/platformhttp.go
+++ b/wire/platformhttp/platformhttp.go
@@ -29,28 +29,41 @@
 // do sends one request. Its error is platform.ErrUnavailable if the call
 // certainly had no effect, and platform.ErrOutcomeUnknown otherwise.
 func (b *base) do(ctx context.Context, method, path string, query url.Values, body []byte) (int, []byte, error) {
+	response, answer, err := b.exchange(ctx, method, path, query, body, "")
+	if response == nil {
+		return 0, nil, err
+	}
+	return response.StatusCode, answer, err
+}
+
+// exchange is do with the whole response. knownTag, if not empty, asks for an
+// answer only if it differs from the one with this tag.
+func (b *base) exchange(ctx context.Context, method, path string, query url.Values, body []byte, knownTag string) (*http.Response, []byte, error) {
 	target := b.url + path
 	if len(query) > 0 {
 		target += "?" + query.Encode()
 	}
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, eris.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, nil, eris.Wrap(platform.ErrUnavailable, err.Error())
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if knownTag != "" {
+		request.Header.Set("If-None-Match", knownTag)
+	}
 	response, err := b.http.Do(request)
 	if err != nil {
-		return 0, nil, transportError(err)
+		return nil, nil, transportError(err)
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes))
 	if err != nil {
-		return 0, nil, eris.Wrap(platform.ErrOutcomeUnknown, err.Error())
+		return nil, nil, eris.Wrap(platform.ErrOutcomeUnknown, err.Error())
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
-		return response.StatusCode, nil, platform.ErrUnavailable
+		return response, nil, platform.ErrUnavailable
 	}
-	return response.StatusCode, answer, nil
+	return response, answer, nil
 }
 
 func transportError(err error) error {
--- a/wire/platformhttp/services.go
+++ b/wire/platformhttp/services.go
@@ -2,27 +2,51 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
-// InstanceList is the client of the instance list.
-type InstanceList struct{ base }
+// InstanceList is the client of the instance list. It keeps the last listing,
+// so that one that has not changed is not sent again.
+type InstanceList struct {
+	base
+
+	mu   sync.Mutex
+	tag  string
+	last platform.InstanceListing
+}
 
 // NewInstanceList returns a client of the instance list at the base URL.
 func NewInstanceList(baseURL string, client *http.Client) *InstanceList {
-	return &InstanceList{base{url: baseURL, http: client}}
+	return &InstanceList{base: base{url: baseURL, http: client}}
 }
 
-// Listing implements platform.InstanceList.
+// Listing implements platform.InstanceList. Callers must not modify the rows.
 func (l *InstanceList) Listing(ctx context.Context) (platform.InstanceListing, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	response, body, err := l.exchange(ctx, http.MethodGet, "/v1/instances", nil, nil, l.tag)
+	if err != nil {
+		return platform.InstanceListing{}, eris.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	if response.StatusCode == http.StatusNotModified {
+		return l.last, nil
+	}
 	var listing platform.InstanceListing
-	_, err := l.get(ctx, "/v1/instances", nil, &listing)
-	return listing, err
+	if err := json.Unmarshal(body, &listing); err != nil {
+		return listing, eris.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	l.tag = response.Header.Get("ETag")
+	l.last = listing
+	return listing, nil
 }
 
 type announcement struct {
