Peers: smaller digests, fewer exchanges between large zones

Cause: at 380 instances in 17 zones one instance began 21.8 exchanges/s and was asked as often, with digests of 734 bytes (JSON): about 32 KB/s sent, above the 18 KB/s that control may spend. Eight passed-on peers made two thirds of a digest, and the exchanges between two zones grew with their sizes.

A digest passes on two peers, and the interval to other zones grows with the own zone beyond six instances.

Ruled out: no hearsay at all, because an instance that starts while the list is down would know its seeds only.

--- a/coord/membership/peers.go
+++ b/coord/membership/peers.go
@@ -21,7 +21,7 @@
 	// MaxDepartures bounds the IDs remembered of peers that left.
 	MaxDepartures = 4096
 	// MaxKnownPeers bounds the peers that one digest passes on.
-	MaxKnownPeers = 8
+	MaxKnownPeers = 2
 	// MaxNameBytes bounds the ID, zone and address in a digest.
 	MaxNameBytes = 128
 )
@@ -32,8 +32,11 @@
 	// Interval is the time between exchanges with a peer of the own zone.
 	Interval time.Duration
 	// OtherZoneInterval is the time between exchanges with a contact in
-	// another zone.
+	// another zone, while the own zone has up to OtherZoneShare live
+	// instances. It grows in proportion beyond, so that the exchanges between
+	// two zones do not grow with their sizes.
 	OtherZoneInterval time.Duration
+	OtherZoneShare    int
 	// OtherZoneContacts is the number of contacts kept in each other zone.
 	OtherZoneContacts int
 	// SuspectIntervals and DeadIntervals are the silences, in intervals of
@@ -52,6 +55,7 @@
 	return PeersConfig{
 		Interval:          time.Second,
 		OtherZoneInterval: 4 * time.Second,
+		OtherZoneShare:    6,
 		OtherZoneContacts: 2,
 		SuspectIntervals:  3,
 		DeadIntervals:     10,
@@ -88,6 +92,9 @@
 	peers      map[platform.InstanceID]*peerEntry
 	order      []*peerEntry // the same, by ID
 	departures *latch[platform.InstanceID]
+	// zoneSize is the number of live instances of the own zone at the last
+	// tick.
+	zoneSize int
 }
 
 type peerEntry struct {
@@ -170,6 +177,7 @@
 		}
 		return forgotten
 	})
+	p.zoneSize = len(p.Live(p.self.Zone))
 }
 
 // Targets returns the peers to exchange digests with now, the longest overdue
@@ -253,6 +261,7 @@
 	return PeersConfig{
 		Interval:          cmp.Or(c.Interval, defaults.Interval),
 		OtherZoneInterval: cmp.Or(c.OtherZoneInterval, defaults.OtherZoneInterval),
+		OtherZoneShare:    cmp.Or(c.OtherZoneShare, defaults.OtherZoneShare),
 		OtherZoneContacts: cmp.Or(c.OtherZoneContacts, defaults.OtherZoneContacts),
 		SuspectIntervals:  cmp.Or(c.SuspectIntervals, defaults.SuspectIntervals),
 		DeadIntervals:     cmp.Or(c.DeadIntervals, defaults.DeadIntervals),
@@ -420,7 +429,8 @@
 	if zone == p.self.Zone {
 		return p.cfg.Interval
 	}
-	return p.cfg.OtherZoneInterval
+	share := p.cfg.OtherZoneShare
+	return p.cfg.OtherZoneInterval * time.Duration(max(p.zoneSize, share)) / time.Duration(share)
 }
 
 func wellFormed(id platform.InstanceID, zone platform.Zone, address string) bool {
