cascade: try unknown versions for their ratings, forget idle ones

Cause: a class whose cheap version had no ratings stayed with the strong one for 12,000 requests: draws from per-bin priors of mean 0.5 average out and never reach a target of 0.95. A version with fewer than 150 ratings is now tried with the explore share, its unsure answers escalated.

--- a/policy/cascade/baseline.go
+++ b/policy/cascade/baseline.go
@@ -20,7 +20,7 @@
 		return Plan{}
 	}
 	strong := request.Candidates[len(request.Candidates)-1]
-	return single(request, strong, belief{}).plan()
+	return single(request, strong, 0).plan()
 }
 
 // AlwaysCheap uses the first candidate, whatever the request.
@@ -31,7 +31,7 @@
 	if len(request.Candidates) == 0 {
 		return Plan{}
 	}
-	return single(request, request.Candidates[0], belief{}).plan()
+	return single(request, request.Candidates[0], 0).plan()
 }
 
 // AlwaysCheapThenStrong tries the first candidate and accepts its answer from a
@@ -50,7 +50,7 @@
 	cheap := request.Candidates[0]
 	strong := request.Candidates[len(request.Candidates)-1]
 	if cheap.Ref == strong.Ref {
-		return single(request, strong, belief{}).plan()
+		return single(request, strong, 0).plan()
 	}
 	return Plan{Steps: []Step{{Ref: cheap.Ref, Accept: a.Accept}, {Ref: strong.Ref}}}
 }
--- a/policy/cascade/estimate.go
+++ b/policy/cascade/estimate.go
@@ -7,7 +7,10 @@
 
 const (
 	// memoryAnswers is the number of answers over which a bin forgets.
-	memoryAnswers = 600
+	memoryAnswers = 1500
+	// fadeAnswers is the number of other versions' rated answers over which a
+	// version that gets no ratings is forgotten.
+	fadeAnswers = 6000
 	// neighbourWeight is the weight, in ratings, of the estimate that a bin
 	// takes from the bins around it.
 	neighbourWeight = 2
@@ -16,7 +19,7 @@
 	overallWeight = 0.5
 	// escalatedWeight is the weight, in ratings, of a version's quality on all
 	// requests in the estimate of its quality after an escalation.
-	escalatedWeight = 4
+	escalatedWeight = 2
 )
 
 // bin counts the answers of one range of confidence, with forgetting.
@@ -60,13 +63,17 @@
 		t.restart()
 		return
 	}
-	keep := math.Exp(-(good + bad) / memoryAnswers)
+	t.fade(math.Exp(-(good + bad) / memoryAnswers))
+	t.bins[at].good += good
+	t.bins[at].bad += bad
+}
+
+// fade forgets ratings, keeping the share given.
+func (t *track) fade(keep float64) {
 	for i := range t.bins {
 		t.bins[i].good *= keep
 		t.bins[i].bad *= keep
 	}
-	t.bins[at].good += good
-	t.bins[at].bad += bad
 }
 
 // restart replaces all ratings by those since the change began.
--- a/policy/cascade/learned.go
+++ b/policy/cascade/learned.go
@@ -1,14 +1,13 @@
 package cascade
 
 import (
+	"math"
+
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 )
 
 const (
-	// sureness is the number of standard deviations by which an estimate must
-	// clear the target.
-	sureness = 0.3
 	// balanceAnswers is the number of rated answers over which a class's
 	// balance against its target is kept.
 	balanceAnswers = 800
@@ -16,6 +15,11 @@
 	balanceGain = 1
 	// maxCorrection bounds the correction of a target, in either direction.
 	maxCorrection = 0.02
+	// learnRatings is the number of ratings below which a candidate is tried
+	// for their sake, and learnFrom the bin from which its answers are then
+	// accepted.
+	learnRatings = 150
+	learnFrom    = 4
 	// strongestPrior and weakestPrior are the assumed qualities of the last
 	// and the first candidate of a class before any rating.
 	strongestPrior = 0.95
@@ -39,7 +43,7 @@
 
 type classState struct {
 	tracks map[trackKey]*track
-	// shortfall is the running mean of 1 for a bad and 0 for a good rating.
+	// bad of the rated answers of late were bad, with forgetting.
 	bad   float64
 	rated float64
 }
@@ -64,11 +68,14 @@
 	}
 	class := l.class(request.Class)
 	target := rule.QualityTarget + class.correction(rule.QualityTarget)
-	best := choose(class.options(request, nil), rule, request.Left, target, sureness)
+	best := choose(class.options(request, nil), rule, request.Left, target)
 	if random.Float64() >= exploreShare {
 		return best.plan()
 	}
-	tried := choose(class.options(request, random), rule, request.Left, rule.QualityTarget, 0)
+	tried, ok := class.unknown(request)
+	if !ok {
+		tried = choose(class.options(request, random), rule, request.Left, rule.QualityTarget)
+	}
 	plan := tried.plan()
 	plan.Explored = !sameSteps(tried.steps, best.steps)
 	return plan
@@ -112,6 +119,7 @@
 	if count.Good+count.Bad > 0 {
 		known.rate(cell.Bin, float64(count.Good), float64(count.Bad))
 		class.settle(float64(count.Good), float64(count.Bad))
+		class.fade(key, float64(count.Good+count.Bad))
 	}
 }
 
@@ -135,6 +143,16 @@
 	}
 }
 
+// fade slowly forgets the tracks that got no rating, so that they are tried
+// again some day.
+func (c *classState) fade(rated trackKey, ratings float64) {
+	for key, known := range c.tracks {
+		if key != rated {
+			known.fade(math.Exp(-ratings / fadeAnswers))
+		}
+	}
+}
+
 // correction returns what the target is raised by after a deficit, or lowered
 // by after a surplus.
 func (c *classState) correction(target float64) float64 {
@@ -158,7 +176,7 @@
 	options := make([]option, 0, len(candidates)*(1+Bins*len(candidates)/2))
 	for i, candidate := range candidates {
 		whole := c.track(candidate.Ref, i, len(candidates))
-		options = append(options, single(request, candidate, draw(whole.whole())))
+		options = append(options, single(request, candidate, draw(whole.whole()).mean))
 		if i == len(candidates)-1 {
 			continue
 		}
@@ -176,6 +194,27 @@
 	return options
 }
 
+// unknown returns a plan that tries a candidate of which too little is known,
+// with the last candidate behind it.
+func (c *classState) unknown(request Request) (option, bool) {
+	last := len(request.Candidates) - 1
+	for i, candidate := range request.Candidates[:last] {
+		known := c.track(candidate.Ref, i, last+1)
+		if known.ratings() >= learnRatings {
+			continue
+		}
+		step := first{candidate: candidate, shares: known.shares()}
+		for bin := range Bins {
+			step.qualities[bin] = known.quality(bin)
+		}
+		strong := request.Candidates[last]
+		escalated := c.escalated(strong.Ref, last, last+1, func(b belief) belief { return b })
+		tried := pair(request, step, learnFrom, strong, escalated)
+		return tried, tried.longest <= request.Left
+	}
+	return option{}, false
+}
+
 // escalated returns the beliefs on a candidate's answers after an escalation,
 // by the bin of the confidence before it.
 func (c *classState) escalated(ref document.Ref, place, of int, draw func(belief) belief) [Bins]belief {
--- a/policy/cascade/options.go
+++ b/policy/cascade/options.go
@@ -1,7 +1,8 @@
 package cascade
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/policy/document"
@@ -14,7 +15,7 @@
 	latency time.Duration
 	// longest is the time that the plan takes if all its steps are tried.
 	longest time.Duration
-	quality belief
+	quality float64
 }
 
 // weighted returns the expected cost under the rule's weights.
@@ -24,7 +25,7 @@
 }
 
 func (o option) plan() Plan {
-	return Plan{Steps: o.steps, Cost: o.cost, Quality: o.quality.mean}
+	return Plan{Steps: o.steps, Cost: o.cost, Quality: o.quality}
 }
 
 // priceOf returns the price of one answer, in micro-units.
@@ -38,7 +39,7 @@
 }
 
 // single returns the option of one candidate alone.
-func single(r Request, c Candidate, quality belief) option {
+func single(r Request, c Candidate, quality float64) option {
 	return option{
 		steps:   []Step{{Ref: c.Ref}},
 		cost:    priceOf(c, r),
@@ -59,15 +60,14 @@
 // step behind it.
 func pair(r Request, f first, from int, second Candidate, escalated [Bins]belief) option {
 	accepted := 0.0
-	var quality belief
+	quality := 0.0
 	for i, share := range f.shares {
 		answer := escalated[i]
 		if i >= from {
 			answer = f.qualities[i]
 			accepted += share
 		}
-		quality.mean += share * answer.mean
-		quality.variance += share * share * answer.variance
+		quality += share * answer.mean
 	}
 	rest := max(0, 1-accepted)
 	firstTime, secondTime := durationOf(f.candidate, r), durationOf(second, r)
@@ -80,35 +80,43 @@
 	}
 }
 
+// nearBest is the loss of quality that is accepted for a lower cost where no
+// option reaches the target.
+const nearBest = 0.01
+
 // choose returns the option of least weighted cost among those that finish in
-// time and whose quality reaches the target with the confidence given, as a
-// multiple of the standard deviation. Without any, it returns the one of the
-// highest quality that finishes in time; without that, the fastest.
-func choose(options []option, rule document.ClassRule, left time.Duration, target, sureness float64) option {
-	best, closest, fastest := -1, -1, 0
-	for i, o := range options {
-		if o.longest < options[fastest].longest {
-			fastest = i
-		}
-		if o.longest > left {
-			continue
-		}
-		if closest < 0 || o.quality.mean > options[closest].quality.mean {
-			closest = i
-		}
-		if o.quality.mean-sureness*math.Sqrt(o.quality.variance) < target {
-			continue
-		}
-		if best < 0 || o.weighted(rule) < options[best].weighted(rule) {
-			best = i
+// time and whose quality reaches the target. If none reaches it, those near
+// the highest quality count; if none finishes in time, the fastest is chosen.
+func choose(options []option, rule document.ClassRule, left time.Duration, target float64) option {
+	best := cheapest(options, rule, func(o option) bool {
+		return o.longest <= left && o.quality >= target
+	})
+	if best >= 0 {
+		return options[best]
+	}
+	highest := 0.0
+	for _, o := range options {
+		if o.longest <= left {
+			highest = max(highest, o.quality)
 		}
 	}
-	switch {
-	case best >= 0:
+	best = cheapest(options, rule, func(o option) bool {
+		return o.longest <= left && o.quality >= highest-nearBest
+	})
+	if best >= 0 {
 		return options[best]
-	case closest >= 0:
-		return options[closest]
-	default:
-		return options[fastest]
 	}
+	return slices.MinFunc(options, func(a, b option) int { return cmp.Compare(a.longest, b.longest) })
+}
+
+// cheapest returns the index of the option of least weighted cost among those
+// that pass, or -1.
+func cheapest(options []option, rule document.ClassRule, pass func(option) bool) int {
+	best := -1
+	for i, o := range options {
+		if pass(o) && (best < 0 || o.weighted(rule) < options[best].weighted(rule)) {
+			best = i
+		}
+	}
+	return best
 }
--- a/policy/experiment/cascade.go
+++ b/policy/experiment/cascade.go
@@ -31,6 +31,7 @@
 func planners() []namedPlanner {
 	return []namedPlanner{
 		{"learned", newLearnedPlanner},
+		{"best fixed plans, distributions known", func(platform.InstanceID) cascade.Planner { return foreknown{} }},
 		{"always strong", func(platform.InstanceID) cascade.Planner { return cascade.AlwaysStrong{} }},
 		{"always cheap, then strong below 0.5", func(platform.InstanceID) cascade.Planner {
 			return cascade.AlwaysCheapThenStrong{Accept: 0.5}
@@ -42,6 +43,20 @@
 	}
 }
 
+// foreknown follows the cheapest plan of each class that meets the target when
+// the distributions of answers are known beforehand, but no single answer is.
+// It bounds from below what a planner without foresight can cost.
+type foreknown struct{ cascade.AlwaysStrong }
+
+// Plan implements [cascade.Planner].
+func (f foreknown) Plan(random cascade.Random, rule document.ClassRule, explore float64, request cascade.Request) cascade.Plan {
+	accept := map[document.TaskClass]float64{"tag": 0.45, "lookup": 0.5}[request.Class]
+	if accept == 0 {
+		return f.AlwaysStrong.Plan(random, rule, explore, request)
+	}
+	return cascade.AlwaysCheapThenStrong{Accept: accept}.Plan(random, rule, explore, request)
+}
+
 // Weights of a fleet that counts money, and of one that counts time.
 var (
 	costRule    = document.ClassRule{CostWeight: 1}
--- a/policy/experiment/rollout.go
+++ b/policy/experiment/rollout.go
@@ -11,7 +11,7 @@
 
 // goodRunsPerSeed is the number of roll-outs of a good candidate per seed: a
 // share below 1 in 100 shows in hundreds of runs only.
-const goodRunsPerSeed = 10
+const goodRunsPerSeed = 100
 
 // baselineAnswers and baselineLevel are the sample size and the level of the
 // fixed-sample baseline.
