load: a name of its own for each run

Two runs with one seed against one fleet had the same request IDs and idempotency keys: the second run's requests counted as billed and booked already, and proved nothing.

--- a/cmd/internal/tool/load.go
+++ b/cmd/internal/tool/load.go
@@ -1,6 +1,7 @@
 package tool
 
 import (
+	"crypto/rand"
 	"fmt"
 	"io"
 	"os"
@@ -16,8 +17,9 @@
 )
 
 const (
-	settleLimit = 5 * time.Second
-	settlePause = 200 * time.Millisecond
+	runNameLength = 6
+	settleLimit   = 5 * time.Second
+	settlePause   = 200 * time.Millisecond
 )
 
 // loadCommand drives a running fleet.
@@ -135,6 +137,9 @@
 		return mix, eris.New("give --mix or --deployment")
 	}
 	c.override(&mix)
+	if mix.Run == "" {
+		mix.Run = rand.Text()[:runNameLength] + "-"
+	}
 	return mix, nil
 }
 
--- a/standin/load/mix.go
+++ b/standin/load/mix.go
@@ -23,6 +23,9 @@
 // Mix describes the traffic of one run.
 type Mix struct {
 	Seed uint64 `json:"seed"`
+	// Run is part of all request IDs, session IDs and idempotency keys. Runs
+	// against the same fleet need different ones, or they repeat each other's.
+	Run string `json:"run,omitempty"`
 	// Callers lists the callers' addresses of the instances.
 	Callers  []string  `json:"callers"`
 	Accounts []Account `json:"accounts"`
--- a/standin/load/question.go
+++ b/standin/load/question.go
@@ -57,7 +57,7 @@
 func newAsker(mix *Mix, number int) *asker {
 	return &asker{
 		mix:    mix,
-		name:   fmt.Sprintf("s%d-u%d", mix.Seed, number),
+		name:   fmt.Sprintf("%ss%d-u%d", mix.Run, mix.Seed, number),
 		random: rand.New(rand.NewPCG(mix.Seed, uint64(number))),
 	}
 }
