Capacity: slopes measured by a command; group commits paced by the fleet's size

Cause: every instance's append interval was a setting of its own, so 380 instances with bills every 200 ms would make 1,900 appends/s, and the log takes several hundred for everybody. The intervals now grow with the number of instances listed: at most 100 appends/s of bills, 100 of intents and 50 of births for the whole fleet. Today's nine instances keep their settings.

--- /dev/null
+++ b/cmd/internal/capacity/fit.go
@@ -0,0 +1,50 @@
+package capacity
+
+// Fit is a cost per instance as a plane: a constant, a part per other instance
+// of the zone, and a part per other zone.
+type Fit struct {
+	Constant float64 `json:"constant"`
+	PerPeer  float64 `json:"per_peer"`
+	PerZone  float64 `json:"per_zone"`
+}
+
+// at returns the cost at a size. Negative slopes are noise and count as 0.
+func (f Fit) at(size Size) float64 {
+	return max(0, f.Constant) + max(0, f.PerPeer)*(size.perZone()-1) + max(0, f.PerZone)*float64(size.Zones-1)
+}
+
+// fit is the least-squares plane through the samples.
+func fit(samples []Sample, value func(Sample) float64) Fit {
+	var normal [3][4]float64
+	for _, sample := range samples {
+		row := [3]float64{1, float64(sample.PerZone - 1), float64(sample.Zones - 1)}
+		for i := range row {
+			for j := range row {
+				normal[i][j] += row[i] * row[j]
+			}
+			normal[i][3] += row[i] * value(sample)
+		}
+	}
+	solution := solve(normal)
+	return Fit{Constant: solution[0], PerPeer: solution[1], PerZone: solution[2]}
+}
+
+// solve eliminates a regular system of three equations.
+func solve(m [3][4]float64) [3]float64 {
+	for i := range m {
+		pivot := m[i][i]
+		for j := range m[i] {
+			m[i][j] /= pivot
+		}
+		for k := range m {
+			if k == i {
+				continue
+			}
+			factor := m[k][i]
+			for j := range m[k] {
+				m[k][j] -= factor * m[i][j]
+			}
+		}
+	}
+	return [3]float64{m[0][3], m[1][3], m[2][3]}
+}
--- a/cmd/internal/tool/tool.go
+++ b/cmd/internal/tool/tool.go
@@ -18,12 +18,14 @@
 type commands struct {
 	JSON bool `help:"Print JSON instead of text." name:"json"`
 
-	Config  configCommands  `cmd:"" help:"Check, show and publish sections of the configuration document."`
-	Audit   auditCommand    `cmd:"" help:"List who changed what, and what instances did of their own accord."`
-	Status  statusCommand   `cmd:"" help:"Ask instances how they are."`
-	Demo    demoCommand     `cmd:"" help:"Run a whole fleet in one process, with faults, and judge every promise."`
-	Load    loadCommand     `cmd:"" help:"Drive a running fleet on this machine and verify every answer."`
-	Standin standinCommands `cmd:"" help:"Serve a stand-in of an outside system until interrupted."`
+	Config     configCommands    `cmd:"" help:"Check, show and publish sections of the configuration document."`
+	Audit      auditCommand      `cmd:"" help:"List who changed what, and what instances did of their own accord."`
+	Status     statusCommand     `cmd:"" help:"Ask instances how they are."`
+	Demo       demoCommand       `cmd:"" help:"Run a whole fleet in one process, with faults, and judge every promise."`
+	Capacity   capacityCommand   `cmd:"" help:"Measure what each role of an instance costs."`
+	Experiment experimentCommand `cmd:"" help:"Measure decisions against their baselines."`
+	Load       loadCommand       `cmd:"" help:"Drive a running fleet on this machine and verify every answer."`
+	Standin    standinCommands   `cmd:"" help:"Serve a stand-in of an outside system until interrupted."`
 }
 
 // environment is what commands work with besides their arguments.
--- a/coord/outbox/outbox.go
+++ b/coord/outbox/outbox.go
@@ -85,6 +85,9 @@
 	return &Outbox{cfg: cfg, random: random, queue: newQueue(), end: 1}
 }
 
+// SetMinInterval changes the least time between the starts of two appends.
+func (o *Outbox) SetMinInterval(interval time.Duration) { o.cfg.MinInterval = interval }
+
 // Add takes an entry over. An ID that is already held is taken once. The
 // errors are [ErrFull], [ErrTooLarge] and that of an entry that cannot be
 // encoded. The entry leaves with a later Step.
--- a/node/logwriter/logwriter.go
+++ b/node/logwriter/logwriter.go
@@ -75,6 +75,13 @@
 	return w.box.Withdraw(ids...)
 }
 
+// Pace changes the least time between two appends.
+func (w *Writer) Pace(interval time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.box.SetMinInterval(interval)
+}
+
 // Observe settles entries that were seen in the log.
 func (w *Writer) Observe(ids []string) {
 	w.mu.Lock()
--- a/node/run.go
+++ b/node/run.go
@@ -45,7 +45,7 @@
 		p.sessionWriter.Run, p.sessions.Run, n.followSessions,
 		p.cluster.Run, p.directory.RunList, p.directory.RunLoads,
 		p.limits.Run, p.pools.Run, p.rollouts.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
-		n.announce, n.watchReady,
+		n.announce, n.watchReady, n.pace,
 		func(ctx context.Context) error { return peer.Serve(ctx, p.traffic.Listen(n.peers), p.handlerOfPeers) },
 	}
 	for _, keeper := range p.keepers {
