--- a/coord/fold/snapshot_test.go
+++ b/coord/fold/snapshot_test.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/json"
-	"slices"
 	"testing"
 	"time"
 
@@ -134,9 +133,14 @@
 		times = append(times, now)
 		written, dueEvents := 0, 0
 		rate := rapid.SampledFrom([]int{0, 1, 10}).Draw(t, "rate")
-		for range 400 {
+		const turns = 400
+		survivor := rapid.IntRange(0, len(instances)-1).Draw(t, "survivor")
+		stops := rapid.SliceOfN(rapid.IntRange(0, turns), len(instances), len(instances)).Draw(t, "stops")
+		for turn := range turns {
 			now = now.Add(time.Duration(rapid.IntRange(10, 400).Draw(t, "seconds")) * time.Second)
-			switchOne(t, instances)
+			for i, instance := range instances {
+				instance.alive = i == survivor || turn < stops[i]
+			}
 			for range rapid.IntRange(0, rate).Draw(t, "appends") {
 				times = append(times, now)
 				next++
@@ -163,18 +167,6 @@
 	})
 }
 
-// switchOne sometimes stops or starts an instance; one always runs.
-func switchOne(t *rapid.T, instances []*keeping) {
-	i := rapid.IntRange(0, len(instances)*4).Draw(t, "switched")
-	if i >= len(instances) {
-		return
-	}
-	instances[i].alive = !instances[i].alive
-	if !slices.ContainsFunc(instances, func(k *keeping) bool { return k.alive }) {
-		instances[i].alive = true
-	}
-}
-
 func FuzzDecodeSnapshot(f *testing.F) {
 	stream := newStream()
 	stream.Apply(record(f, 1, "x"))
--- a/coord/tail/sim_test.go
+++ b/coord/tail/sim_test.go
@@ -57,6 +57,7 @@
 	keeper  *fold.Keeper
 	peers   *membership.Peers
 	frozen  bool
+	cut     bool // from the log
 	waiting []pending
 	bornEnd platform.Offset // end of the log at the start
 	lost    bool            // could not read the log at some time
@@ -135,7 +136,7 @@
 // needs.
 func (w *world) truncate() { w.first = max(w.first, w.reference.stream.SnapshotBase()) }
 
-func (w *world) reachesLog(n *node) bool { return !w.logDown && !w.cutFromLog[n.zone] }
+func (w *world) reachesLog(n *node) bool { return !w.logDown && !w.cutFromLog[n.zone] && !n.cut }
 
 func (w *world) connected(a, b platform.Zone) bool {
 	return !w.cutZones[[2]platform.Zone{a, b}] && !w.cutZones[[2]platform.Zone{b, a}]
--- a/coord/tail/tail_test.go
+++ b/coord/tail/tail_test.go
@@ -144,6 +144,43 @@
 	assert.Assert(t, w.caughtUp() <= inForceWithin)
 }
 
+// A change reaches a zone that is cut off from the others although its readers,
+// which live and answer, are cut off from the log.
+func TestReadersOfAZoneLoseTheLog(t *testing.T) {
+	w := fleet(t, 18)
+	w.cutZones[[2]platform.Zone{"east", "north"}] = true
+	w.cutZones[[2]platform.Zone{"east", "west"}] = true
+	for _, n := range w.nodes {
+		ranked := n.peers.Rank(string(platform.StreamControl), n.zone)
+		n.cut = n.zone == "east" && (ranked[0].ID == n.id || ranked[1].ID == n.id)
+	}
+	w.publish("a")
+	assert.Assert(t, w.caughtUp() <= inForceWithin)
+}
+
+// A snapshot of which following records are lost is not used; a later one is.
+func TestSnapshotWithLostRecordsIsNotUsed(t *testing.T) {
+	w := newWorld(t, 7)
+	w.publish("first")
+	snapshot, err := w.reference.stream.Snapshot()
+	assert.NilError(t, err)
+	chunks, err := fold.Chunks(snapshot, "slow")
+	assert.NilError(t, err)
+	w.publish("a")
+	w.publish("b")
+	w.append(chunks...)
+	w.first = snapshot.Next + 1
+	fresh := w.newNode("east")
+	w.nodes = append(w.nodes, fresh)
+	w.run(inForceWithin)
+	assert.Equal(t, fresh.stream.Next(), platform.Offset(1))
+	assert.Assert(t, !fresh.tailer.Ready())
+	w.appendSnapshot()
+	w.run(inForceWithin)
+	assert.Assert(t, fresh.tailer.Ready())
+	assert.Equal(t, fresh.stream.Next(), w.end())
+}
+
 // An instance that starts empty in an outage of the log gets its state from a
 // peer, and is not ready before.
 func TestStartInAnOutage(t *testing.T) {
