--- a/coord/tail/tail_test.go
+++ b/coord/tail/tail_test.go
@@ -181,6 +181,23 @@
 	assert.Equal(t, fresh.stream.Next(), w.end())
 }
 
+// A newest snapshot that the fold refuses makes way for an older one.
+func TestRefusedSnapshotMakesWay(t *testing.T) {
+	w := newWorld(t, 7)
+	w.publish("first")
+	w.first = w.end()
+	w.appendSnapshot()
+	w.publish("a")
+	chunks, err := fold.Chunks(fold.Snapshot{Next: w.end()}, "hostile")
+	assert.NilError(t, err)
+	w.append(chunks...)
+	fresh := w.newNode("east")
+	w.nodes = append(w.nodes, fresh)
+	w.run(inForceWithin)
+	assert.Assert(t, fresh.tailer.Ready())
+	assert.Equal(t, fresh.stream.Next(), w.end())
+}
+
 // An instance that starts empty in an outage of the log gets its state from a
 // peer, and is not ready before.
 func TestStartInAnOutage(t *testing.T) {
