cascade: tests, and no plan on a version with fewer than 20 ratings

Cause: with no rating at all, an assumed even spread of confidence made "accept from 0.9" look good enough, so an unknown version answered callers outside the explore share. Such a version is now planned with only to learn, or when the last candidate cannot finish in time.

--- /dev/null
+++ b/policy/cascade/example_test.go
@@ -0,0 +1,26 @@
+package cascade_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/wigeonusher/wigeonusher/policy/cascade"
+)
+
+// A planner that knows nothing uses the strong version, and moves to the cheap
+// one as ratings show that it is good enough.
+func Example() {
+	random := rand.New(rand.NewPCG(1, 2))
+	planner := cascade.NewLearned("instance-1")
+	request := testRequest()
+	fmt.Println(planner.Plan(random, testRule, 0, request).Steps)
+	for range 200 {
+		result := cascade.Result{Class: "tag", Ref: cheapRef, Confidence: 0.9}
+		planner.ObserveResult(result)
+		planner.ObserveRating(cascade.Rated{Result: result, Good: true})
+	}
+	fmt.Println(planner.Plan(random, testRule, 0, request).Steps)
+	// Output:
+	// [{large@v1 0}]
+	// [{small@v1 0}]
+}
--- a/policy/cascade/learned.go
+++ b/policy/cascade/learned.go
@@ -20,6 +20,9 @@
 	// accepted.
 	learnRatings = 150
 	learnFrom    = 4
+	// trustRatings is the number of ratings below which a candidate is planned
+	// with only to learn, or if the last candidate is too slow.
+	trustRatings = 20
 	// strongestPrior and weakestPrior are the assumed qualities of the last
 	// and the first candidate of a class before any rating.
 	strongestPrior = 0.95
@@ -173,11 +176,16 @@
 		return b.drawn(random)
 	}
 	candidates := request.Candidates
+	late := durationOf(candidates[len(candidates)-1], request) > request.Left
 	options := make([]option, 0, len(candidates)*(1+Bins*len(candidates)/2))
 	for i, candidate := range candidates {
 		whole := c.track(candidate.Ref, i, len(candidates))
+		last := i == len(candidates)-1
+		if !last && !late && whole.ratings() < trustRatings {
+			continue
+		}
 		options = append(options, single(request, candidate, draw(whole.whole()).mean))
-		if i == len(candidates)-1 {
+		if last {
 			continue
 		}
 		step := first{candidate: candidate, shares: whole.shares()}
