--- a/policy/experiment/experiment_test.go
+++ b/policy/experiment/experiment_test.go
@@ -1,6 +1,7 @@
 package experiment_test
 
 import (
+	"errors"
 	"flag"
 	"os"
 	"testing"
@@ -10,14 +11,21 @@
 	"github.com/wigeonusher/wigeonusher/policy/experiment"
 )
 
+// The flags print an experiment in place of the short checks:
+//
+//	go test ./policy/experiment -v -run Print -experiment rollout -seeds 10
 var (
 	name  = flag.String("experiment", "", "run this experiment and print it")
 	seeds = flag.Int("seeds", 10, "seeds of the experiment")
 )
 
-func TestPrintExperiment(t *testing.T) {
+func TestPrint(t *testing.T) {
 	if *name == "" {
-		t.Skip("no -experiment given")
+		_, err := experiment.Run("no such experiment", 1)
+		assert.Assert(t, errors.Is(err, experiment.ErrUnknown))
+		_, err = experiment.Run(experiment.Names()[0], 0)
+		assert.ErrorContains(t, err, "at least 1")
+		return
 	}
 	report, err := experiment.Run(*name, *seeds)
 	assert.NilError(t, err)
