Standard terms: invariants, violations, operations, evidence

The checker, the load generator and the demonstration used words of their own (judge, promise, breach, witness, asker, question).

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	d.settle(ctx, report)
-	table := check.Judge(d.history(report))
+	table := check.Evaluate(d.history(report))
 	moves, err := d.operator.moves(ctx)
 	if err != nil {
 		return nil, err
--- a/cmd/internal/demo/watch.go
+++ b/cmd/internal/demo/watch.go
@@ -156,8 +156,8 @@
 	met := map[string]bool{}
 	for _, o := range report.Observations {
 		if o.Marked {
-			question, _, _ := strings.Cut(o.RequestID, "-t")
-			met[question] = true
+			operation, _, _ := strings.Cut(o.RequestID, "-t")
+			met[operation] = true
 		}
 	}
 	c.mu.Lock()
--- a/cmd/internal/witness/witness.go
+++ b/cmd/internal/evidence/collector.go
@@ -1,4 +1,4 @@
-package witness
+package evidence
 
 import (
 	"context"
@@ -78,16 +78,16 @@
 func (c *Collector) addRuns(ctx context.Context, address string, history *check.History) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", nil)
 	if err != nil {
-		return eris.Wrap(err, "witness: build request")
+		return eris.Wrap(err, "evidence: build request")
 	}
 	response, err := c.Client.Do(request)
 	if err != nil {
-		return eris.Wrap(err, "witness: ask endpoint")
+		return eris.Wrap(err, "evidence: ask endpoint")
 	}
 	defer response.Body.Close()
 	var page runsPage
 	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
-		return eris.Wrap(err, "witness: read runs")
+		return eris.Wrap(err, "evidence: read runs")
 	}
 	history.Late = append(history.Late, page.Late...)
 	for _, raw := range page.Runs {
@@ -103,7 +103,7 @@
 func addRun(raw json.RawMessage, history *check.History) error {
 	var ofEngine engine.Run
 	if err := json.Unmarshal(raw, &ofEngine); err != nil {
-		return eris.Wrap(err, "witness: read run")
+		return eris.Wrap(err, "evidence: read run")
 	}
 	if ofEngine.Ref != "" {
 		history.EngineRuns = append(history.EngineRuns, ofEngine)
@@ -111,7 +111,7 @@
 	}
 	var ofService service.Run
 	if err := json.Unmarshal(raw, &ofService); err != nil {
-		return eris.Wrap(err, "witness: read run")
+		return eris.Wrap(err, "evidence: read run")
 	}
 	history.ServiceRuns = append(history.ServiceRuns, ofService)
 	return nil
--- a/cmd/internal/tool/demo.go
+++ b/cmd/internal/tool/demo.go
@@ -24,7 +24,7 @@
 loopback addresses. While mixed traffic runs, two versions are rolled out, one of them turns bad and
 is withdrawn, one instance is killed and replaced and another stopped in the planned way, the log
 service has an outage, an engine leaves, and one request crashes the engines that run it. Ends by
-itself within 45 s; exits with 0 only if every promise held, and with 6 otherwise. With --json the
+itself within 45 s; exits with 0 only if every invariant held, and with 6 otherwise. With --json the
 last line of the output is the result as one object.
 
 Examples:
@@ -71,9 +71,9 @@
 	for _, failure := range result.Failures {
 		fmt.Fprintln(w, "  step failed:", failure)
 	}
-	verdict := "every promise held"
+	verdict := "every invariant held"
 	if !result.Held {
-		verdict = "NOT every promise held"
+		verdict = "NOT every invariant held"
 	}
 	_, err := fmt.Fprintf(w, "\n%s\n", verdict)
 	return err
--- a/cmd/internal/tool/exit.go
+++ b/cmd/internal/tool/exit.go
@@ -20,7 +20,7 @@
 	// ExitNotInForce reports an accepted revision that is not in force on
 	// all instances asked by the deadline.
 	ExitNotInForce ExitCode = 5
-	// ExitBroken reports that a promise was broken.
+	// ExitBroken reports that an invariant was broken.
 	ExitBroken ExitCode = 6
 	// ExitUnsettled reports a proposal that may or may not be published.
 	ExitUnsettled ExitCode = 7
@@ -28,7 +28,7 @@
 
 const exitHelp = `Exit codes: 0 done; 1 something could not be reached or read; 2 wrong arguments; ` +
 	`3 findings in an input; 4 conflict with another author; 5 accepted but not in force everywhere by the deadline; ` +
-	`6 a promise was broken; 7 outcome of a publication unknown.`
+	`6 an invariant was broken; 7 outcome of a publication unknown.`
 
 // codedError is an error with the exit code that it leads to.
 type codedError struct {
--- a/cmd/internal/tool/load.go
+++ b/cmd/internal/tool/load.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wigeonusher/wigeonusher/cmd/internal/witness"
+	"github.com/wigeonusher/wigeonusher/cmd/internal/evidence"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/standin/check"
 	"github.com/wigeonusher/wigeonusher/standin/fixture"
@@ -33,15 +33,15 @@
 	Users        int           `help:"Virtual users that each wait for an answer; the pace of the mix if 0."`
 	Histogram    string        `help:"File for the latency distributions." type:"path"`
 	Observations string        `help:"File for every observation, a JSON object per line." type:"path"`
-	JudgeLog     string        `help:"Base URL of the log stand-in: judge every promise afterwards, with --judge-list." placeholder:"URL"`
-	JudgeList    string        `help:"Base URL of the instance list stand-in: ask the endpoints listed for what they ran." placeholder:"URL"`
+	CheckLog     string        `help:"Base URL of the log stand-in: check every invariant afterwards, with --check-list." placeholder:"URL"`
+	CheckList    string        `help:"Base URL of the instance list stand-in: ask the endpoints listed for what they ran." placeholder:"URL"`
 }
 
 // Help implements kong.HelpProvider.
 func (loadCommand) Help() string {
 	return `Verifies that every answer is whole and the request's own; exits with 6 if one is not.
-Only loopback addresses are driven. With --judge-log and --judge-list it also waits for the bills
-to settle, collects what the stand-ins of the endpoints ran, and prints a table of promises.
+Only loopback addresses are driven. With --check-log and --check-list it also waits for the bills
+to settle, collects what the stand-ins of the endpoints ran, and prints a table of invariants.
 
 Examples:
   wigeonusher load --deployment sheetline --caller 127.0.0.1:8001 --caller 127.0.0.1:8002 --duration 10s
@@ -64,7 +64,7 @@
 	if err := c.write(report); err != nil {
 		return err
 	}
-	table, err := c.judge(env, report)
+	table, err := c.check(env, report)
 	if err != nil {
 		return err
 	}
@@ -84,7 +84,7 @@
 // loadResult is what load prints.
 type loadResult struct {
 	*load.Report
-	// Table is the judgement, if it was asked for.
+	// Table is the table, if it was asked for.
 	Table *check.Table `json:"table,omitempty"`
 }
 
@@ -96,12 +96,12 @@
 	return r.Table.Write(w)
 }
 
-// judge holds the run against the promises, if that was asked for.
-func (c *loadCommand) judge(env *environment, report *load.Report) (*check.Table, error) {
-	if c.JudgeLog == "" || c.JudgeList == "" {
+// check holds the run against the invariants, if that was asked for.
+func (c *loadCommand) check(env *environment, report *load.Report) (*check.Table, error) {
+	if c.CheckLog == "" || c.CheckList == "" {
 		return nil, nil
 	}
-	collector := witness.Collector{Log: c.JudgeLog, List: c.JudgeList, Client: env.client}
+	collector := evidence.Collector{Log: c.CheckLog, List: c.CheckList, Client: env.client}
 	deadline := time.Now().Add(settleLimit)
 	for {
 		history, err := collector.History(env.ctx)
@@ -116,7 +116,7 @@
 		history.Strong = document.Ref{Model: fixture.Strong, Version: fixture.V1}
 		history.SettleGrace = settleLimit
 		history.ExposureLimit = -1
-		return check.Judge(history), nil
+		return check.Evaluate(history), nil
 	}
 }
 
--- a/cmd/internal/tool/tool.go
+++ b/cmd/internal/tool/tool.go
@@ -21,7 +21,7 @@
 	Config  configCommands  `cmd:"" help:"Check, show and publish sections of the configuration document."`
 	Audit   auditCommand    `cmd:"" help:"List who changed what, and what instances did of their own accord."`
 	Status  statusCommand   `cmd:"" help:"Ask instances how they are."`
-	Demo    demoCommand     `cmd:"" help:"Run a whole fleet in one process, with faults, and judge every promise."`
+	Demo    demoCommand     `cmd:"" help:"Run a whole fleet in one process, with faults, and check every invariant."`
 	Load    loadCommand     `cmd:"" help:"Drive a running fleet on this machine and verify every answer."`
 	Standin standinCommands `cmd:"" help:"Serve a stand-in of an outside system until interrupted."`
 }
--- a/standin/check/billing.go
+++ b/standin/check/billing.go
@@ -16,25 +16,25 @@
 	return unbilled
 }
 
-func (j *judge) billing() {
-	once := j.table.row(BilledOnce)
-	for _, o := range j.history.Observations {
+func (e *evaluation) billing() {
+	once := e.table.row(BilledOnce)
+	for _, o := range e.history.Observations {
 		if o.Result != observation.Answered || !o.Kind.IsChat() {
 			continue
 		}
 		once.Checked++
-		if len(j.bills[o.RequestID]) == 0 {
-			once.breach("%s, answered by %s, has no bill", o.RequestID, o.Instance)
+		if len(e.bills[o.RequestID]) == 0 {
+			once.violation("%s, answered by %s, has no bill", o.RequestID, o.Instance)
 		}
 	}
-	most := j.table.row(BilledAtMostOnce)
-	for _, id := range sortedKeys(j.bills) {
+	most := e.table.row(BilledAtMostOnce)
+	for _, id := range sortedKeys(e.bills) {
 		most.Checked++
-		if bills := j.bills[id]; len(bills) > 1 {
-			most.breach("%s has %d bills", id, len(bills))
+		if bills := e.bills[id]; len(bills) > 1 {
+			most.violation("%s has %d bills", id, len(bills))
 		}
-		if len(j.runsByID[id]) == 0 {
-			most.breach("%s has a bill and no endpoint ran it", id)
+		if len(e.runsByID[id]) == 0 {
+			most.violation("%s has a bill and no endpoint ran it", id)
 		}
 	}
 }
--- a/standin/check/bookings.go
+++ b/standin/check/bookings.go
@@ -4,9 +4,9 @@
 	"github.com/wigeonusher/wigeonusher/standin/observation"
 )
 
-func (j *judge) bookings() {
+func (e *evaluation) bookings() {
 	runs := map[string]int{}
-	for _, run := range j.history.ServiceRuns {
+	for _, run := range e.history.ServiceRuns {
 		if run.Repeatable() {
 			continue
 		}
@@ -16,22 +16,22 @@
 		}
 		runs[key]++
 	}
-	twice := j.table.row(BookedAtMostOnce)
+	twice := e.table.row(BookedAtMostOnce)
 	twice.Checked = len(runs)
 	for _, key := range sortedKeys(runs) {
 		if runs[key] > 1 {
-			j.table.Figures.DoubleRuns++
-			twice.breach("%s ran %d times", key, runs[key])
+			e.table.Figures.DoubleRuns++
+			twice.violation("%s ran %d times", key, runs[key])
 		}
 	}
-	lost := j.table.row(BookedIfAnswered)
-	for _, o := range j.history.Observations {
+	lost := e.table.row(BookedIfAnswered)
+	for _, o := range e.history.Observations {
 		if o.Kind != observation.Booking || o.Result != observation.Answered {
 			continue
 		}
 		lost.Checked++
 		if runs[o.Key] == 0 {
-			lost.breach("%s was confirmed and never ran", o.Key)
+			lost.violation("%s was confirmed and never ran", o.Key)
 		}
 	}
 }
--- a/standin/check/judge.go
+++ b/standin/check/check.go
@@ -8,47 +8,47 @@
 	"github.com/wigeonusher/wigeonusher/standin/observation"
 )
 
-// judge is the state of one judgement.
-type judge struct {
+// evaluation is the state of one evaluation.
+type evaluation struct {
 	history  History
 	table    *Table
 	bills    map[string][]Bill
-	eras     []era
+	periods  []period
 	byID     map[string]observation.Observation
 	runsByID map[string][]engine.Run
 }
 
-// Judge folds a history into a table.
-func Judge(history History) *Table {
-	j := &judge{
+// Evaluate folds a history into a table.
+func Evaluate(history History) *Table {
+	e := &evaluation{
 		history:  history,
 		table:    &Table{},
 		bills:    history.billsByRequest(),
-		eras:     history.eras(),
+		periods:  history.periods(),
 		byID:     map[string]observation.Observation{},
 		runsByID: map[string][]engine.Run{},
 	}
 	for _, o := range history.Observations {
-		j.byID[o.RequestID] = o
+		e.byID[o.RequestID] = o
 	}
 	for _, run := range history.EngineRuns {
-		j.runsByID[run.RequestID] = append(j.runsByID[run.RequestID], run)
+		e.runsByID[run.RequestID] = append(e.runsByID[run.RequestID], run)
 	}
-	j.answers()
-	j.refusals()
-	j.billing()
-	j.bookings()
-	j.sessions()
-	j.permissions()
-	j.leaving()
-	j.exposure()
-	j.crashes()
-	j.revisions()
-	j.plannedStops()
-	j.quality()
-	j.figures()
-	j.table.Held = len(j.table.Broken()) == 0
-	return j.table
+	e.answers()
+	e.refusals()
+	e.billing()
+	e.bookings()
+	e.sessions()
+	e.permissions()
+	e.leaving()
+	e.exposure()
+	e.crashes()
+	e.revisions()
+	e.plannedStops()
+	e.quality()
+	e.figures()
+	e.table.Held = len(e.table.Broken()) == 0
+	return e.table
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/standin/check/check_test.go
+++ b/standin/check/check_test.go
@@ -88,7 +88,7 @@
 	return config.Revision(platform.Position{Offset: 2}.Number())
 }
 
-// clean is a history without a breach.
+// clean is a history without a violation.
 func clean(t *testing.T) check.History {
 	t.Helper()
 	booked := observation.Observation{RequestID: "b-k1", Key: "k1", Account: account, Kind: observation.Booking, Status: 200, Result: observation.Answered}
@@ -116,7 +116,7 @@
 }
 
 func TestCleanHistoryHolds(t *testing.T) {
-	table := check.Judge(clean(t))
+	table := check.Evaluate(clean(t))
 	assert.Assert(t, table.Held, "%v", table.Broken())
 	assert.Equal(t, table.Figures.BillsPerChat, 1.0)
 	assert.Equal(t, table.Figures.MeanCost, 30.0)
@@ -126,10 +126,10 @@
 	assert.Assert(t, !strings.Contains(text.String(), "BROKEN"))
 }
 
-func TestEachBreachIsCaught(t *testing.T) {
+func TestEachViolationIsCaught(t *testing.T) {
 	cases := []struct {
-		promise check.Promise
-		spoil   func(*check.History)
+		invariant check.Invariant
+		spoil     func(*check.History)
 	}{
 		{check.OwnWholeAnswer, func(h *check.History) { h.Observations[0].Result = observation.Defective }},
 		{check.RefusalsSayEnough, func(h *check.History) { h.Observations[3].Result = observation.Defective }},
@@ -169,12 +169,12 @@
 		{check.CrashesBounded, func(h *check.History) { h.CrashedEndpoints = 3 }},
 	}
 	for _, c := range cases {
-		t.Run(string(c.promise), func(t *testing.T) {
+		t.Run(string(c.invariant), func(t *testing.T) {
 			history := clean(t)
 			c.spoil(&history)
-			table := check.Judge(history)
+			table := check.Evaluate(history)
 			assert.Assert(t, !table.Held)
-			assert.DeepEqual(t, table.Broken(), []check.Promise{c.promise})
+			assert.DeepEqual(t, table.Broken(), []check.Invariant{c.invariant})
 		})
 	}
 }
--- a/standin/check/figures.go
+++ b/standin/check/figures.go
@@ -14,28 +14,28 @@
 	return document.Ref{Model: document.ModelName(model), Version: document.VersionName(version)}
 }
 
-func (j *judge) figures() {
-	f := &j.table.Figures
-	f.Sent = len(j.history.Observations)
-	for _, bills := range j.bills {
+func (e *evaluation) figures() {
+	f := &e.table.Figures
+	f.Sent = len(e.history.Observations)
+	for _, bills := range e.bills {
 		f.Bills += len(bills)
 	}
 	f.Runs = map[string]int{}
-	for _, run := range j.history.EngineRuns {
+	for _, run := range e.history.EngineRuns {
 		f.Runs[run.Ref]++
 	}
 	var firstTokens []time.Duration
 	chats := 0
 	billed := 0
-	for _, o := range j.history.Observations {
+	for _, o := range e.history.Observations {
 		f.count(o)
 		if o.Result != observation.Answered || !o.Kind.IsChat() {
 			continue
 		}
 		chats++
-		billed += len(j.bills[o.RequestID])
-		f.MeanCost += j.costOf(o)
-		f.StrongCost += j.strongCostOf(o)
+		billed += len(e.bills[o.RequestID])
+		f.MeanCost += e.costOf(o)
+		f.StrongCost += e.strongCostOf(o)
 		if o.Kind == observation.Stream {
 			firstTokens = append(firstTokens, o.FirstToken)
 		}
@@ -64,22 +64,22 @@
 	}
 }
 
-func (j *judge) costOf(o observation.Observation) float64 {
+func (e *evaluation) costOf(o observation.Observation) float64 {
 	cost := 0.0
-	for _, bill := range j.bills[o.RequestID] {
+	for _, bill := range e.bills[o.RequestID] {
 		cost += bill.CostMicro
 	}
 	return cost
 }
 
-func (j *judge) strongCostOf(o observation.Observation) float64 {
-	if len(j.eras) == 0 {
+func (e *evaluation) strongCostOf(o observation.Observation) float64 {
+	if len(e.periods) == 0 {
 		return 0
 	}
-	strong := j.history.Strong
-	price := j.eras[0].policy.Models[strong.Model].Versions[strong.Version]
-	for _, e := range j.eras {
-		if version, ok := e.policy.Models[strong.Model].Versions[strong.Version]; ok {
+	strong := e.history.Strong
+	price := e.periods[0].policy.Models[strong.Model].Versions[strong.Version]
+	for _, p := range e.periods {
+		if version, ok := p.policy.Models[strong.Model].Versions[strong.Version]; ok {
 			price = version
 		}
 	}
--- a/standin/check/history.go
+++ b/standin/check/history.go
@@ -52,7 +52,7 @@
 	// take to be in force everywhere.
 	SettleGrace time.Duration
 	// ExposureLimit bounds the requests that may meet a bad version; it is
-	// not judged if negative.
+	// not checked if negative.
 	ExposureLimit int
 	// Samples are revisions seen on instances, in order of time.
 	Samples []Sample
@@ -88,17 +88,17 @@
 	return bills
 }
 
-// era is a policy and the time since which it was accepted.
-type era struct {
+// period is a policy and the time since which it was accepted.
+type period struct {
 	since  time.Time
 	policy *document.Policy
 }
 
-// eras folds the control stream into the policies that were in force.
-func (h History) eras() []era {
+// periods folds the control stream into the policies that were in force.
+func (h History) periods() []period {
 	configuration := config.NewFold(document.Validate, nil)
 	stream := fold.NewStream(configuration)
-	var eras []era
+	var periods []period
 	last := config.Revision(0)
 	for _, record := range h.Control {
 		stream.Apply(record)
@@ -108,8 +108,8 @@
 		}
 		last = doc.Revision
 		if policy, findings := document.Parse(doc); len(findings) == 0 {
-			eras = append(eras, era{since: record.Time, policy: policy})
+			periods = append(periods, period{since: record.Time, policy: policy})
 		}
 	}
-	return eras
+	return periods
 }
--- a/standin/check/permissions.go
+++ b/standin/check/permissions.go
@@ -9,27 +9,27 @@
 
 // permissions holds each run against the policies in force at that time or
 // shortly before.
-func (j *judge) permissions() {
-	withdrawn := j.table.row(WithdrawnIsIdle)
-	allowed := j.table.row(OnlyAllowed)
-	for _, run := range j.history.EngineRuns {
-		policies := j.inForce(run)
+func (e *evaluation) permissions() {
+	withdrawn := e.table.row(WithdrawnIsIdle)
+	allowed := e.table.row(OnlyAllowed)
+	for _, run := range e.history.EngineRuns {
+		policies := e.inForce(run)
 		if len(policies) == 0 {
 			continue
 		}
 		ref := splitRef(run.Ref)
 		withdrawn.Checked++
 		if !slices.ContainsFunc(policies, func(p *document.Policy) bool { return isServing(p, ref) }) {
-			withdrawn.breach("%s ran %s on %s", run.Endpoint, run.RequestID, run.Ref)
+			withdrawn.violation("%s ran %s on %s", run.Endpoint, run.RequestID, run.Ref)
 		}
-		o, known := j.byID[run.RequestID]
+		o, known := e.byID[run.RequestID]
 		if !known {
 			continue
 		}
 		allowed.Checked++
 		account := document.AccountID(o.Account)
 		if !slices.ContainsFunc(policies, func(p *document.Policy) bool { return isGranted(p, account, ref) }) {
-			allowed.breach("%s ran %s of account %s on %s", run.Endpoint, run.RequestID, account, run.Ref)
+			allowed.violation("%s ran %s of account %s on %s", run.Endpoint, run.RequestID, account, run.Ref)
 		}
 	}
 }
@@ -37,15 +37,15 @@
 // inForce returns the policies that may have been in force somewhere when the
 // engine received the run: the newest accepted by then, and those that it
 // replaced less than the grace before.
-func (j *judge) inForce(run engine.Run) []*document.Policy {
+func (e *evaluation) inForce(run engine.Run) []*document.Policy {
 	var policies []*document.Policy
-	for i, e := range j.eras {
-		if e.since.After(run.Received) {
+	for i, p := range e.periods {
+		if p.since.After(run.Received) {
 			break
 		}
-		replaced := i+1 < len(j.eras) && j.eras[i+1].since.Add(j.history.SettleGrace).Before(run.Received)
+		replaced := i+1 < len(e.periods) && e.periods[i+1].since.Add(e.history.SettleGrace).Before(run.Received)
 		if !replaced {
-			policies = append(policies, e.policy)
+			policies = append(policies, p.policy)
 		}
 	}
 	return policies
--- a/standin/check/quality.go
+++ b/standin/check/quality.go
@@ -16,11 +16,11 @@
 )
 
 // quality holds the share of good answers of each task class against its
-// target. Answers of bad versions are left out: exposure judges them.
-func (j *judge) quality() {
+// target. Answers of bad versions are left out: exposure checks them.
+func (e *evaluation) quality() {
 	qualities := map[string]Quality{}
-	for _, o := range j.history.Observations {
-		if o.Result != observation.Answered || !o.Kind.IsChat() || j.isFaulty(o) {
+	for _, o := range e.history.Observations {
+		if o.Result != observation.Answered || !o.Kind.IsChat() || e.isFaulty(o) {
 			continue
 		}
 		quality := qualities[o.Class]
@@ -30,26 +30,26 @@
 		}
 		qualities[o.Class] = quality
 	}
-	row := j.table.row(QualityMet)
+	row := e.table.row(QualityMet)
 	for _, class := range sortedKeys(qualities) {
 		quality := qualities[class]
 		quality.Good /= float64(quality.Answers)
-		quality.Target = j.target(class)
+		quality.Target = e.target(class)
 		qualities[class] = quality
 		row.Checked++
 		if quality.Good+quality.tolerance() < quality.Target {
-			row.breach("%s: %.3f of %d answers are good, the target is %.3f", class, quality.Good, quality.Answers, quality.Target)
+			row.violation("%s: %.3f of %d answers are good, the target is %.3f", class, quality.Good, quality.Answers, quality.Target)
 		}
 	}
-	j.table.Figures.Quality = qualities
+	e.table.Figures.Quality = qualities
 }
 
 // target returns the newest quality target of a task class.
-func (j *judge) target(class string) float64 {
-	if len(j.eras) == 0 {
+func (e *evaluation) target(class string) float64 {
+	if len(e.periods) == 0 {
 		return 0
 	}
-	newest := j.eras[len(j.eras)-1].policy
+	newest := e.periods[len(e.periods)-1].policy
 	return newest.Routing.Classes[document.TaskClass(class)].QualityTarget
 }
 
--- a/standin/check/sessions.go
+++ b/standin/check/sessions.go
@@ -12,12 +12,12 @@
 }
 
 // sessions looks at what endpoints ran, not only at what was answered: an
-// attempt on another version breaks the promise too.
-func (j *judge) sessions() {
-	row := j.table.row(SessionStays)
+// attempt on another version breaks the invariant too.
+func (e *evaluation) sessions() {
+	row := e.table.row(SessionStays)
 	versions := map[sessionModel]document.VersionName{}
-	for _, run := range j.history.EngineRuns {
-		o, known := j.byID[run.RequestID]
+	for _, run := range e.history.EngineRuns {
+		o, known := e.byID[run.RequestID]
 		if !known || o.Session == "" {
 			continue
 		}
@@ -30,7 +30,7 @@
 		}
 		row.Checked++
 		if first != ref.Version {
-			row.breach("session %s began on %s@%s and %s ran on %s", o.Session, ref.Model, first, run.RequestID, run.Ref)
+			row.violation("session %s began on %s@%s and %s ran on %s", o.Session, ref.Model, first, run.RequestID, run.Ref)
 		}
 	}
 }
--- a/standin/check/table.go
+++ b/standin/check/table.go
@@ -8,49 +8,49 @@
 	"github.com/rotisserie/eris"
 )
 
-// Promise names one thing that must always hold.
-type Promise string
+// Invariant names one thing that must always hold.
+type Invariant string
 
-// Promises, in the order of the table.
+// Invariants, in the order of the table.
 const (
-	OwnWholeAnswer    Promise = "each answer is whole and the caller's own"
-	NotRunIsTrue      Promise = "what was refused as not run did not run"
-	BilledOnce        Promise = "each answered request is billed exactly once"
-	BilledAtMostOnce  Promise = "no request is billed twice or without having run"
-	BookedAtMostOnce  Promise = "no booking runs twice"
-	BookedIfAnswered  Promise = "no confirmed booking is lost"
-	SessionStays      Promise = "a session keeps its versions"
-	WithdrawnIsIdle   Promise = "a withdrawn version gets no new work"
-	OnlyAllowed       Promise = "accounts use only what they may"
-	LeavingIsIdle     Promise = "a leaving endpoint gets no new work after seconds"
-	ExposureBounded   Promise = "a bad version meets few requests"
-	CrashesBounded    Promise = "a crash-causing request costs two endpoints at most"
-	RefusalsSayEnough Promise = "each refusal says whether the request ran"
-	InForceSoon       Promise = "an accepted configuration is in force everywhere within seconds"
-	NeverReverts      Promise = "an accepted configuration never reverts"
-	StopCutsNothing   Promise = "a planned stop cuts off no request"
-	QualityMet        Promise = "the answers of each task class meet its quality target"
+	OwnWholeAnswer    Invariant = "each answer is whole and the caller's own"
+	NotRunIsTrue      Invariant = "what was refused as not run did not run"
+	BilledOnce        Invariant = "each answered request is billed exactly once"
+	BilledAtMostOnce  Invariant = "no request is billed twice or without having run"
+	BookedAtMostOnce  Invariant = "no booking runs twice"
+	BookedIfAnswered  Invariant = "no confirmed booking is lost"
+	SessionStays      Invariant = "a session keeps its versions"
+	WithdrawnIsIdle   Invariant = "a withdrawn version gets no new work"
+	OnlyAllowed       Invariant = "accounts use only what they may"
+	LeavingIsIdle     Invariant = "a leaving endpoint gets no new work after seconds"
+	ExposureBounded   Invariant = "a bad version meets few requests"
+	CrashesBounded    Invariant = "a crash-causing request costs two endpoints at most"
+	RefusalsSayEnough Invariant = "each refusal says whether the request ran"
+	InForceSoon       Invariant = "an accepted configuration is in force everywhere within seconds"
+	NeverReverts      Invariant = "an accepted configuration never reverts"
+	StopCutsNothing   Invariant = "a planned stop cuts off no request"
+	QualityMet        Invariant = "the answers of each task class meet its quality target"
 )
 
-// Row is one promise and its breaches.
+// Row is one invariant and its violations.
 type Row struct {
-	Promise Promise `json:"promise"`
+	Invariant Invariant `json:"invariant"`
 	// Checked counts the cases in which it could have been broken.
 	Checked int  `json:"checked"`
 	Broken  int  `json:"broken"`
 	Held    bool `json:"held"`
-	// Examples names up to [MaxExamples] breaches.
+	// Examples names up to [MaxExamples] violations.
 	Examples []string `json:"examples,omitempty"`
 }
 
 // MaxExamples bounds the examples of a row.
 const MaxExamples = 5
 
-// Table is the judgement on a run.
+// Table is the evaluation on a run.
 type Table struct {
 	Held    bool    `json:"held"`
 	Figures Figures `json:"figures"`
-	Rows    []*Row  `json:"promises"`
+	Rows    []*Row  `json:"invariants"`
 }
 
 // Figures are the measures of a run.
@@ -90,20 +90,20 @@
 	Target  float64 `json:"target"`
 }
 
-// row returns the promise's row, which it adds if it is not there.
-func (t *Table) row(promise Promise) *Row {
+// row returns the invariant's row, which it adds if it is not there.
+func (t *Table) row(invariant Invariant) *Row {
 	for _, row := range t.Rows {
-		if row.Promise == promise {
+		if row.Invariant == invariant {
 			return row
 		}
 	}
-	added := &Row{Promise: promise, Held: true}
+	added := &Row{Invariant: invariant, Held: true}
 	t.Rows = append(t.Rows, added)
 	return added
 }
 
-// breach notes that the promise was broken.
-func (r *Row) breach(format string, args ...any) {
+// violation notes that the invariant was broken.
+func (r *Row) violation(format string, args ...any) {
 	r.Broken++
 	r.Held = false
 	if len(r.Examples) < MaxExamples {
@@ -111,12 +111,12 @@
 	}
 }
 
-// Broken returns the promises that did not hold.
-func (t *Table) Broken() []Promise {
-	var broken []Promise
+// Broken returns the invariants that did not hold.
+func (t *Table) Broken() []Invariant {
+	var broken []Invariant
 	for _, row := range t.Rows {
 		if !row.Held {
-			broken = append(broken, row.Promise)
+			broken = append(broken, row.Invariant)
 		}
 	}
 	return broken
@@ -144,20 +144,20 @@
 		fmt.Fprintf(out, "runs of %s\t%d\n", ref, f.Runs[ref])
 	}
 	fmt.Fprintf(out, "first token p50 / p95 / p99, ms\t%.1f / %.1f / %.1f\n", f.FirstTokenP50, f.FirstTokenP95, f.FirstTokenP99)
-	fmt.Fprintf(out, "\npromise\tchecked\tbroken\n")
+	fmt.Fprintf(out, "\ninvariant\tchecked\tbroken\n")
 	for _, row := range t.Rows {
 		mark := ""
 		if !row.Held {
 			mark = "  BROKEN"
 		}
-		fmt.Fprintf(out, "%s\t%d\t%d%s\n", row.Promise, row.Checked, row.Broken, mark)
+		fmt.Fprintf(out, "%s\t%d\t%d%s\n", row.Invariant, row.Checked, row.Broken, mark)
 	}
 	if err := out.Flush(); err != nil {
 		return eris.Wrap(err, "check: write table")
 	}
 	for _, row := range t.Rows {
 		for _, example := range row.Examples {
-			if _, err := fmt.Fprintf(w, "  broken: %s: %s\n", row.Promise, example); err != nil {
+			if _, err := fmt.Fprintf(w, "  broken: %s: %s\n", row.Invariant, example); err != nil {
 				return eris.Wrap(err, "check: write table")
 			}
 		}
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -120,7 +120,7 @@
 		},
 	}
 	j.random = s.randomFor(j.answer)
-	faulty := s.judge(j, classOf(prompt))
+	faulty := s.decideQuality(j, classOf(prompt))
 	if request.Stream && s.Faults.Draw(s.Faults.Get().CutRate) {
 		j.cutAfter = j.answer.Tokens / 2
 	}
@@ -134,9 +134,9 @@
 	return rand.New(rand.NewPCG(s.config.Seed, sum))
 }
 
-// judge decides the quality and the confidence of an answer, and tells whether
+// decideQuality decides the quality and the confidence of an answer, and tells whether
 // a fault makes the version a bad one.
-func (s *Server) judge(j *job, class string) bool {
+func (s *Server) decideQuality(j *job, class string) bool {
 	const (
 		goodConfidence = 0.88
 		badConfidence  = 0.62
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -60,23 +60,23 @@
 	token string
 }
 
-// try sends a question once, under a request ID of its own.
-func (r *runner) try(ctx context.Context, q *question, requestID string) reply {
+// try sends an operation once, under a request ID of its own.
+func (r *runner) try(ctx context.Context, op *operation, requestID string) reply {
 	address := r.balancer.choose()
 	out := reply{retryAfter: -1}
 	out.observation = observation.Observation{
 		RequestID: requestID,
-		Key:       q.key,
+		Key:       op.key,
 		Address:   address,
-		Account:   q.account.ID,
-		Class:     q.class.Name,
-		Kind:      q.kind,
-		Marked:    q.marked,
+		Account:   op.account.ID,
+		Class:     op.class.Name,
+		Kind:      op.kind,
+		Marked:    op.marked,
 	}
-	if q.session != nil {
-		out.observation.Session = q.session.id
+	if op.session != nil {
+		out.observation.Session = op.session.id
 	}
-	request, err := newRequest(ctx, r.mix, q, address, requestID)
+	request, err := newRequest(ctx, r.mix, op, address, requestID)
 	if err != nil {
 		out.observation.Result = observation.NotRun
 		out.observation.Problem = err.Error()
@@ -92,7 +92,7 @@
 		return out
 	}
 	defer response.Body.Close()
-	out.read(q, response)
+	out.read(op, response)
 	out.observation.Took = time.Since(out.observation.Sent)
 	return out
 }
@@ -111,7 +111,7 @@
 	}
 }
 
-func (r *reply) read(q *question, response *http.Response) {
+func (r *reply) read(op *operation, response *http.Response) {
 	header := response.Header
 	r.observation.Status = response.StatusCode
 	r.observation.Instance = header.Get(headerInstance)
@@ -121,15 +121,15 @@
 		r.readProblem(response)
 		return
 	}
-	if echoed := header.Get(headerRequestID); q.kind.IsChat() && echoed != r.observation.RequestID {
+	if echoed := header.Get(headerRequestID); op.kind.IsChat() && echoed != r.observation.RequestID {
 		r.defect("reply of another request")
 		return
 	}
-	switch q.kind {
+	switch op.kind {
 	case observation.Stream:
-		r.readStream(q, response.Body)
+		r.readStream(op, response.Body)
 	case observation.Whole:
-		r.readWhole(q, response.Body)
+		r.readWhole(op, response.Body)
 	default:
 		r.readService(response.Body)
 	}
@@ -173,28 +173,28 @@
 	}
 }
 
-func newRequest(ctx context.Context, mix *Mix, q *question, address, requestID string) (*http.Request, error) {
+func newRequest(ctx context.Context, mix *Mix, op *operation, address, requestID string) (*http.Request, error) {
 	var request *http.Request
 	var err error
-	switch q.kind {
+	switch op.kind {
 	case observation.Read:
 		target := "http://" + address + "/services/" + mix.Service.Name + "/slots?of=" + requestID
 		request, err = http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	case observation.Booking:
 		target := "http://" + address + "/services/" + mix.Service.Name + "/bookings"
-		request, err = post(ctx, target, bookingBody{Key: q.key})
+		request, err = post(ctx, target, bookingBody{Key: op.key})
 	default:
 		request, err = post(ctx, "http://"+address+"/v1/chat/completions", chatBody{
-			Model:     q.class.Model,
-			Messages:  q.messages,
-			MaxTokens: q.tokens,
-			Stream:    q.kind == observation.Stream,
+			Model:     op.class.Model,
+			Messages:  op.messages,
+			MaxTokens: op.tokens,
+			Stream:    op.kind == observation.Stream,
 		})
 	}
 	if err != nil {
 		return nil, err
 	}
-	setHeaders(request.Header, q, requestID)
+	setHeaders(request.Header, op, requestID)
 	return request, nil
 }
 
@@ -213,23 +213,23 @@
 	return request, nil
 }
 
-func setHeaders(header http.Header, q *question, requestID string) {
-	header.Set("Authorization", "Bearer "+q.account.Key)
+func setHeaders(header http.Header, op *operation, requestID string) {
+	header.Set("Authorization", "Bearer "+op.account.Key)
 	header.Set(headerRequestID, requestID)
-	if q.key != "" {
-		header.Set(headerKey, q.key)
+	if op.key != "" {
+		header.Set(headerKey, op.key)
 	}
-	if !q.kind.IsChat() {
+	if !op.kind.IsChat() {
 		return
 	}
-	header.Set(headerClass, q.class.Name)
-	if q.class.DeadlineMillis > 0 {
-		header.Set(headerDeadline, strconv.Itoa(q.class.DeadlineMillis))
+	header.Set(headerClass, op.class.Name)
+	if op.class.DeadlineMillis > 0 {
+		header.Set(headerDeadline, strconv.Itoa(op.class.DeadlineMillis))
 	}
-	if q.session != nil {
-		header.Set(headerSession, q.session.id)
-		if q.session.token != "" {
-			header.Set(headerSessionToken, q.session.token)
+	if op.session != nil {
+		header.Set(headerSession, op.session.id)
+		if op.session.token != "" {
+			header.Set(headerSessionToken, op.session.token)
 		}
 	}
 }
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -38,7 +38,7 @@
 	options  Options
 	http     *http.Client
 	balancer *balancer
-	begun    atomic.Int64 // questions
+	begun    atomic.Int64 // operations
 	skipped  atomic.Int64 // arrivals beyond maxInFlight
 	recorder recorder
 }
@@ -82,61 +82,61 @@
 	return report, nil
 }
 
-// closedLoop lets virtual users ask one question after the other.
+// closedLoop lets virtual users send one request after the other.
 func (r *runner) closedLoop(asking, calls context.Context) {
 	var users sync.WaitGroup
 	for number := range r.mix.VirtualUsers {
 		users.Go(func() {
-			a := newAsker(r.mix, number)
-			for r.user(asking, calls, a) == nil {
+			g := newGenerator(r.mix, number)
+			for r.user(asking, calls, g) == nil {
 			}
 		})
 	}
 	users.Wait()
 }
 
-func (r *runner) user(asking, calls context.Context, a *asker) error {
+func (r *runner) user(asking, calls context.Context, g *generator) error {
 	if think := r.mix.ThinkMillis; think > 0 {
-		pause(asking, time.Duration(a.random.IntN(think))*time.Millisecond)
+		pause(asking, time.Duration(g.random.IntN(think))*time.Millisecond)
 	}
 	number := r.begun.Add(1)
 	if asking.Err() != nil || number > int64(r.mix.MaxRequests) {
 		return errStopped
 	}
-	q := a.next(r.isMarked(number))
-	last := r.ask(asking, calls, q)
-	a.learn(q, last)
+	op := g.next(r.isMarked(number))
+	last := r.ask(asking, calls, op)
+	g.learn(op, last)
 	return nil
 }
 
 // learn keeps a session's conversation going, or ends it after a refusal.
-func (a *asker) learn(q *question, last reply) {
-	if q.session == nil {
+func (g *generator) learn(op *operation, last reply) {
+	if op.session == nil {
 		return
 	}
 	if last.observation.Result != observation.Answered {
-		a.leave(q)
+		g.leave(op)
 		return
 	}
-	q.session.token = last.token
-	q.session.messages = append(append([]message{}, q.messages...), message{Role: "assistant", Content: last.text})
+	op.session.token = last.token
+	op.session.messages = append(append([]message{}, op.messages...), message{Role: "assistant", Content: last.text})
 }
 
-// openLoop begins questions at the mix's rate, whatever becomes of them.
+// openLoop begins operations at the mix's rate, whatever becomes of them.
 func (r *runner) openLoop(asking, calls context.Context) {
-	a := newAsker(r.mix, 0)
+	g := newGenerator(r.mix, 0)
 	var inFlight sync.WaitGroup
 	slots := make(chan struct{}, maxInFlight)
 	next := time.Now()
 	for {
-		next = next.Add(time.Duration(a.random.ExpFloat64() / r.mix.Rate * float64(time.Second)))
+		next = next.Add(time.Duration(g.random.ExpFloat64() / r.mix.Rate * float64(time.Second)))
 		pause(asking, time.Until(next))
 		number := r.begun.Add(1)
 		if asking.Err() != nil || number > int64(r.mix.MaxRequests) {
 			break
 		}
-		q := a.next(r.isMarked(number))
-		a.open = nil // arrivals do not wait for an answer to continue
+		op := g.next(r.isMarked(number))
+		g.open = nil // arrivals do not wait for an answer to continue
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -145,7 +145,7 @@
 		}
 		inFlight.Go(func() {
 			defer func() { <-slots }()
-			r.ask(asking, calls, q)
+			r.ask(asking, calls, op)
 		})
 	}
 	inFlight.Wait()
@@ -159,40 +159,40 @@
 	return number/int64(marked.Every) <= int64(marked.Count)
 }
 
-// ask sends a question until it is answered, its tries are used up, or coming
+// ask sends an operation until it is answered, its tries are used up, or coming
 // back does not help.
-func (r *runner) ask(asking, calls context.Context, q *question) reply {
+func (r *runner) ask(asking, calls context.Context, op *operation) reply {
 	for number := 1; ; number++ {
-		last := r.try(calls, q, q.id+"-t"+strconv.Itoa(number))
+		last := r.try(calls, op, op.id+"-t"+strconv.Itoa(number))
 		r.recorder.add(last.observation)
 		if r.options.OnObservation != nil {
 			r.options.OnObservation(last.observation)
 		}
-		wait := last.comeBack(q)
-		if wait < 0 || number >= r.triesOf(q) || asking.Err() != nil {
+		wait := last.comeBack(op)
+		if wait < 0 || number >= r.triesOf(op) || asking.Err() != nil {
 			return last
 		}
 		pause(asking, min(wait, maxBackOff))
 	}
 }
 
-// triesOf returns how often a question may be sent. Callers of marked ones do
+// triesOf returns how often an operation may be sent. Callers of marked ones do
 // not give up soon.
-func (r *runner) triesOf(q *question) int {
-	if q.marked {
+func (r *runner) triesOf(op *operation) int {
+	if op.marked {
 		return r.mix.Tries + markedTries
 	}
 	return r.mix.Tries
 }
 
-// comeBack returns how long to wait before the question is sent again, or a
+// comeBack returns how long to wait before the operation is sent again, or a
 // negative duration if it is over.
-func (r reply) comeBack(q *question) time.Duration {
+func (r reply) comeBack(op *operation) time.Duration {
 	switch r.observation.Result {
 	case observation.NotRun:
 		return r.retryAfter
 	case observation.Unknown:
-		if q.kind == observation.Booking || q.marked {
+		if op.kind == observation.Booking || op.marked {
 			return max(r.retryAfter, unknownBackOff)
 		}
 	}
--- a/standin/load/verify.go
+++ b/standin/load/verify.go
@@ -28,7 +28,7 @@
 	Error *problem `json:"error"`
 }
 
-func (r *reply) readWhole(q *question, body io.Reader) {
+func (r *reply) readWhole(op *operation, body io.Reader) {
 	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
 	if err != nil {
 		r.lost()
@@ -41,12 +41,12 @@
 		return
 	}
 	r.text = chat.Choices[0].Message.Content
-	r.verify(q)
+	r.verify(op)
 }
 
 // readStream reads events up to the end mark. A stream may end with an error
 // event or a broken connection, but never with a clean end before the mark.
-func (r *reply) readStream(q *question, body io.Reader) {
+func (r *reply) readStream(op *operation, body io.Reader) {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxAnswerBytes)
 	var text strings.Builder
@@ -58,7 +58,7 @@
 		data = strings.TrimSpace(data)
 		if data == "[DONE]" {
 			r.text = text.String()
-			r.verify(q)
+			r.verify(op)
 			return
 		}
 		var next frame
@@ -84,8 +84,8 @@
 	r.defect(problemSilentEnd)
 }
 
-// verify proves that the text is whole and the question's own.
-func (r *reply) verify(q *question) {
+// verify proves that the text is whole and the operation's own.
+func (r *reply) verify(op *operation) {
 	parsed, err := answer.Parse(r.text)
 	switch {
 	case err != nil:
@@ -94,12 +94,12 @@
 		r.defect(problemForeign)
 	case parsed.Ref != r.observation.Ref:
 		r.defect(problemModel)
-	case parsed.Tokens != q.tokens:
+	case parsed.Tokens != op.tokens:
 		r.defect(answer.ErrIncomplete.Error())
 	default:
 		r.observation.Result = observation.Answered
 		r.observation.Quality = parsed.Quality
-		r.observation.PromptTokens = words(q.messages)
+		r.observation.PromptTokens = words(op.messages)
 		r.observation.AnswerTokens = parsed.Tokens
 	}
 }
