--- a/cmd/internal/capacity/fleet.go
+++ b/cmd/internal/capacity/fleet.go
@@ -75,7 +75,7 @@
 		name := platform.Zone(fmt.Sprintf("zone-%d", zone))
 		d.Zones = append(d.Zones, name)
 		for number := range shape.PerZone {
-			d.Instances = append(d.Instances, fixture.Place{Name: fmt.Sprintf("i-%d-%d", zone, number), Zone: name})
+			d.Instances = append(d.Instances, fixture.Instance{Name: fmt.Sprintf("i-%d-%d", zone, number), Zone: name})
 			for e := range enginesPerInstance {
 				id := fmt.Sprintf("e-%d-%d-%d", zone, number, e)
 				d.Engines = append(d.Engines, endpoint.Identity{ID: platform.EndpointID(id), Pool: "small", Zone: name})
