Suspects wait for a free endpoint; a silent connection leaves time for another

Cause of deadline-passed answers after silent connections: a dispatch was allowed the whole progress limit, which equals the deadline of tagging. It now has half of the time left at most.

--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/node/suspects"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
 	"github.com/wigeonusher/wigeonusher/policy/document"
@@ -55,7 +56,7 @@
 	Started(fingerprint suspect.Fingerprint, endpoint platform.EndpointID)
 	Finished(fingerprint suspect.Fingerprint, endpoint platform.EndpointID)
 	Crashed(fingerprint suspect.Fingerprint, pool platform.PoolName, endpoint platform.EndpointID)
-	Try(ctx context.Context, fingerprint suspect.Fingerprint, pool platform.PoolName, endpoint platform.EndpointID) bool
+	Try(ctx context.Context, fingerprint suspect.Fingerprint, pool platform.PoolName, endpoint platform.EndpointID) suspects.Claim
 	End(fingerprint suspect.Fingerprint, crashed bool)
 }
 
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/node/suspects"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/gate"
@@ -28,11 +29,20 @@
 	maxTries = 3
 	// retryAfter is when to come back after a failure of the endpoints.
 	retryAfter = time.Second
+	// minPatience is the least silence after which a dispatch is given up.
+	minPatience = 100 * time.Millisecond
+	// occupiedPause is the wait for an endpoint on which no other suspect is
+	// tried, and maxOccupiedPauses the number of such waits.
+	occupiedPause     = 50 * time.Millisecond
+	maxOccupiedPauses = 40
 	// crashProbeTimeout bounds the look whether an endpoint that cut a
 	// connection still lives.
 	crashProbeTimeout = 500 * time.Millisecond
 )
 
+// errOccupied reports that a suspect could not be tried alone just now.
+var errOccupied = eris.New("dispatch: no endpoint free for a suspect")
+
 // errCallerGone reports that the sink refused a frame.
 var errCallerGone = eris.New("dispatch: caller has gone")
 
@@ -139,11 +149,20 @@
 	accountBudget, poolBudget := d.Budgets.Account(s.request.Account), d.Budgets.Pool(s.pool)
 	accountBudget.Deposit()
 	poolBudget.Deposit()
+	pauses := 0
 	for number := 0; ; number++ {
 		answer, err := s.try(ctx)
 		if err == nil {
 			return answer, nil
 		}
+		if errors.Is(err, errOccupied) && pauses < maxOccupiedPauses {
+			pauses++
+			number--
+			if !sleep(ctx, occupiedPause) {
+				return nil, s.ended()
+			}
+			continue
+		}
 		var trouble *problem.Problem
 		if errors.As(err, &trouble) {
 			return nil, trouble
@@ -158,17 +177,24 @@
 		if !eris.Is(err, engine.ErrRefused) && !retry.WithdrawAll(time.Now(), accountBudget, poolBudget) {
 			return nil, s.interrupted(err)
 		}
-		wait := retry.Backoff{}.Wait(globalRandom{}, number)
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, retry.Backoff{}.Wait(globalRandom{}, number)) {
 			return nil, s.ended()
-		case <-time.After(wait):
 		}
 	}
 }
 
+// sleep waits. It reports false if the context ended first.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 func (s *step) interrupted(err error) *problem.Problem {
-	if s.request.Attempt.Outcome().IsNotRun() {
+	if s.request.Attempt.Outcome().IsNotRun() || errors.Is(err, errOccupied) {
 		return s.noEndpoint()
 	}
 	return problem.New(problem.AnswerInterrupted, http.StatusBadGateway, eris.Cause(err).Error(), &s.request.Attempt).After(retryAfter)
@@ -197,10 +223,13 @@
 	d := s.dispatcher
 	candidate, err := s.place(d.Suspects.Occupied)
 	if err != nil {
-		return nil, err
+		return nil, errOccupied
 	}
-	if !d.Suspects.Try(ctx, s.fingerprint, s.pool, candidate.ID) {
+	switch d.Suspects.Try(ctx, s.fingerprint, s.pool, candidate.ID) {
+	case suspects.Denied:
 		return nil, s.crashSuspect("the request may have crashed an endpoint and cannot be tried alone now").After(retryAfter)
+	case suspects.Occupied:
+		return nil, errOccupied
 	}
 	answer, crashed, err := s.dispatch(ctx, candidate)
 	if err == nil || crashed {
@@ -257,6 +286,7 @@
 		Ref:       s.ref,
 		Priority:  s.request.Priority,
 		Request:   s.request.Body,
+		Progress:  s.patience(),
 	}
 	d.Endpoints.Dispatched(time.Now(), candidate.ID, s.prefix)
 	d.Suspects.Started(s.fingerprint, candidate.ID)
@@ -273,6 +303,12 @@
 	return nil, s.failed(ctx, candidate, &sent, err), err
 }
 
+// patience is the longest silence of a dispatch: half of the time left, so that
+// a silent connection leaves time for another endpoint.
+func (s *step) patience() time.Duration {
+	return max(minPatience, time.Until(s.request.Deadline)/2)
+}
+
 // failed sorts a failed dispatch: refused, cut off by the caller, crashed or
 // otherwise failed. It reports whether the endpoint crashed.
 func (s *step) failed(ctx context.Context, candidate placement.Candidate, sent *outcome.Attempt, err error) (crashed bool) {
--- a/node/feedback/gossip.go
+++ b/node/feedback/gossip.go
@@ -14,7 +14,7 @@
 
 const (
 	// exportInterval is the time between exports of the planner's counts.
-	exportInterval = 5 * time.Second
+	exportInterval = 2 * time.Second
 	// tellFor is how long an export goes into digests: one round of
 	// heartbeats to all peers.
 	tellFor = 1500 * time.Millisecond
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -82,14 +82,26 @@
 	s.add(suspect.KindReport, report)
 }
 
-// Try claims the one try of an isolated request on an endpoint. It reports
-// whether the try was granted; the caller then dispatches once and calls
-// [Suspects.End]. A try that is granted after its caller has gone is never
+// Claim is what became of a claim for the one try of a suspect.
+type Claim uint8
+
+// Results of a claim.
+const (
+	// Denied claims are not to be repeated: the request is being tried
+	// elsewhere, or the log is down.
+	Denied Claim = iota
+	// Occupied claims met another suspect on the endpoint.
+	Occupied
+	// Granted claims permit one dispatch, followed by [Suspects.End].
+	Granted
+)
+
+// Try claims the one try of an isolated request on an endpoint. A try that is granted after its caller has gone is never
 // ended: the request has not shown that it is innocent, so its fingerprint
 // stays blocked until it expires.
-func (s *Suspects) Try(ctx context.Context, fingerprint suspect.Fingerprint, pool platform.PoolName, endpoint platform.EndpointID) bool {
+func (s *Suspects) Try(ctx context.Context, fingerprint suspect.Fingerprint, pool platform.PoolName, endpoint platform.EndpointID) Claim {
 	if !s.writer.Available(time.Now()) || s.fold.Tried(fingerprint) {
-		return false
+		return Denied
 	}
 	reports, try := s.tracker.Claim(fingerprint, pool, endpoint)
 	for _, report := range reports {
@@ -99,13 +111,20 @@
 	met, forget := s.expecter.Expect(id)
 	defer forget()
 	if !s.addAs(id, suspect.KindTry, try) {
-		return false
+		return Denied
 	}
 	select {
 	case <-met:
-		return s.fold.Try(fingerprint, id, true) == suspect.TryGranted
 	case <-ctx.Done():
-		return false
+		return Denied
+	}
+	switch {
+	case s.fold.Try(fingerprint, id, true) == suspect.TryGranted:
+		return Granted
+	case s.fold.Tried(fingerprint):
+		return Denied
+	default:
+		return Occupied
 	}
 }
 
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -79,6 +79,8 @@
 	Ref       document.Ref
 	Priority  int
 	Request   *openai.Request
+	// Progress, if not 0, is a longest silence shorter than the client's.
+	Progress time.Duration
 }
 
 // Answer is a whole answer.
@@ -96,7 +98,11 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, watch := newWatchdog(ctx, c.config.Progress)
+	limit := c.config.Progress
+	if call.Progress > 0 {
+		limit = min(limit, call.Progress)
+	}
+	ctx, watch := newWatchdog(ctx, limit)
 	defer watch.stop()
 	request, err := http.NewRequestWithContext(departing(ctx, departed), http.MethodPost, "http://"+call.Address+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
