--- a/coord/membership/endpoints_test.go
+++ b/coord/membership/endpoints_test.go
@@ -219,6 +219,19 @@
 	assert.Equal(t, len(tracker.Sightings(now)), membership.MaxSightings)
 }
 
+// A peer that tells again what it has told has not heard that this instance
+// knows, and is told again; then there is silence on both sides.
+func TestLostAcknowledgementIsRepeated(t *testing.T) {
+	tracker := membership.NewEndpoints(membership.EndpointsConfig{})
+	now := time.Unix(0, 0)
+	sighting := membership.Sighting{ID: "a", Leaving: true}
+	for range 3 {
+		tracker.SightedBy(now, "x", sighting)
+		assert.DeepEqual(t, tracker.SightingsFor(now, "x"), []membership.Sighting{sighting})
+		assert.Equal(t, len(tracker.SightingsFor(now, "x")), 0)
+	}
+}
+
 func FuzzHeard(f *testing.F) {
 	f.Add("peer", "east", "10.0.0.1:1", uint64(1), false, uint64(9), "other")
 	f.Add("", "", "", uint64(0), true, uint64(0), "")
