--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -70,6 +70,22 @@
 	})
 }
 
+func TestPlannedStopOfTheLastInstanceSettlesItsBills(t *testing.T) {
+	f, nodes := newModels(t, 1, nil)
+	n := nodes[0]
+	f.log.Faults.Set(faults.Set{Down: true})
+	got := f.chat(n.Node, chatBody("small", false), header{"X-Request-Id", "last"})
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	n.stop()
+	f.eventually("the instance stops serving", func() bool {
+		_, err := f.tryCall(n.Node, http.MethodGet, "/v1/models", "")
+		return err != nil
+	})
+	f.log.Faults.Set(faults.Set{})
+	assert.NilError(t, <-n.done)
+	assert.Equal(t, f.bills()["last"], 1)
+}
+
 func (f *fleet) runningOnEngines() int {
 	running := 0
 	for _, engine := range f.engines {
