Tests: stricter where deliberate faults passed

A key freed after an uncertain dispatch, a departure told only with the first byte of the answer, and a client that trusts a stranger's server passed the tests; they fail now.

--- a/node/keys/keys_test.go
+++ b/node/keys/keys_test.go
@@ -122,6 +122,18 @@
 	assert.Assert(t, err != nil)
 }
 
+func TestStrangersServersAreRefused(t *testing.T) {
+	ours := newAuthority(t, "fleet").write(t, t.TempDir(), 7)
+	theirs := newAuthority(t, "stranger").write(t, t.TempDir(), 8)
+	theirs.CAFile = ""
+	server, err := keys.Server(theirs)
+	assert.NilError(t, err)
+	client, err := keys.Client(ours)
+	assert.NilError(t, err)
+	_, err = handshake(t, server, client)
+	assert.ErrorContains(t, err, "certificate")
+}
+
 func TestChangedFilesAreReadAgain(t *testing.T) {
 	dir := t.TempDir()
 	fleet := newAuthority(t, "fleet")
--- a/node/once_test.go
+++ b/node/once_test.go
@@ -33,6 +33,16 @@
 	return runs
 }
 
+// intentsContain reports whether a record of the intents stream has the text.
+func (f *fleet) intentsContain(text string) bool {
+	for _, record := range f.log.Records(platform.StreamIntents) {
+		if strings.Contains(string(record.Payload), text) {
+			return true
+		}
+	}
+	return false
+}
+
 // newDesk starts a fleet with a service and two instances in two zones.
 func newDesk(t *testing.T) (*fleet, []*runningNode) {
 	t.Helper()
@@ -116,6 +126,7 @@
 		again := f.book(nodes[1].Node, "frozen-1")
 		return strings.Contains(again.body, "outcome-unknown")
 	})
+	assert.Assert(t, !f.intentsContain(`"abandoned":true`), "a key was freed after a dispatch that may have run")
 	for _, service := range f.services {
 		service.Faults.Set(faults.Set{})
 	}
@@ -132,14 +143,7 @@
 	group.Go(func() {
 		_, _ = f.tryCall(nodes[0].Node, http.MethodPost, "/services/desk/bookings", `{"slot":"1"}`, header{"Idempotency-Key", "taken"})
 	})
-	f.eventually("the intent is in the log", func() bool {
-		for _, record := range f.log.Records(platform.StreamIntents) {
-			if strings.Contains(string(record.Payload), `"taken"`) {
-				return true
-			}
-		}
-		return false
-	})
+	f.eventually("the intent is in the log", func() bool { return f.intentsContain(`"taken"`) })
 	nodes[0].Kill()
 	group.Wait()
 	fresh := f.startReady("a")
--- a/wire/engine/client_test.go
+++ b/wire/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,6 +50,10 @@
 			w.Header().Set(engine.HeaderNotRun, "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, engine.ErrRefused, true},
+		{"no answer at all", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, engine.ErrSilent, true},
 		{"silent", func(w http.ResponseWriter, r *http.Request) {
 			w.WriteHeader(http.StatusOK)
 			w.(http.Flusher).Flush()
