intent: answer undecided calls at once when the log goes down

Cause: calls whose intents waited in the outbox when the log went down got their answer at their deadline, although it was certain that they had not run. LogLost asks the outbox to withdraw them; success is proof.

Ruled out: answering without the withdrawal, which would be untrue for an intent whose append was lost.

--- a/coord/intent/call.go
+++ b/coord/intent/call.go
@@ -81,6 +81,8 @@
 		return c.finish(now, event)
 	case Cancelled:
 		return c.giveUp(CallerGone)
+	case LogLost:
+		return c.logLost()
 	case Withdrawn:
 		return c.withdrawn(event)
 	case Rejected:
@@ -172,6 +174,13 @@
 	}
 }
 
+func (c *Call) logLost() []Effect {
+	if c.state != undecided {
+		return nil
+	}
+	return []Effect{Withdraw{ID: c.intentID()}}
+}
+
 func (c *Call) withdrawn(event Withdrawn) []Effect {
 	switch c.state {
 	case undecided:
--- a/coord/intent/call_event.go
+++ b/coord/intent/call_event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is something that happened to a [Call]. The types are [Start],
-// [Decided], [Tick], [DispatchResult], [Cancelled], [Rejected] and
+// [Decided], [Tick], [DispatchResult], [Cancelled], [Rejected], [LogLost] and
 // [Withdrawn].
 type Event interface{ isEvent() }
 
@@ -64,6 +64,11 @@
 // Rejected says that the outbox did not take the entry of an [AddEntry].
 type Rejected struct{ RetryAfter time.Duration }
 
+// LogLost says that the log has become unavailable. A call whose intent is not
+// decided asks to withdraw it, so that its caller need not wait for the
+// deadline.
+type LogLost struct{}
+
 // Withdrawn says that the call's intent is certainly not in the log and never
 // will be, because the outbox has withdrawn it.
 type Withdrawn struct{ RetryAfter time.Duration }
@@ -74,6 +79,7 @@
 func (DispatchResult) isEvent() {}
 func (Cancelled) isEvent()      {}
 func (Rejected) isEvent()       {}
+func (LogLost) isEvent()        {}
 func (Withdrawn) isEvent()      {}
 
 // Effect is something for the caller of [Call.Step] to do. The types are
--- a/coord/intent/doc.go
+++ b/coord/intent/doc.go
@@ -24,6 +24,10 @@
 // matters: a call that has been answered "not run" is never dispatched, even
 // if the acceptance comes a moment later.
 //
+// When the log becomes unavailable, [LogLost] lets the calls whose intents have
+// certainly not reached it be answered at once; the others wait for a decision
+// or for their deadline.
+//
 // # The lifetime of a key
 //
 // A ledger forgets a key [LedgerConfig].Window records after the last entry
--- a/coord/intent/measure_test.go
+++ b/coord/intent/measure_test.go
@@ -85,8 +85,12 @@
 		b.fold(n, 1000)
 		b.readAt[i] = b.at + b.latency
 	}
+	lost := !n.writer.Box.Health(n.clock).Available
 	for _, attempt := range sortedAttempts(n) {
 		r := n.open[attempt]
+		if lost {
+			b.step(n, r, intent.LogLost{})
+		}
 		if r.toSend == nil {
 			continue
 		}
@@ -164,8 +168,8 @@
 				appends := float64(b.log.Appends) / benchLength.Seconds()
 				served := 100 * float64(kinds[intent.Answered]+kinds[intent.Replayed]) / float64(len(b.samples))
 				slices.Sort(took)
-				t.Logf("%-28s %3d calls/s keyed=%-5t served %5.1f %%, %4.1f appends/s, answered within p50 %v p95 %v, %v, %d runs",
-					c.name, rate, keyed, served, appends, took[len(took)/2], took[len(took)*95/100], kinds, len(b.runs))
+				t.Logf("%-28s %3d calls/s keyed=%-5t served %5.1f %%, %4.1f appends/s, answered within p50 %v p95 %v at most %v, %v, %d runs",
+					c.name, rate, keyed, served, appends, took[len(took)/2], took[len(took)*95/100], took[len(took)-1], kinds, len(b.runs))
 				assert.Assert(t, appends <= 3*10*1.3)
 			}
 		}
--- a/coord/intent/proof_test.go
+++ b/coord/intent/proof_test.go
@@ -334,6 +334,10 @@
 			n := w.draw(t)
 			w.step(n, drawOpen(t, n, func(*request) bool { return true }), intent.Cancelled{})
 		},
+		"log lost": func(t *rapid.T) {
+			n := w.draw(t)
+			w.step(n, drawOpen(t, n, func(*request) bool { return true }), intent.LogLost{})
+		},
 		"land": func(t *rapid.T) {
 			if w.log.Late() == 0 {
 				t.Skip("nothing late")
--- a/coord/outbox/doc.go
+++ b/coord/outbox/doc.go
@@ -39,7 +39,9 @@
 // [Forwarded], and settle what they meet in the stream with [Outbox.Observe].
 // An entry that does not turn up within [Config].Patience is appended by its
 // own outbox after all, under the same ID. Who appends is a matter of cost, not
-// of safety: two appenders, or none, do no harm.
+// of safety: two appenders, or none, do no harm. An outbox that delegates learns
+// of an outage of the log by its own appends, a patience late; [Outbox.Health]
+// is better asked at the appender.
 //
 // # Bounds
 //
