outbox: adopt entries of a dead instance also when full

The outbox now adopts beyond its bound, and a reservation is kept also when adopted entries have used the room up.

--- a/coord/hold/doc.go
+++ b/coord/hold/doc.go
@@ -22,9 +22,9 @@
 // an entry once the log has it.
 //
 // A [Store] is the receiving side, bounded for each peer and in all.
-// [Store.Orphans] hands out the entries of peers that are gone, each once;
-// [Store.Failed] takes them back if they could not be added to an outbox, and
-// [Store.Settled] forgets them.
+// [Store.Orphans] hands out the entries of peers that are gone, each once, for
+// an outbox to adopt; [Store.Failed] takes them back if that did not succeed,
+// and [Store.Settled] forgets them.
 //
 // Both are pure: they do no IO and have no clock. Which peers are gone is a
 // hint from the membership. A wrong hint costs repeated appends and nothing
--- a/coord/outbox/outbox.go
+++ b/coord/outbox/outbox.go
@@ -88,7 +88,17 @@
 // Add takes an entry over. An ID that is already held is taken once. The
 // errors are [ErrFull], [ErrTooLarge] and that of an entry that cannot be
 // encoded. The entry leaves with a later Step.
-func (o *Outbox) Add(entry platform.Entry) error {
+func (o *Outbox) Add(entry platform.Entry) error { return o.take(entry, 0) }
+
+// Adopt takes over an entry of another instance, also if the outbox is full:
+// the requests of this instance may have reserved all room for as long as they
+// run. The caller bounds how many there are. The errors are [ErrTooLarge] and
+// that of an entry that cannot be encoded.
+func (o *Outbox) Adopt(entry platform.Entry) error { return o.take(entry, platform.MaxRecordBytes) }
+
+// take takes an entry over: at any rate if its size is within what is granted,
+// in bytes, and else if there is room.
+func (o *Outbox) take(entry platform.Entry, granted int) error {
 	if o.queue.has(entry.ID) {
 		return nil
 	}
@@ -99,7 +109,7 @@
 	if size+recordOverhead > platform.MaxRecordBytes {
 		return ErrTooLarge
 	}
-	if !o.hasRoom(size) {
+	if size > granted && !o.hasRoom(size) {
 		return ErrFull
 	}
 	o.queue.push(entry, size)
--- a/coord/outbox/reserve.go
+++ b/coord/outbox/reserve.go
@@ -38,7 +38,7 @@
 		return ErrReservationUsed
 	}
 	r.Cancel()
-	err := r.box.Add(entry)
+	err := r.box.take(entry, r.bytes)
 	if err != nil {
 		r.restore()
 	}
