cascade: one explore credit for all classes, spent where little is known

Credit is now saved up per instance and spent by the classes that need it; a version is tried up to 60 ratings, or up to 20 if it clearly misses the target.

--- a/policy/cascade/change.go
+++ b/policy/cascade/change.go
@@ -4,7 +4,7 @@
 
 const (
 	// changeLevel is the log likelihood ratio at which a change is declared.
-	changeLevel = 7
+	changeLevel = 9
 	// changeDrop is the factor on the chance of a good answer that the
 	// cumulative sum looks for.
 	changeDrop = 0.75
--- a/policy/cascade/estimate.go
+++ b/policy/cascade/estimate.go
@@ -11,6 +11,12 @@
 	// fadeAnswers is the number of other versions' rated answers over which a
 	// version that gets no ratings is forgotten.
 	fadeAnswers = 6000
+	// trustRatings is the number of ratings below which a version is planned
+	// with only to learn, or if the last candidate is too slow.
+	trustRatings = 20
+	// learnRatings is the number of ratings up to which a version is tried for
+	// their sake, as long as it may reach the target.
+	learnRatings = 60
 	// neighbourWeight is the weight, in ratings, of the estimate that a bin
 	// takes from the bins around it.
 	neighbourWeight = 2
@@ -175,6 +181,17 @@
 	return whole
 }
 
+// promising reports whether the version should be tried for its ratings: it
+// has few, and they leave the target within two standard deviations.
+func (t *track) promising(target float64) bool {
+	ratings := t.ratings()
+	if ratings < trustRatings {
+		return true
+	}
+	whole := t.whole()
+	return ratings < learnRatings && whole.mean+2*math.Sqrt(whole.variance) >= target
+}
+
 // drawn returns a mean drawn from the belief, in the normal approximation.
 func (b belief) drawn(random Random) belief {
 	u := max(random.Float64(), math.SmallestNonzeroFloat64)
--- a/policy/cascade/learned.go
+++ b/policy/cascade/learned.go
@@ -15,14 +15,11 @@
 	balanceGain = 1
 	// maxCorrection bounds the correction of a target, in either direction.
 	maxCorrection = 0.02
-	// learnRatings is the number of ratings below which a candidate is tried
-	// for their sake, and learnFrom the bin from which its answers are then
-	// accepted.
-	learnRatings = 150
-	learnFrom    = 4
-	// trustRatings is the number of ratings below which a candidate is planned
-	// with only to learn, or if the last candidate is too slow.
-	trustRatings = 20
+	// learnFrom is the bin from which answers of a candidate are accepted that
+	// is tried for its ratings.
+	learnFrom = 4
+	// maxCredit bounds the explored requests that can be saved up.
+	maxCredit = 10
 	// strongestPrior and weakestPrior are the assumed qualities of the last
 	// and the first candidate of a class before any rating.
 	strongestPrior = 0.95
@@ -37,6 +34,9 @@
 	totals   map[Cell]Count
 	peers    map[platform.InstanceID]*peerState
 	sequence uint64
+	// credit counts the explored requests that the explore share has paid for.
+	// Classes share it, so that those that are known leave it to the others.
+	credit float64
 }
 
 type trackKey struct {
@@ -72,18 +72,29 @@
 	class := l.class(request.Class)
 	target := rule.QualityTarget + class.correction(rule.QualityTarget)
 	best := choose(class.options(request, nil), rule, request.Left, target)
-	if random.Float64() >= exploreShare {
+	l.credit = min(maxCredit, l.credit+exploreShare)
+	tried, ok := class.tried(random, rule, exploreShare, request)
+	if !ok || l.credit < 1 || sameSteps(tried.steps, best.steps) {
 		return best.plan()
 	}
-	tried, ok := class.unknown(request)
-	if !ok {
-		tried = choose(class.options(request, random), rule, request.Left, rule.QualityTarget)
-	}
+	l.credit--
 	plan := tried.plan()
-	plan.Explored = !sameSteps(tried.steps, best.steps)
+	plan.Explored = true
 	return plan
 }
 
+// tried returns a plan worth exploring, if there is one: always while too
+// little is known of a candidate, and for a share of requests later.
+func (c *classState) tried(random Random, rule document.ClassRule, share float64, request Request) (option, bool) {
+	if tried, ok := c.unknown(rule.QualityTarget, request); ok {
+		return tried, true
+	}
+	if random.Float64() >= share {
+		return option{}, false
+	}
+	return choose(c.options(request, random), rule, request.Left, rule.QualityTarget), true
+}
+
 // ObserveResult implements [Planner].
 func (l *Learned) ObserveResult(result Result) {
 	cell := cellOf(result)
@@ -204,11 +215,11 @@
 
 // unknown returns a plan that tries a candidate of which too little is known,
 // with the last candidate behind it.
-func (c *classState) unknown(request Request) (option, bool) {
+func (c *classState) unknown(target float64, request Request) (option, bool) {
 	last := len(request.Candidates) - 1
 	for i, candidate := range request.Candidates[:last] {
 		known := c.track(candidate.Ref, i, last+1)
-		if known.ratings() >= learnRatings {
+		if !known.promising(target) {
 			continue
 		}
 		step := first{candidate: candidate, shares: known.shares()}
