--- a/policy/placement/prefix_index.go
+++ b/policy/placement/prefix_index.go
@@ -25,7 +25,7 @@
 // Defaults of [PrefixConfig].
 const (
 	DefaultBlockTokens = 64
-	DefaultMaxBlocks   = 4096
+	DefaultMaxBlocks   = 1024
 )
 
 // PrefixConfig holds the sizes of a [PrefixIndex]. Zero fields take the
--- a/policy/placement/scheduler_test.go
+++ b/policy/placement/scheduler_test.go
@@ -212,6 +212,10 @@
 	table.PeerInFlight(now.Add(time.Second), "other", "e", 0, 0)
 	outstanding, _ = table.Reserve(now.Add(time.Second), "peer", "e", 2, false)
 	assert.Equal(t, outstanding, 1)
+	// An older digest that comes late changes nothing.
+	table.PeerInFlight(now.Add(2*time.Second), "other", "e", 7, 1500*time.Millisecond)
+	outstanding, _ = table.Reserve(now.Add(2*time.Second), "third", "e", 0, false)
+	assert.Equal(t, outstanding, 2)
 }
 
 func TestPollShareIsAPartition(t *testing.T) {
