--- a/policy/rollout/budget_test.go
+++ b/policy/rollout/budget_test.go
@@ -100,7 +100,7 @@
 	}
 	body, err := json.Marshal(map[document.RolloutID]document.Rollout{"r": r, "q": q})
 	assert.NilError(t, err)
-	m.append(t, config.KindProposal, config.Proposal{Section: document.SectionRollouts, Base: m.section, Body: body})
+	m.append(t, config.KindProposal, config.Proposal{Section: document.SectionRollouts, Base: m.section, Author: "operator", Body: body})
 	m.judge.read(m.log, len(m.log))
 	m.section = m.judge.config.Document().Sections[document.SectionRollouts].Revision
 }
--- a/policy/session/life_test.go
+++ b/policy/session/life_test.go
@@ -89,7 +89,7 @@
 	encoded, err := json.Marshal(body)
 	assert.NilError(t, err)
 	base := m.judge.config.Document().Sections[section].Revision
-	m.append(t, config.KindProposal, config.Proposal{Section: section, Base: base, Body: encoded})
+	m.append(t, config.KindProposal, config.Proposal{Section: section, Base: base, Author: "operator", Body: encoded})
 }
 
 func (m *lifeModel) publishModels(t *rapid.T, stable document.VersionName) {
