hold: news of settled entries goes to the outbox that adopted them

The rule is stated in the package's doc and carried out in the model. The outbox and the longer search are otherwise unchanged.

--- a/coord/hold/doc.go
+++ b/coord/hold/doc.go
@@ -24,7 +24,9 @@
 // A [Store] is the receiving side, bounded for each peer and in all.
 // [Store.Orphans] hands out the entries of peers that are gone, each once, for
 // an outbox to adopt; [Store.Failed] takes them back if that did not succeed,
-// and [Store.Settled] forgets them.
+// and [Store.Settled] forgets them. News of settled entries from a peer goes to
+// the outbox as well (Observe), which may have adopted them on a wrong belief;
+// together the bounds of the two then hold.
 //
 // Both are pure: they do no IO and have no clock. Which peers are gone is a
 // hint from the membership. A wrong hint costs repeated appends and nothing
--- a/coord/hold/proof_test.go
+++ b/coord/hold/proof_test.go
@@ -166,6 +166,7 @@
 	result := hold.CopyResult{Copy: sent.ID, Failed: true}
 	if arrives && to.alive {
 		to.store.Settled(n.id, sent.Settled)
+		to.writer.Do(to.writer.Box.Observe(sent.Settled))
 		result.Held = to.store.Hold(n.id, sent.Stream, sent.Entries)
 		for _, entry := range sent.Entries {
 			if to.store.Holds(n.id, entry.ID) {
