policy/orders/measure: planner against loading everywhere at once

Cause: the measurement stood in a test file with fakes that the property test has too. Conclusion: the fakes and the baseline are one small package, and the property test uses them.

--- a/policy/orders/planner_test.go
+++ b/policy/orders/planner_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/orders"
+	"github.com/wigeonusher/wigeonusher/policy/orders/measure"
 	"github.com/wigeonusher/wigeonusher/policy/rollout"
 )
 
@@ -25,7 +26,7 @@
 		w.engines[0].Loaded = append(w.engines[0].Loaded, foreign, unknown)
 		w.engines[1].Loaded = append(w.engines[1].Loaded, foreign)
 		anyHolder := func(t *rapid.T) *holder { return rapid.SampledFrom(w.holders).Draw(t, "holder") }
-		anyEngine := func(t *rapid.T) *engine { return rapid.SampledFrom(w.engines).Draw(t, "engine") }
+		anyEngine := func(t *rapid.T) *measure.Engine { return rapid.SampledFrom(w.engines).Draw(t, "engine") }
 		state := rapid.SampledFrom([]document.VersionState{document.VersionServing, document.VersionWithdrawn})
 		rare := func(t *rapid.T) bool { return rapid.IntRange(0, 5).Draw(t, "rare") == 0 }
 		t.Repeat(map[string]func(*rapid.T){
@@ -65,14 +66,14 @@
 			"leave": func(t *rapid.T) {
 				if rare(t) {
 					anyEngine(t).Leaving = true
-					w.addEngine("zone-0", w.engines[0].checks)
+					w.addEngine(w.engines[0].Checks)
 				}
 			},
 			"restart": func(t *rapid.T) {
 				if rare(t) {
 					at := rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")
 					w.engines = append(w.engines[:at], w.engines[at+1:]...)
-					w.addEngine("zone-1", w.engines[0].checks)
+					w.addEngine(w.engines[0].Checks)
 				}
 			},
 			"edit": func(t *rapid.T) { w.setVersions(state.Draw(t, "v2"), state.Draw(t, "v3")) },
@@ -107,7 +108,7 @@
 				}
 			}
 		}
-		slots += w.reserved
+		slots += w.store.Slots
 	})
 	t.Logf("orders done: %d, slots reserved: %d", done, slots)
 }
@@ -182,7 +183,7 @@
 		w.carryOut(h, fault) // the order of the first
 		w.settle()
 		assert.Equal(t, w.count(v2), 2)
-		assert.Equal(t, w.reserved, 2)
+		assert.Equal(t, w.store.Slots, 2)
 	}
 }
 
--- a/policy/orders/world_test.go
+++ b/policy/orders/world_test.go
@@ -1,7 +1,6 @@
 package orders_test
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -10,15 +9,14 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/orders"
+	"github.com/wigeonusher/wigeonusher/policy/orders/measure"
 	"github.com/wigeonusher/wigeonusher/policy/rollout"
 )
 
 const (
-	pool      platform.PoolName = "models"
-	gibibyte                    = 1 << 30
-	storeRate                   = 10 * gibibyte // bytes a second
-	loadTime                    = 20 * time.Second
-	fewJobs                     = 3
+	pool     platform.PoolName = "models"
+	gibibyte                   = 1 << 30
+	fewJobs                    = 3
 )
 
 var (
@@ -28,26 +26,6 @@
 	foreign = document.Ref{Model: "strong", Version: "v4"}
 )
 
-// engine is a model engine.
-type engine struct {
-	orders.Engine
-	checks  bool
-	fencing uint64 // highest that it has seen
-}
-
-// apply carries an order out, or refuses it as old.
-func (e *engine) apply(order orders.Order) orders.Result {
-	if e.checks && order.Fencing < e.fencing {
-		return orders.Stale
-	}
-	e.fencing = max(e.fencing, order.Fencing)
-	e.Loaded = slices.DeleteFunc(slices.Clone(e.Loaded), func(r document.Ref) bool { return r == order.Ref })
-	if order.Action == orders.Load {
-		e.Loaded = append(e.Loaded, order.Ref)
-	}
-	return orders.Done
-}
-
 // holder is an instance that holds, or held, the pool's claim.
 type holder struct {
 	fencing uint64
@@ -66,22 +44,21 @@
 	maxJobs   int
 	policy    *document.Policy
 	run       rollout.Status
-	engines   []*engine
+	engines   []*measure.Engine
 	made      int
 	holders   []*holder
 	storeDown bool
-	storeFree time.Time
-	reserved  int
+	store     measure.Store
 }
 
 func newWorld(t assert.TestingT, engines, maxJobs int, checks bool) *world {
-	w := &world{t: t, now: time.Unix(1_700_000_000, 0), maxJobs: maxJobs}
+	w := &world{t: t, now: time.Unix(1_700_000_000, 0), maxJobs: maxJobs, store: measure.Store{BytesPerSecond: 10 * gibibyte}}
 	w.setVersions(document.VersionServing, document.VersionServing)
 	w.run = rollout.Status{Rollout: document.Rollout{
 		Model: "strong", Candidate: "v2", State: document.RolloutPaused, Steps: []float64{0.05, 0.25, 1},
 	}}
-	for i := range engines {
-		w.addEngine(fmt.Sprintf("zone-%d", i%3), checks, v1)
+	for range engines {
+		w.addEngine(checks, v1)
 	}
 	w.takeOver()
 	return w
@@ -102,14 +79,13 @@
 	}
 }
 
-func (w *world) addEngine(zone string, checks bool, loaded ...document.Ref) {
-	id := fmt.Sprintf("engine-%02d", w.made)
+func (w *world) addEngine(checks bool, loaded ...document.Ref) {
+	w.engines = append(w.engines, measure.NewEngine(w.made, checks, loaded...))
 	w.made++
-	w.engines = append(w.engines, &engine{checks: checks, Engine: orders.Engine{
-		ID: platform.EndpointID(id), Zone: platform.Zone(zone), Address: id, Reported: true, Loaded: loaded,
-	}})
 }
 
+func (w *world) count(ref document.Ref) int { return measure.Copies(w.engines, ref) }
+
 // takeOver gives the claim to another instance. The one before doesn't know.
 func (w *world) takeOver() {
 	cfg := orders.DefaultConfig(pool)
@@ -198,14 +174,14 @@
 			w.feed(h, orders.ReserveFailed{Job: effect.Job})
 			return
 		}
-		wait := w.reserve(effect.Bytes)
+		wait := w.store.Reserve(w.now, effect.Bytes)
 		h.slots[effect.Job] = w.now.Add(wait)
 		w.feed(h, orders.Reserved{Job: effect.Job, Wait: wait})
 	case orders.Order:
 		result := orders.Unknown
-		at := slices.IndexFunc(w.engines, func(e *engine) bool { return e.ID == effect.Endpoint })
+		at := slices.IndexFunc(w.engines, func(e *measure.Engine) bool { return e.ID == effect.Endpoint })
 		if at >= 0 && fault != lostCall {
-			result = w.engines[at].apply(effect)
+			result = w.engines[at].Apply(effect)
 		}
 		if fault != none {
 			result = orders.Unknown
@@ -214,27 +190,6 @@
 	}
 }
 
-// reserve admits a load at the store's rate.
-func (w *world) reserve(bytes int64) time.Duration {
-	start := w.storeFree
-	if start.Before(w.now) {
-		start = w.now
-	}
-	w.storeFree = start.Add(time.Duration(float64(bytes) / storeRate * float64(time.Second)))
-	w.reserved++
-	return start.Sub(w.now)
-}
-
-func (w *world) count(ref document.Ref) int {
-	count := 0
-	for _, e := range w.engines {
-		if !e.Leaving && slices.Contains(e.Loaded, ref) {
-			count++
-		}
-	}
-	return count
-}
-
 // settle ends all faults and lets the newest holder work.
 func (w *world) settle() {
 	w.storeDown = false
