node/orders: claims, polls and orders for the pools in charge

Cause: the planner needs a shell that keeps the claim of each pool, polls the engines, and sends orders only while its own fold says that it holds. Ruled out: orders from the instance that polls an engine's zone; two holders whenever two lists differ, and each would reserve. Without a weight store in the settings nothing is claimed or ordered.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/config"
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/orders"
 	"github.com/wigeonusher/wigeonusher/policy/rollout"
 )
 
@@ -44,6 +45,8 @@
 	// Verdicts are the last verdicts on proposals of configuration.
 	Verdicts []config.Verdict `json:"verdicts"`
 	Rollouts []rollout.Status `json:"rollouts"`
+	// Orders are the pools whose engines this instance gives orders to.
+	Orders []orders.Status `json:"orders"`
 }
 
 // Metrics writes metrics in Prometheus text form.
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -27,6 +27,7 @@
 	"github.com/wigeonusher/wigeonusher/node/limits"
 	"github.com/wigeonusher/wigeonusher/node/logwriter"
 	"github.com/wigeonusher/wigeonusher/node/once"
+	"github.com/wigeonusher/wigeonusher/node/orders"
 	"github.com/wigeonusher/wigeonusher/node/rollouts"
 	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/node/suspects"
@@ -94,6 +95,7 @@
 	sessionWriter  *logwriter.Writer
 	suspects       *suspects.Suspects
 	rollouts       *rollouts.Rollouts
+	orders         *orders.Orders
 	limits         *limits.Limits
 	pools          *admit.Pools
 	feedback       *feedback.Feedback
@@ -226,6 +228,7 @@
 	p.control.OnRollouts(p.rollouts.Refresh)
 	p.sessions = sessions.New(key, n.settings.Limits.Sessions, p.control, p.rollouts, p.cluster, p.peers, p.sessionWriter)
 	p.suspects = suspects.New(n.id, p.control.Suspects, p.controlWriter, p.control)
+	p.orders = n.newOrders(p)
 	p.limits = limits.New(n.id, p.control, p.directory.Instances)
 	p.pools = admit.New(n.slots, n.settings.Limits.QueuedRequests)
 	var rating platform.RatingService
@@ -237,6 +240,27 @@
 	return nil
 }
 
+// newOrders makes the part that has engines load and unload model versions.
+func (n *Node) newOrders(p *parts) *orders.Orders {
+	var store platform.WeightStore
+	if n.settings.Platform.Weights != "" {
+		store = platformhttp.NewWeightStore(n.settings.Platform.Weights, &http.Client{})
+	}
+	return orders.New(orders.Config{
+		Instance:  n.id,
+		Policies:  p.control,
+		Claims:    p.control,
+		Rollouts:  p.rollouts,
+		Writer:    p.controlWriter,
+		Peers:     p.cluster,
+		CaughtUp:  p.controlTail.Ready(),
+		Directory: p.directory,
+		Engines:   p.engines,
+		Weights:   store,
+		Logger:    n.log,
+	})
+}
+
 // slots returns how many requests this instance may run in a pool at once.
 func (n *Node) slots(pool platform.PoolName, inFlight int) float64 {
 	policy := n.parts.control.Policy()
--- a/node/run.go
+++ b/node/run.go
@@ -44,7 +44,7 @@
 		p.billWriter.Run, p.books.Run,
 		p.sessionWriter.Run, p.sessions.Run, n.followSessions,
 		p.cluster.Run, p.directory.RunList, p.directory.RunLoads,
-		p.limits.Run, p.pools.Run, p.rollouts.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
+		p.limits.Run, p.pools.Run, p.rollouts.Run, p.orders.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
 		n.announce, n.watchReady, n.pace,
 		func(ctx context.Context) error { return peer.Serve(ctx, p.traffic.Listen(n.peers), p.handlerOfPeers) },
 	}
@@ -104,6 +104,7 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.WithError(err).Warn("requests cut off by the end of the drain period")
 	}
+	n.parts.orders.Release()
 	n.flush(ctx)
 	farewell, stop := context.WithTimeout(n.killed, leaveTimeout)
 	defer stop()
@@ -218,6 +219,7 @@
 		Endpoints:     p.directory.All(),
 		Verdicts:      p.control.Verdicts(),
 		Rollouts:      p.rollouts.Statuses(),
+		Orders:        p.orders.Statuses(),
 		PeerSent:      p.traffic.Sent(),
 		PeerReceived:  p.traffic.Received(),
 	}
