Instance keeps the duties that the pure parts state

Room for a bill is reserved before a request starts, so that its bill can always be held; orphans are adopted beyond the bound; entries that a peer settled are settled here too; calls that wait for a decision are answered at once when the log goes down; a full ledger is kept moving; an intent names how far its writer had folded. Idempotency keys are bounded, because the ledger skips entries with longer names and such a call was never decided.

--- a/node/billing/billing.go
+++ b/node/billing/billing.go
@@ -23,6 +23,8 @@
 const (
 	// peersInterval is the time between updates of the list of peers.
 	peersInterval = 500 * time.Millisecond
+	// maxBillBytes bounds the encoded size of one bill.
+	maxBillBytes = 2 << 10
 	// keyPrefix makes a bill's key an entry ID.
 	keyPrefix = "bill/"
 )
@@ -62,7 +64,6 @@
 	writer   *logwriter.Writer
 	copier   Copier
 	peers    Peers
-	maxBills int
 
 	mu         sync.Mutex
 	replicator *hold.Replicator
@@ -97,7 +98,6 @@
 		writer:   writer,
 		copier:   copier,
 		peers:    peers,
-		maxBills: config.MaxBills,
 		replicator: hold.NewReplicator(hold.ReplicatorConfig{
 			Deadline:       config.CopyDeadline,
 			CopyTimeout:    config.CopyDeadline / 2,
@@ -118,14 +118,35 @@
 	}
 }
 
-// Bill books a request and returns once a peer has a copy, or none could be
+// Page is the room kept for the bill of one request, which must not start
+// without it.
+type Page struct {
+	books *Books
+	room  *logwriter.Reservation
+}
+
+// Open keeps room for a bill. The error reports that no further bill can be
+// held.
+func (b *Books) Open() (*Page, error) {
+	room, err := b.writer.Reserve(maxBillBytes)
+	if err != nil {
+		return nil, eris.Wrap(err, "billing: no room for a bill")
+	}
+	return &Page{books: b, room: room}, nil
+}
+
+// Close gives the room back if no bill was booked.
+func (p *Page) Close() { p.room.Cancel() }
+
+// Bill books the request and returns once a peer has a copy, or none could be
 // had in time. The error reports that the bill could not be held at all.
-func (b *Books) Bill(ctx context.Context, bill Bill) error {
+func (p *Page) Bill(ctx context.Context, bill Bill) error {
+	b := p.books
 	entry, err := platform.NewEntry(keyPrefix+bill.Key, KindBill, b.instance, bill)
 	if err != nil {
 		return err
 	}
-	if err := b.writer.Add(entry); err != nil {
+	if err := p.room.Add(entry); err != nil {
 		return eris.Wrap(err, "billing: hold bill")
 	}
 	if b.alone() {
@@ -176,9 +197,6 @@
 	b.step(hold.Logged{IDs: ids})
 }
 
-// Full reports whether no further bill can be held.
-func (b *Books) Full() bool { return b.writer.Len() >= b.maxBills }
-
 // HeldForPeers returns the number of copies held for peers.
 func (b *Books) HeldForPeers() int {
 	b.mu.Lock()
@@ -201,6 +219,9 @@
 	for _, held := range request.Entries {
 		entries = append(entries, platform.Entry{ID: held.Id, Kind: platform.Kind(held.Kind), Writer: from, Body: held.Body})
 	}
+	if len(request.Settled) > 0 {
+		b.writer.Observe(request.Settled)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.store.Settled(from, request.Settled)
@@ -321,7 +342,7 @@
 	b.mu.Lock()
 	b.adopted[entry.ID] = from
 	b.mu.Unlock()
-	if err := b.writer.Add(entry); err != nil {
+	if err := b.writer.Adopt(entry); err != nil {
 		b.mu.Lock()
 		delete(b.adopted, entry.ID)
 		b.store.Failed(from, []string{entry.ID})
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -28,12 +28,14 @@
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	if s.Biller.Full() {
-		return s.refuse(c, problem.New(problem.LogUnavailable, http.StatusServiceUnavailable, "no further bill can be held", e.attempt).After(retryAfter))
-	}
 	if trouble := s.fill(e, request); trouble != nil {
 		return s.refuse(c, trouble)
 	}
+	e.page, trouble = s.openPage(e)
+	if trouble != nil {
+		return s.refuse(c, trouble)
+	}
+	defer e.page.Close()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.Deadline)
 	defer cancel()
 	if trouble := s.bindSession(ctx, e, request); trouble != nil {
@@ -45,6 +47,15 @@
 	return s.whole(ctx, e, request)
 }
 
+// openPage keeps room for the request's bill.
+func (s *Server) openPage(e *exchange) (*billing.Page, *problem.Problem) {
+	page, err := s.Biller.Open()
+	if err != nil {
+		return nil, problem.New(problem.LogUnavailable, http.StatusServiceUnavailable, "no further bill can be held", e.attempt).After(retryAfter)
+	}
+	return page, nil
+}
+
 // fill reads the request's body and headers.
 func (s *Server) fill(e *exchange, request *dispatch.Request) *problem.Problem {
 	body, err := openai.Parse(e.body)
@@ -176,7 +187,7 @@
 		bill.AnswerTokens += use.AnswerTokens
 		bill.CostMicro += version.PromptCost*float64(use.PromptTokens) + version.AnswerCost*float64(use.AnswerTokens)
 	}
-	if err := s.Biller.Bill(ctx, bill); err != nil {
+	if err := e.page.Bill(ctx, bill); err != nil {
 		s.Telemetry.BillRefused(e.id, err)
 		return
 	}
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -45,6 +45,9 @@
 	HeaderReplayed     = "Wigeonusher-Replayed"
 )
 
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
 // retryAfter is when to come back after a refusal that says nothing better.
 const retryAfter = time.Second
 
@@ -55,10 +58,8 @@
 
 // Biller books requests.
 type Biller interface {
-	// Bill books a request and returns when its last byte may go out.
-	Bill(ctx context.Context, bill billing.Bill) error
-	// Full reports whether no further bill can be held.
-	Full() bool
+	// Open keeps room for the bill of a request that is about to start.
+	Open() (*billing.Page, error)
 }
 
 // Sessions finds the birth of a session.
@@ -136,6 +137,8 @@
 	account document.AccountID
 	body    []byte
 	attempt *outcome.Attempt
+	// page is the room for the bill of a chat request.
+	page *billing.Page
 }
 
 // open authenticates a request, counts it against its account's limit and
@@ -154,6 +157,9 @@
 	if !e.authenticate() {
 		return nil, problem.New(problem.Unauthenticated, http.StatusUnauthorized, "unknown API key", attempt)
 	}
+	if len(c.Request().Header.Get(HeaderIdempotency)) > maxKeyBytes {
+		return nil, problem.New(problem.Malformed, http.StatusBadRequest, "idempotency key too long", attempt)
+	}
 	if ok, wait := s.Limits.Allow(e.account); !ok {
 		return nil, problem.New(problem.AccountLimit, http.StatusTooManyRequests, "account limit reached", attempt).After(wait)
 	}
--- a/node/logwriter/logwriter.go
+++ b/node/logwriter/logwriter.go
@@ -67,6 +67,50 @@
 	return err
 }
 
+// Adopt takes an entry of another instance over, also beyond the bounds.
+func (w *Writer) Adopt(entry platform.Entry) error {
+	w.mu.Lock()
+	err := w.box.Adopt(entry)
+	w.mu.Unlock()
+	w.nudge()
+	return err
+}
+
+// Reservation keeps room for one entry.
+type Reservation struct {
+	writer *Writer
+	inner  *outbox.Reservation
+}
+
+// Reserve keeps room for an entry of at most the given size in bytes. The error
+// is outbox.ErrFull.
+func (w *Writer) Reserve(bytes int) (*Reservation, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	inner, err := w.box.Reserve(bytes)
+	if err != nil {
+		return nil, err
+	}
+	return &Reservation{writer: w, inner: inner}, nil
+}
+
+// Add hands over the entry that room was kept for. The errors are those of
+// outbox.Reservation.Add.
+func (r *Reservation) Add(entry platform.Entry) error {
+	r.writer.mu.Lock()
+	err := r.inner.Add(entry)
+	r.writer.mu.Unlock()
+	r.writer.nudge()
+	return err
+}
+
+// Cancel gives the room back if it was not used.
+func (r *Reservation) Cancel() {
+	r.writer.mu.Lock()
+	defer r.writer.mu.Unlock()
+	r.inner.Cancel()
+}
+
 // Withdraw takes back entries that no append can have carried, and returns
 // their IDs.
 func (w *Writer) Withdraw(ids ...string) []string {
--- a/node/once/once.go
+++ b/node/once/once.go
@@ -23,6 +23,9 @@
 const (
 	// tickInterval is the time between looks at calls that wait.
 	tickInterval = 50 * time.Millisecond
+	// advanceInterval is the time between entries that keep a full ledger
+	// moving.
+	advanceInterval = time.Second
 	// eventBuffer suffices for the events that one call can get between two
 	// steps.
 	eventBuffer = 8
@@ -109,6 +112,31 @@
 	return hex.EncodeToString(digest.Sum(nil)[:16])
 }
 
+// RunAdvance keeps a full ledger moving until the context ends: keys expire by
+// the number of records after them. first tells whether this instance is the
+// one to do so.
+func (r *Runner) RunAdvance(ctx context.Context, first func() bool) error {
+	ticker := time.NewTicker(advanceInterval)
+	defer ticker.Stop()
+	for number := 1; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		full := false
+		r.state.Do(func() { full = r.ledger.Full() })
+		if !full || !first() {
+			continue
+		}
+		id := "advance/" + string(r.instance) + "/" + strconv.Itoa(number)
+		number++
+		if entry, err := platform.NewEntry(id, intent.KindAdvance, r.instance, struct{}{}); err == nil {
+			_ = r.writer.Add(entry)
+		}
+	}
+}
+
 // Run runs a call and returns what to tell the caller. The call itself may
 // live on afterwards, to free its key.
 func (r *Runner) Run(ctx context.Context, call Call, progress *outcome.Attempt, dispatch Dispatch) intent.Respond {
@@ -138,6 +166,7 @@
 	r.state.Do(func() {
 		start.CaughtUp = r.ledger.Complete() && isClosed(r.caughtUp)
 		start.Full = r.ledger.Full()
+		start.Folded = r.ledger.Last()
 		start.Status = r.ledger.Status(key)
 	})
 	start.HolderGone = start.Status.State == intent.Claimed && r.gone(start.Status.Writer)
@@ -164,8 +193,11 @@
 		select {
 		case event := <-w.events:
 			r.step(ctx, w, progress, dispatch, event, responses)
-		case <-ticker.C:
+		case now := <-ticker.C:
 			r.step(ctx, w, progress, dispatch, intent.Tick{}, responses)
+			if !r.writer.Health(now).Available {
+				r.step(ctx, w, progress, dispatch, intent.LogLost{}, responses)
+			}
 		case <-cancelled:
 			cancelled = nil
 			r.step(ctx, w, progress, dispatch, intent.Cancelled{}, responses)
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -88,6 +88,7 @@
 		{"malformed", `{"model":`, nil, 400, "malformed"},
 		{"no messages", `{"model":"small"}`, nil, 400, "malformed"},
 		{"wrong key", chatBody("small", false), []header{{"Authorization", "Bearer nobody"}}, 401, "unauthenticated"},
+		{"long key", chatBody("small", false), []header{{"Idempotency-Key", strings.Repeat("k", 300)}}, 400, "malformed"},
 		{"too large", strings.Repeat("x", 5<<20), nil, 413, "too-large"},
 	}
 	for _, c := range cases {
--- a/node/run.go
+++ b/node/run.go
@@ -48,6 +48,9 @@
 		n.announce, n.watchReady, n.pace,
 		func(ctx context.Context) error { return peer.Serve(ctx, p.traffic.Listen(n.peers), p.handlerOfPeers) },
 	}
+	actors = append(actors, func(ctx context.Context) error {
+		return p.once.RunAdvance(ctx, func() bool { return p.cluster.FleetRank("advance") == 0 })
+	})
 	for _, keeper := range p.keepers {
 		actors = append(actors, keeper.run)
 	}
