--- a/policy/orders/planner_test.go
+++ b/policy/orders/planner_test.go
@@ -162,12 +162,56 @@
 			w.carryOut(old, none)
 		}
 		assert.DeepEqual(t, []int{w.count(v1), w.count(v2), w.count(v3)}, before)
-		w.now = w.now.Add(time.Hour)
+		w.addEngine(checks) // with nothing loaded
 		w.observe(old)
-		if checks {
-			assert.Equal(t, old.planner.InFlight(), 0, "a holder that was refused goes on")
-		}
+		assert.Equal(t, old.planner.InFlight() == 0, checks, "a holder goes on until it is refused")
+		old.seen.Fencing = 0 // it has read that it was superseded
+		w.feed(old, old.seen)
+		assert.Equal(t, old.planner.InFlight(), 0)
+	}
+}
+
+// TestRepeatedEventsChangeNothing repeats the store's and the engine's answer.
+func TestRepeatedEventsChangeNothing(t *testing.T) {
+	w := newWorld(t, 1, fewJobs, false)
+	h := w.newest()
+	w.store.Reserve(w.now, 400*gibibyte)
+	w.observe(h)
+	assert.Equal(t, len(h.pending), 1, "an engine gets one job at a time")
+	w.carryOut(h, none)
+	reserved := h.events[len(h.events)-1]
+	repeat := func(event orders.Event) {
+		w.now = w.now.Add(20 * time.Second)
+		w.feed(h, event)
+		w.observe(h)
 	}
+	repeat(reserved)
+	assert.Equal(t, len(h.pending), 0)
+	repeat(reserved)
+	assert.Equal(t, len(h.pending), 1, "the slot is due 40 s after the first answer")
+	repeat(reserved)
+	assert.Equal(t, h.planner.Ordered(), 1)
+	assert.Equal(t, len(h.pending), 1, "an order is out already")
+	w.carryOut(h, lostCall)
+	w.now = w.now.Add(orders.DefaultConfig(pool).SettleAfter - time.Second)
+	w.feed(h, h.events[len(h.events)-1])
+	w.now = w.now.Add(time.Second)
+	w.observe(h)
+	assert.Equal(t, len(h.pending), 1, "the order is repeated in time")
+}
+
+// TestReservationMoves has an engine leave while its load waits for a slot.
+func TestReservationMoves(t *testing.T) {
+	w := newWorld(t, 3, fewJobs, false)
+	w.policy.Pools[pool] = document.Pool{Serves: []document.Ref{v1, v2}}
+	w.store.Reserve(w.now, 400*gibibyte)
+	w.observe(w.newest())
+	w.carryOut(w.newest(), none)
+	w.carryOut(w.newest(), none)
+	w.engines[0].Leaving = true
+	w.settle()
+	assert.Equal(t, w.count(v2), 2)
+	assert.Equal(t, w.store.Slots, 3)
 }
 
 // TestLostAnswerIsNotReservedAgain loses the answer to an order that took
@@ -187,6 +231,29 @@
 	}
 }
 
+// TestUnloadWaits withdraws a version, takes that back, and withdraws it again.
+func TestUnloadWaits(t *testing.T) {
+	w := newWorld(t, 2, fewJobs, false)
+	w.settle()
+	for _, state := range []document.VersionState{document.VersionWithdrawn, document.VersionServing, document.VersionWithdrawn} {
+		w.setVersions(document.VersionServing, state)
+		w.observe(w.newest())
+		w.now = w.now.Add(orders.DefaultConfig(pool).UnloadAfter - time.Second)
+		w.observe(w.newest())
+		assert.Equal(t, len(w.newest().pending), 0)
+	}
+	w.now = w.now.Add(time.Second)
+	w.observe(w.newest())
+	w.carryOut(w.newest(), lostCall)
+	w.setVersions(document.VersionServing, document.VersionServing)
+	w.now = w.now.Add(time.Minute)
+	w.observe(w.newest())
+	assert.Equal(t, w.newest().planner.InFlight(), 0, "an unload is repeated for a version in use again")
+	w.setVersions(document.VersionServing, document.VersionWithdrawn)
+	w.settle()
+	assert.Equal(t, w.count(v3), 0)
+}
+
 // TestStoreDown stops the weight store while a version has to be unloaded, too.
 func TestStoreDown(t *testing.T) {
 	w := newWorld(t, 4, fewJobs, false)
