--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -23,8 +23,9 @@
 // and hears the same from them. Its methods may be called from several
 // goroutines.
 type Gossip interface {
-	// Fill adds to a digest that is about to be sent.
-	Fill(now time.Time, digest *peerpb.Digest)
+	// Fill adds to a digest that is about to be sent to a peer, whose ID is
+	// empty if it is not known.
+	Fill(now time.Time, peer platform.InstanceID, digest *peerpb.Digest)
 	// Heard takes in a peer's digest. It is called once per digest, in the
 	// order of the peer's sequence numbers.
 	Heard(now time.Time, digest *peerpb.Digest)
@@ -158,7 +159,7 @@
 func (c *Cluster) Leave(ctx context.Context) {
 	c.mu.Lock()
 	c.peers.Leave()
-	digest := c.digest(time.Now())
+	digest := c.digest()
 	c.mu.Unlock()
 	var group sync.WaitGroup
 	for _, target := range c.All() {
@@ -182,9 +183,8 @@
 	if len(targets) == 0 {
 		return
 	}
-	digest := c.Digest()
 	for _, target := range targets {
-		go c.exchange(ctx, target, digest)
+		go c.exchange(ctx, target, c.Digest(target.ID))
 	}
 }
 
@@ -197,19 +197,19 @@
 	c.Hear(reply)
 }
 
-// Digest returns the next digest of this instance.
-func (c *Cluster) Digest() *peerpb.Digest {
+// Digest returns the next digest of this instance, for a peer.
+func (c *Cluster) Digest(peer platform.InstanceID) *peerpb.Digest {
+	now := time.Now()
 	c.mu.Lock()
-	digest := c.digest(time.Now())
+	digest := c.digest()
 	c.mu.Unlock()
-	now := time.Now()
 	for _, gossip := range c.gossips {
-		gossip.Fill(now, digest)
+		gossip.Fill(now, peer, digest)
 	}
 	return digest
 }
 
-func (c *Cluster) digest(time.Time) *peerpb.Digest {
+func (c *Cluster) digest() *peerpb.Digest {
 	own := c.peers.Digest(c.random)
 	digest := &peerpb.Digest{
 		Instance:    string(own.ID),
--- a/node/cluster/handler.go
+++ b/node/cluster/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
@@ -32,7 +33,7 @@
 // Exchange implements peer.Handler.
 func (h *Handler) Exchange(_ context.Context, digest *peerpb.Digest) (*peerpb.Digest, error) {
 	h.Cluster.Hear(digest)
-	return h.Cluster.Digest(), nil
+	return h.Cluster.Digest(platform.InstanceID(digest.Instance)), nil
 }
 
 // ReadRecords implements peer.Handler.
--- a/node/directory/gossip.go
+++ b/node/directory/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
@@ -16,7 +17,7 @@
 )
 
 // Fill implements cluster.Gossip.
-func (d *Directory) Fill(now time.Time, digest *peerpb.Digest) {
+func (d *Directory) Fill(now time.Time, peer platform.InstanceID, digest *peerpb.Digest) {
 	own := d.ownShare()
 	for _, report := range d.loads.Snapshot(now, maxReportAge) {
 		if len(digest.Loads) == maxReports {
@@ -28,7 +29,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, sighting := range d.endpoints.Sightings(now) {
+	for _, sighting := range d.endpoints.SightingsFor(now, peer) {
 		digest.Sightings = append(digest.Sightings, &peerpb.EndpointSighting{
 			Endpoint: string(sighting.ID),
 			Leaving:  sighting.Leaving,
@@ -71,6 +72,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, sighting := range digest.Sightings {
-		d.endpoints.Sighted(now, platform.EndpointID(sighting.Endpoint), sighting.Leaving, sighting.Dead)
+		d.endpoints.SightedBy(now, platform.InstanceID(digest.Instance), membership.Sighting{
+			ID:      platform.EndpointID(sighting.Endpoint),
+			Leaving: sighting.Leaving,
+			Dead:    sighting.Dead,
+		})
 	}
 }
--- a/node/feedback/gossip.go
+++ b/node/feedback/gossip.go
@@ -29,7 +29,7 @@
 }
 
 // Fill implements cluster.Gossip.
-func (f *Feedback) Fill(now time.Time, digest *peerpb.Digest) {
+func (f *Feedback) Fill(now time.Time, _ platform.InstanceID, digest *peerpb.Digest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now.Sub(f.export.at) >= exportInterval {
--- a/node/follow/follower.go
+++ b/node/follow/follower.go
@@ -145,7 +145,7 @@
 }
 
 // Fill implements cluster.Gossip.
-func (f *Follower) Fill(_ time.Time, digest *peerpb.Digest) {
+func (f *Follower) Fill(_ time.Time, _ platform.InstanceID, digest *peerpb.Digest) {
 	f.offset.Set(digest, uint64(f.Next()))
 }
 
--- a/node/follow/state.go
+++ b/node/follow/state.go
@@ -93,6 +93,7 @@
 	return fold.KeeperView{
 		Next:         s.stream.Next(),
 		SnapshotBase: s.stream.SnapshotBase(),
+		Bytes:        s.stream.BytesSinceSnapshot(),
 		MismatchBase: s.stream.MismatchBase(),
 		First:        first,
 	}
--- a/node/limits/limits.go
+++ b/node/limits/limits.go
@@ -80,7 +80,7 @@
 }
 
 // Fill implements cluster.Gossip.
-func (l *Limits) Fill(now time.Time, digest *peerpb.Digest) {
+func (l *Limits) Fill(now time.Time, _ platform.InstanceID, digest *peerpb.Digest) {
 	for _, demand := range l.shares.Demands(now) {
 		digest.Demands = append(digest.Demands, &peerpb.AccountDemand{
 			Account:           demand.Account,
--- a/node/rollouts/rollouts.go
+++ b/node/rollouts/rollouts.go
@@ -182,7 +182,7 @@
 }
 
 // Fill implements cluster.Gossip.
-func (r *Rollouts) Fill(_ time.Time, digest *peerpb.Digest) {
+func (r *Rollouts) Fill(_ time.Time, _ platform.InstanceID, digest *peerpb.Digest) {
 	for _, counter := range r.ledger.Counters() {
 		digest.Candidates = append(digest.Candidates, &peerpb.CandidateCount{
 			Rollout:       counter.Key(),
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -148,7 +148,7 @@
 }
 
 // Fill implements cluster.Gossip.
-func (s *Suspects) Fill(now time.Time, digest *peerpb.Digest) {
+func (s *Suspects) Fill(now time.Time, _ platform.InstanceID, digest *peerpb.Digest) {
 	for _, report := range s.told.current(now) {
 		digest.Crashes = append(digest.Crashes, &peerpb.CrashReport{
 			Fingerprint: string(report.Fingerprint),
