--- a/policy/experiment/placement.go
+++ b/policy/experiment/placement.go
@@ -53,8 +53,8 @@
 }
 
 func runPlacement(seeds int) ([]Row, error) {
-	sheetline := poolCase{zones: 3, instances: 9, engines: 12, slots: 8, utilisation: 0.85, length: 4 * time.Minute}
-	guild := poolCase{zones: 4, instances: 9, engines: 18, slots: 8, utilisation: 0.85, length: 4 * time.Minute}
+	sheetline := poolCase{zones: 3, instances: 9, engines: 12, slots: 8, utilisation: 0.85, length: 2 * time.Minute}
+	guild := poolCase{zones: 4, instances: 9, engines: 18, slots: 8, utilisation: 0.85, length: 2 * time.Minute}
 	shared := sheetline
 	shared.groups, shared.cacheBlocks, shared.events = 400, 1200, true
 	blind := shared
--- a/policy/experiment/placement_pool.go
+++ b/policy/experiment/placement_pool.go
@@ -72,7 +72,10 @@
 
 type pool struct {
 	poolCase
-	agenda   *agenda
+	agenda *agenda
+	// workload draws the requests, random all else, so that runs of one seed
+	// serve equal requests however they are placed.
+	workload *rand.Rand
 	random   *rand.Rand
 	engines  []*engine
 	routers  []*router
@@ -99,7 +102,7 @@
 }
 
 func runPool(c poolCase, seed uint64) poolResult {
-	p := &pool{poolCase: c, agenda: newAgenda(), random: rand.New(rand.NewPCG(seed, 7))}
+	p := &pool{poolCase: c, agenda: newAgenda(), random: rand.New(rand.NewPCG(seed, 7)), workload: rand.New(rand.NewPCG(seed, 8))}
 	p.owners = make(map[platform.EndpointID]*router)
 	for i := range c.engines {
 		id := platform.EndpointID(fmt.Sprintf("engine-%d", i))
@@ -112,7 +115,7 @@
 		p.routers = append(p.routers, p.newRouter(i))
 	}
 	if c.groups > 0 {
-		p.popular = rand.NewZipf(p.random, 1.05, 10, uint64(c.groups-1))
+		p.popular = rand.NewZipf(p.workload, 1.05, 10, uint64(c.groups-1))
 	}
 	p.startReports()
 	p.startDigests()
@@ -243,7 +246,7 @@
 	var next func()
 	next = func() {
 		p.arrive()
-		p.agenda.after(time.Duration(p.random.ExpFloat64()/rate*float64(time.Second)), next)
+		p.agenda.after(time.Duration(p.workload.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	p.agenda.after(0, next)
 }
@@ -259,7 +262,7 @@
 }
 
 func (p *pool) arrive() {
-	r := p.routers[p.random.IntN(len(p.routers))]
+	r := p.routers[p.workload.IntN(len(p.routers))]
 	hashes, prompt := p.prompt()
 	before := p.asked
 	chosen := p.pick(r, hashes, prompt)
@@ -274,7 +277,7 @@
 
 // prompt draws a prompt: its hashed blocks and its tokens.
 func (p *pool) prompt() ([]uint64, int) {
-	unique := min(20*uniqueTokens, int(p.random.ExpFloat64()*uniqueTokens)+1)
+	unique := min(20*uniqueTokens, int(p.workload.ExpFloat64()*uniqueTokens)+1)
 	if p.groups == 0 {
 		return nil, unique
 	}
@@ -365,7 +368,7 @@
 	e.submit(job{
 		hashes: hashes,
 		prompt: prompt,
-		decode: time.Duration(p.random.ExpFloat64() * float64(poolDecode)),
+		decode: time.Duration(p.workload.ExpFloat64() * float64(poolDecode)),
 		firstToken: func(wait time.Duration, cached int) {
 			first = wait + away
 			if counts {
