Placement asks the owner of an endpoint when the pool is busy

The peer protocol has the two calls now; below half of the pool's slots nobody is asked, so that a quiet pool costs no round trip.

--- a/node/assemble.go
+++ b/node/assemble.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/tail"
 	"github.com/wigeonusher/wigeonusher/node/admin"
 	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/node/asks"
 	"github.com/wigeonusher/wigeonusher/node/billing"
 	"github.com/wigeonusher/wigeonusher/node/caller"
 	"github.com/wigeonusher/wigeonusher/node/cluster"
@@ -97,6 +98,7 @@
 	rollouts       *rollouts.Rollouts
 	orders         *orders.Orders
 	limits         *limits.Limits
+	asks           *asks.Asks
 	pools          *admit.Pools
 	feedback       *feedback.Feedback
 	telemetry      *telemetry.Telemetry
@@ -236,6 +238,7 @@
 		rating = platformhttp.NewRatings(n.settings.Platform.Ratings, &http.Client{}, n.id)
 	}
 	p.feedback = feedback.New(n.id, rating, p.rollouts, n.log)
+	p.asks = asks.New(n.id, p.directory.Loads(), p.cluster, p.peers)
 	p.cluster.Join(p.controlTail, p.intentTail, p.directory, p.limits, p.suspects, p.rollouts, p.feedback)
 	return nil
 }
@@ -288,6 +291,7 @@
 		Planner:   p.feedback,
 		Budgets:   retryBudgets,
 		Exposures: p.rollouts,
+		Owners:    p.asks,
 		Scheduler: scheduler,
 	})
 	server := caller.New(caller.Config{
@@ -318,6 +322,7 @@
 		Records:  &records{control: p.controlTail, intents: p.intentTail},
 		Copies:   p.books,
 		Sessions: p.sessions,
+		Slots:    asks.Owner{Asks: p.asks},
 	}
 }
 
--- a/node/cluster/handler.go
+++ b/node/cluster/handler.go
@@ -22,12 +22,19 @@
 	LookupSession(request *peerpb.LookupSessionRequest) (*peerpb.LookupSessionReply, error)
 }
 
+// Slots answers for the endpoints that this instance owns.
+type Slots interface {
+	Reserve(request *peerpb.ReserveRequest) *peerpb.ReserveReply
+	Release(request *peerpb.ReleaseRequest)
+}
+
 // Handler answers the peer protocol.
 type Handler struct {
 	Cluster  *Cluster
 	Records  Records
 	Copies   Copies
 	Sessions Sessions
+	Slots    Slots
 }
 
 // Exchange implements peer.Handler.
@@ -50,3 +57,14 @@
 func (h *Handler) LookupSession(_ context.Context, request *peerpb.LookupSessionRequest) (*peerpb.LookupSessionReply, error) {
 	return h.Sessions.LookupSession(request)
 }
+
+// Reserve implements peer.Handler.
+func (h *Handler) Reserve(_ context.Context, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return h.Slots.Reserve(request), nil
+}
+
+// Release implements peer.Handler.
+func (h *Handler) Release(_ context.Context, request *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	h.Slots.Release(request)
+	return &peerpb.ReleaseReply{}, nil
+}
--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -133,6 +133,9 @@
 	return candidate
 }
 
+// Loads returns the table of loads.
+func (d *Directory) Loads() *placement.LoadTable { return d.loads }
+
 // PrefixHashes returns the hashes of the prompt's blocks.
 func (d *Directory) PrefixHashes(prompt string) []uint64 {
 	return placement.PrefixHashes(prompt, d.prefixes.BlockTokens())
--- a/node/dispatch/dispatch_test.go
+++ b/node/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -65,6 +66,11 @@
 	return &engine.Answer{}, nil
 }
 
+func (w *world) Reserve(context.Context, platform.Zone, platform.EndpointID, int, bool) (int, bool, error) {
+	return 0, false, errors.New("no owner")
+}
+func (w *world) Release(platform.Zone, platform.EndpointID) {}
+
 // generous returns a budget that allows every retry of a test.
 func generous() *retry.Budget {
 	return retry.NewBudget(retry.BudgetConfig{FloorPerSecond: 1e9, Cap: 100})
@@ -124,6 +130,7 @@
 		Planner:   w,
 		Budgets:   w,
 		Exposures: w,
+		Owners:    w,
 		Scheduler: placement.New(placement.Standard(placement.Tuning{})),
 	})
 }
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -80,6 +80,15 @@
 	Pool(pool platform.PoolName) *retry.Budget
 }
 
+// Owners asks the instances that count an endpoint's requests.
+type Owners interface {
+	// Reserve asks for a free slot of an endpoint. It returns the requests
+	// that all instances have there, and whether the dispatch is counted.
+	Reserve(ctx context.Context, zone platform.Zone, endpoint platform.EndpointID, slots int, inAnyCase bool) (outstanding int, granted bool, err error)
+	// Release tells of the end of a dispatch that was counted.
+	Release(zone platform.Zone, endpoint platform.EndpointID)
+}
+
 // Config lists the parts that a dispatcher uses.
 type Config struct {
 	Instance  platform.InstanceID
@@ -92,6 +101,7 @@
 	Planner   Planner
 	Budgets   Budgets
 	Exposures Exposures
+	Owners    Owners
 	Scheduler *placement.Scheduler
 }
 
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -31,6 +31,10 @@
 	retryAfter = time.Second
 	// minPatience is the least silence after which a dispatch is given up.
 	minPatience = 100 * time.Millisecond
+	// askFrom is the occupancy of a pool, in [0, 1], from which on owners are
+	// asked, and maxAsks bounds the asks of one dispatch.
+	askFrom = 0.5
+	maxAsks = 12
 	// occupiedPause is the wait for an endpoint on which no other suspect is
 	// tried, and maxOccupiedPauses the number of such waits.
 	occupiedPause     = 50 * time.Millisecond
@@ -59,6 +63,8 @@
 	prefix      []uint64
 	avoid       []platform.EndpointID
 	delivered   bool
+	// counted tells whether the endpoint's owner counts the present dispatch.
+	counted bool
 }
 
 // runStep dispatches a request to one version, again if need be.
@@ -208,7 +214,7 @@
 	case suspect.Isolated:
 		return s.tryAlone(ctx)
 	default:
-		candidate, err := s.place(nil)
+		candidate, err := s.place(ctx, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -221,11 +227,15 @@
 // tried, if the log grants it.
 func (s *step) tryAlone(ctx context.Context) (*engine.Answer, error) {
 	d := s.dispatcher
-	candidate, err := s.place(d.Suspects.Occupied)
+	candidate, err := s.place(ctx, d.Suspects.Occupied)
 	if err != nil {
 		return nil, errOccupied
 	}
-	switch d.Suspects.Try(ctx, s.fingerprint, s.pool, candidate.ID) {
+	claim := d.Suspects.Try(ctx, s.fingerprint, s.pool, candidate.ID)
+	if claim != suspects.Granted {
+		s.uncount(candidate)
+	}
+	switch claim {
 	case suspects.Denied:
 		return nil, s.crashSuspect("the request may have crashed an endpoint and cannot be tried alone now").After(retryAfter)
 	case suspects.Occupied:
@@ -247,7 +257,7 @@
 
 // place passes the gate with the policy in force now, and picks an endpoint
 // that is not excluded.
-func (s *step) place(excluded func(platform.EndpointID) bool) (placement.Candidate, error) {
+func (s *step) place(ctx context.Context, excluded func(platform.EndpointID) bool) (placement.Candidate, error) {
 	d := s.dispatcher
 	if err := gate.CheckModel(d.Policies.Policy(), s.request.Account, s.ref); err != nil {
 		return placement.Candidate{}, Refused(err, s.request)
@@ -259,22 +269,65 @@
 			candidates = append(candidates, d.Endpoints.Candidate(now, endpoint, s.slots, s.prefix))
 		}
 	}
-	picked, err := d.Scheduler.Pick(globalRandom{}, placement.Request{
+	asks := asksFor(candidates)
+	search, err := d.Scheduler.Search(globalRandom{}, placement.Request{
 		Ref:          s.ref,
 		Zone:         d.Zone,
 		PromptTokens: placement.EstimateTokens(s.request.Prompt),
 		Avoid:        s.avoid,
-	}, candidates)
+	}, candidates, asks)
 	if err != nil {
 		return placement.Candidate{}, s.noEndpoint()
 	}
-	return picked, nil
+	if asks == 0 {
+		picked, _ := search.Next()
+		return picked, nil
+	}
+	return s.search(ctx, search), nil
+}
+
+// asksFor returns how many owners may be asked. A pool with much room is not
+// worth the round trips.
+func asksFor(candidates []placement.Candidate) int {
+	slots, outstanding := 0, 0
+	for _, candidate := range candidates {
+		slots += candidate.Slots
+		outstanding += max(candidate.Running+candidate.Queued, candidate.InFlight+candidate.PeerInFlight)
+	}
+	if float64(outstanding) < askFrom*float64(slots) {
+		return 0
+	}
+	return maxAsks
+}
+
+// search asks owners until one has a free slot, or enough were asked.
+func (s *step) search(ctx context.Context, search *placement.Search) placement.Candidate {
+	owners := s.dispatcher.Owners
+	s.counted = false
+	for {
+		candidate, ask := search.Next()
+		if !ask && s.counted {
+			return candidate
+		}
+		outstanding, granted, err := owners.Reserve(ctx, candidate.Zone, candidate.ID, s.slots, !ask)
+		s.counted = granted && err == nil
+		switch {
+		case !ask:
+			return candidate
+		case err != nil:
+			search.Unanswered(candidate)
+		default:
+			running := min(outstanding, s.slots)
+			search.Answer(candidate, running, outstanding-running)
+		}
+	}
 }
 
 // dispatch sends the request to one endpoint, once.
 func (s *step) dispatch(ctx context.Context, candidate placement.Candidate) (answer *engine.Answer, crashed bool, err error) {
 	d := s.dispatcher
 	if !d.Endpoints.MayDispatch(candidate.ID) {
+		s.uncount(candidate)
 		s.avoid = append(s.avoid, candidate.ID)
 		return nil, false, engine.ErrRefused
 	}
@@ -342,7 +395,16 @@
 	return !s.dispatcher.Engines.Reachable(ctx, address)
 }
 
+// uncount tells the endpoint's owner that the dispatch has ended.
+func (s *step) uncount(candidate placement.Candidate) {
+	if s.counted {
+		s.counted = false
+		s.dispatcher.Owners.Release(candidate.Zone, candidate.ID)
+	}
+}
+
 func (s *step) finish(candidate placement.Candidate, firstToken time.Duration, err error) {
+	s.uncount(candidate)
 	s.dispatcher.Endpoints.Finished(time.Now(), candidate.ID, firstToken, err != nil)
 }
 
--- a/policy/placement/load_table.go
+++ b/policy/placement/load_table.go
@@ -108,6 +108,17 @@
 	return outstanding, granted
 }
 
+// Outstanding returns the requests that all instances are known to have at an
+// endpoint.
+func (t *LoadTable) Outstanding(now time.Time, endpoint platform.EndpointID) int {
+	shard := t.shard(endpoint)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	load := shard.load(endpoint)
+	others, _ := load.peers.sum(now)
+	return load.inFlight + others
+}
+
 // Release counts the end of a dispatch that was granted to a peer.
 func (t *LoadTable) Release(now time.Time, peer platform.InstanceID, endpoint platform.EndpointID) {
 	shard := t.shard(endpoint)
--- a/policy/placement/poll_share.go
+++ b/policy/placement/poll_share.go
@@ -37,6 +37,20 @@
 	return true
 }
 
+// Owner returns the instance, of those given, to which the endpoint belongs:
+// the one that polls it and counts what all dispatch to it. It returns false if
+// there are none.
+func Owner(instances []platform.InstanceID, endpoint platform.EndpointID) (platform.InstanceID, bool) {
+	var owner platform.InstanceID
+	for i, instance := range instances {
+		if i == 0 || pollRank(instance, endpoint) > pollRank(owner, endpoint) ||
+			pollRank(instance, endpoint) == pollRank(owner, endpoint) && instance > owner {
+			owner = instance
+		}
+	}
+	return owner, len(instances) > 0
+}
+
 func pollRank(instance platform.InstanceID, endpoint platform.EndpointID) uint64 {
 	return xxhash.Sum64String(string(instance) + "\x00" + string(endpoint))
 }
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -89,6 +89,20 @@
 	})
 }
 
+// Reserve asks the owner of an endpoint for a free slot.
+func (c *Client) Reserve(ctx context.Context, address string, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return call(ctx, c, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.ReserveReply, error) {
+		return peer.Reserve(ctx, request)
+	})
+}
+
+// Release tells the owner that a dispatch has ended.
+func (c *Client) Release(ctx context.Context, address string, request *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	return call(ctx, c, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.ReleaseReply, error) {
+		return peer.Release(ctx, request)
+	})
+}
+
 // call runs one call on a pooled connection under the call timeout. A
 // cancelled call closes its connection.
 func call[T any](ctx context.Context, c *Client, address string, run func(context.Context, peerpb.DRPCPeerClient) (T, error)) (T, error) {
