node/orders: bound the load reports of a pool

Cause: the instance in charge asked all engines of its pool every second, 500 reports a second for a pool of 500. Now 24 a second at most: 300000 reports in ten minutes before, at most 14900 after (go test ./node/orders -run Reports). Ruled out: reports relayed by the polling instances; their digests lack the versions. Conclusion: a large pool is looked at less often.

--- a/node/orders/orders.go
+++ b/node/orders/orders.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// stepInterval is the time between polls of a pool's engines.
+	// stepInterval is the least time between polls of a pool's engines.
 	stepInterval = time.Second
 	// loadTimeout bounds one load report.
 	loadTimeout = time.Second
@@ -38,6 +38,8 @@
 	// rankDelay is the wait per rank before an instance takes a pool that those
 	// before it leave vacant.
 	rankDelay = 10 * time.Second
+	// maxReportsPerSecond bounds the load reports of one pool.
+	maxReportsPerSecond = 24
 	// maxPolls bounds the load reports that are asked for side by side.
 	maxPolls = 32
 )
@@ -219,16 +221,21 @@
 	}
 }
 
-// engines asks the engines of a pool for their reports.
-func (o *Orders) engines(ctx context.Context, pool platform.PoolName) []orders.Engine {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
+// listed returns the endpoints of a pool.
+func (o *Orders) listed(pool platform.PoolName) []membership.Endpoint {
 	var listed []membership.Endpoint
 	for _, endpoint := range o.config.Directory.All() {
 		if endpoint.Pool == pool {
 			listed = append(listed, endpoint)
 		}
 	}
+	return listed
+}
+
+// poll asks the engines for their reports.
+func (o *Orders) poll(ctx context.Context, listed []membership.Endpoint) []orders.Engine {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	engines := make([]orders.Engine, len(listed))
 	slots := make(chan struct{}, maxPolls)
 	var group sync.WaitGroup
--- a/node/orders/orders_test.go
+++ b/node/orders/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 
 // surroundings are all that the orders of one instance see.
 type surroundings struct {
+	mu       sync.Mutex // guards reports
 	holding  claim.Holding
 	logUp    bool
 	rank     int
@@ -30,6 +32,8 @@
 	wait     time.Duration
 	reported string // ID in the engine's report
 	loaded   []string
+	others   int // further engines of the pool, which give no report
+	reports  int
 	orders   []engine.Order
 	entries  []platform.Entry
 }
@@ -59,10 +63,17 @@
 func (s *surroundings) FleetRank(string) int             { return s.rank }
 func (s *surroundings) Gone(id platform.InstanceID) bool { return id != self && s.gone }
 func (s *surroundings) All() []membership.Endpoint {
-	return []membership.Endpoint{{ListedEndpoint: platform.ListedEndpoint{ID: "e", Pool: "p"}}}
+	all := []membership.Endpoint{{ListedEndpoint: platform.ListedEndpoint{ID: "e", Pool: "p"}}}
+	for range s.others {
+		all = append(all, membership.Endpoint{ListedEndpoint: platform.ListedEndpoint{ID: "silent", Pool: "p"}})
+	}
+	return all
 }
 
 func (s *surroundings) Load(context.Context, string) (engine.LoadReport, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports++
 	return engine.LoadReport{ID: s.reported, Loaded: s.loaded}, nil
 }
 
@@ -163,6 +174,18 @@
 	return 0, nil
 }
 
+// TestReportsAreBounded polls a pool of a size that one poll a second would
+// not allow.
+func TestReportsAreBounded(t *testing.T) {
+	s := held()
+	s.others = 499
+	run(t, s, func(_ *Orders, after func(time.Duration)) {
+		after(10 * time.Minute)
+		assert.Assert(t, s.reports <= 600*maxReportsPerSecond+500, "%d reports", s.reports)
+		assert.Assert(t, s.reports > 300*maxReportsPerSecond, "%d reports", s.reports)
+	})
+}
+
 func TestNoOrder(t *testing.T) {
 	for name, spoil := range map[string]func(*surroundings){
 		"weight store down":             func(s *surroundings) { s.storeErr = errors.New("down") },
--- a/node/orders/pool.go
+++ b/node/orders/pool.go
@@ -20,6 +20,7 @@
 type pool struct {
 	orders   *Orders
 	name     platform.PoolName
+	polled   time.Time // used by step only
 	resource claim.Resource
 	logger   *logrus.Entry
 
@@ -57,7 +58,12 @@
 	p.claim(time.Now(), false)
 	seen := orders.Observation{Policy: policy, Statuses: p.orders.config.Rollouts.Statuses()}
 	if _, ok := p.holds(); ok {
-		seen.Engines = p.orders.engines(ctx, p.name)
+		listed := p.orders.listed(p.name)
+		if time.Since(p.polled) < pollInterval(len(listed)) {
+			return
+		}
+		p.polled = time.Now()
+		seen.Engines = p.orders.poll(ctx, listed)
 	}
 	// The poll took time; the claim is looked at after it.
 	seen.Fencing, _ = p.holds()
@@ -65,6 +71,12 @@
 	p.feed(ctx, seen)
 }
 
+// pollInterval returns the time between polls of a pool, so that a large pool
+// costs no more reports a second than the bound.
+func pollInterval(engines int) time.Duration {
+	return time.Duration(engines) * time.Second / maxReportsPerSecond
+}
+
 func (p *pool) holds() (fencing uint64, ok bool) {
 	fencing, ok = p.orders.config.Claims.Holds(p.resource, p.orders.config.Instance)
 	if !ok {
