--- a/policy/orders/plan.go
+++ b/policy/orders/plan.go
@@ -13,7 +13,7 @@
 // plan starts the jobs that are wanted and fit into the bound.
 func (p *Planner) plan(now time.Time) []Effect {
 	effects := p.planLoads(now)
-	if len(p.jobs) > 0 || p.Missing() > 0 || p.storeFailures > 0 {
+	if len(p.jobs) > 0 || p.Missing() > 0 || now.Before(p.storeRetry) {
 		return effects
 	}
 	return append(effects, p.planUnloads(now)...)
--- a/policy/orders/planner.go
+++ b/policy/orders/planner.go
@@ -250,13 +250,14 @@
 	return effects
 }
 
-// stillWanted reports whether the job would be planned today. A version that
-// came into use again must not be unloaded by a repeated order.
+// stillWanted reports whether the job would be planned today. A repeated order
+// must not unload a version that came into use again, nor anything while a load
+// is missing.
 func (p *Planner) stillWanted(j *job) bool {
 	if j.action == Load {
 		return p.demanded(j.ref)
 	}
-	return p.unloadable(j.ref)
+	return p.unloadable(j.ref) && p.Missing() == 0
 }
 
 func (p *Planner) order(j *job) Effect {
