--- a/node/admit/admit.go
+++ b/node/admit/admit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 )
 
@@ -86,16 +87,7 @@
 
 // Run checks the queues until the context ends.
 func (p *Pools) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.tick()
-		}
-	}
+	return loop.Every(ctx, tickInterval, func(time.Time) { p.tick() })
 }
 
 // Queued returns the number of requests that wait in all pools.
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/wire/peer"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
@@ -143,16 +144,7 @@
 
 // Run exchanges digests until the context ends.
 func (c *Cluster) Run(ctx context.Context) error {
-	ticker := time.NewTicker(c.interval)
-	defer ticker.Stop()
-	for {
-		c.heartbeat(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return loop.Every(ctx, c.interval, func(now time.Time) { c.heartbeat(ctx, now) })
 }
 
 // Leave tells all peers of the zone that this instance leaves.
@@ -168,8 +160,7 @@
 	group.Wait()
 }
 
-func (c *Cluster) heartbeat(ctx context.Context) {
-	now := time.Now()
+func (c *Cluster) heartbeat(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	c.peers.Tick(now)
 	targets := c.peers.Targets(now, c.random)
--- a/node/directory/poll.go
+++ b/node/directory/poll.go
@@ -7,31 +7,19 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
 )
 
 // RunList reads the instance list until the context ends.
 func (d *Directory) RunList(ctx context.Context) error {
-	return every(ctx, d.config.ListInterval, d.readList)
+	return loop.Every(ctx, d.config.ListInterval, func(time.Time) { d.readList(ctx) })
 }
 
 // RunLoads polls this instance's share of the zone's endpoints until the
 // context ends.
 func (d *Directory) RunLoads(ctx context.Context) error {
-	return every(ctx, d.config.LoadInterval, d.pollLoads)
-}
-
-func every(ctx context.Context, interval time.Duration, work func(context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		work(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return loop.Every(ctx, d.config.LoadInterval, func(time.Time) { d.pollLoads(ctx) })
 }
 
 func (d *Directory) readList(ctx context.Context) {
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,10 +13,8 @@
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/admit"
-	"github.com/wigeonusher/wigeonusher/node/suspects"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/document"
-	"github.com/wigeonusher/wigeonusher/policy/gate"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
@@ -31,22 +28,8 @@
 	retryAfter = time.Second
 	// minPatience is the least silence after which a dispatch is given up.
 	minPatience = 100 * time.Millisecond
-	// askFrom is the occupancy of a pool, in [0, 1], from which on owners are
-	// asked, and maxAsks bounds the asks of one dispatch.
-	askFrom = 0.5
-	maxAsks = 12
-	// occupiedPause is the wait for an endpoint on which no other suspect is
-	// tried, and maxOccupiedPauses the number of such waits.
-	occupiedPause     = 50 * time.Millisecond
-	maxOccupiedPauses = 40
-	// crashProbeTimeout bounds the look whether an endpoint that cut a
-	// connection still lives.
-	crashProbeTimeout = 500 * time.Millisecond
 )
 
-// errOccupied reports that a suspect could not be tried alone just now.
-var errOccupied = eris.New("dispatch: no endpoint free for a suspect")
-
 // errCallerGone reports that the sink refused a frame.
 var errCallerGone = eris.New("dispatch: caller has gone")
 
@@ -91,32 +74,6 @@
 	return answer, nil
 }
 
-// fingerprintOf identifies the request over all pools, so that the steps of a
-// cascade together cost no more endpoints than one.
-func fingerprintOf(request *Request) suspect.Fingerprint {
-	const anyPool = ""
-	return suspect.NewFingerprint(string(request.Account), anyPool, request.Raw)
-}
-
-// choosePool takes the first pool that serves the version and has endpoints.
-func (s *step) choosePool() *problem.Problem {
-	policy := s.dispatcher.Policies.Policy()
-	var pools []platform.PoolName
-	for name, pool := range policy.Pools {
-		if slices.Contains(pool.Serves, s.ref) {
-			pools = append(pools, name)
-		}
-	}
-	slices.Sort(pools)
-	for _, name := range pools {
-		if len(s.dispatcher.Endpoints.Usable(name)) > 0 {
-			s.pool, s.slots = name, policy.Pools[name].Slots
-			return nil
-		}
-	}
-	return s.noEndpoint()
-}
-
 func (s *step) noEndpoint() *problem.Problem {
 	detail := "no endpoint serves " + s.ref.String()
 	return problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, detail, &s.request.Attempt).After(retryAfter)
@@ -223,106 +180,6 @@
 	}
 }
 
-// tryAlone dispatches a suspect once, on an endpoint where no other suspect is
-// tried, if the log grants it.
-func (s *step) tryAlone(ctx context.Context) (*engine.Answer, error) {
-	d := s.dispatcher
-	candidate, err := s.place(ctx, d.Suspects.Occupied)
-	if err != nil {
-		return nil, errOccupied
-	}
-	claim := d.Suspects.Try(ctx, s.fingerprint, s.pool, candidate.ID)
-	if claim != suspects.Granted {
-		s.uncount(candidate)
-	}
-	switch claim {
-	case suspects.Denied:
-		return nil, s.crashSuspect("the request may have crashed an endpoint and cannot be tried alone now").After(retryAfter)
-	case suspects.Occupied:
-		return nil, errOccupied
-	}
-	answer, crashed, err := s.dispatch(ctx, candidate)
-	if err == nil || crashed {
-		d.Suspects.End(s.fingerprint, crashed)
-	}
-	if crashed {
-		return nil, s.crashSuspect("the request has crashed the endpoints that ran it")
-	}
-	return answer, err
-}
-
-func (s *step) crashSuspect(detail string) *problem.Problem {
-	return problem.New(problem.CrashSuspect, http.StatusUnprocessableEntity, detail, &s.request.Attempt)
-}
-
-// place passes the gate with the policy in force now, and picks an endpoint
-// that is not excluded.
-func (s *step) place(ctx context.Context, excluded func(platform.EndpointID) bool) (placement.Candidate, error) {
-	d := s.dispatcher
-	if err := gate.CheckModel(d.Policies.Policy(), s.request.Account, s.ref); err != nil {
-		return placement.Candidate{}, Refused(err, s.request)
-	}
-	now := time.Now()
-	var candidates []placement.Candidate
-	for _, endpoint := range d.Endpoints.Usable(s.pool) {
-		if excluded == nil || !excluded(endpoint.ID) {
-			candidates = append(candidates, d.Endpoints.Candidate(now, endpoint, s.slots, s.prefix))
-		}
-	}
-	asks := asksFor(candidates)
-	search, err := d.Scheduler.Search(globalRandom{}, placement.Request{
-		Ref:          s.ref,
-		Zone:         d.Zone,
-		PromptTokens: placement.EstimateTokens(s.request.Prompt),
-		Avoid:        s.avoid,
-	}, candidates, asks)
-	if err != nil {
-		return placement.Candidate{}, s.noEndpoint()
-	}
-	if asks == 0 {
-		picked, _ := search.Next()
-		return picked, nil
-	}
-	return s.search(ctx, search), nil
-}
-
-// asksFor returns how many owners may be asked. A pool with much room is not
-// worth the round trips.
-func asksFor(candidates []placement.Candidate) int {
-	slots, outstanding := 0, 0
-	for _, candidate := range candidates {
-		slots += candidate.Slots
-		outstanding += max(candidate.Running+candidate.Queued, candidate.InFlight+candidate.PeerInFlight)
-	}
-	if float64(outstanding) < askFrom*float64(slots) {
-		return 0
-	}
-	return maxAsks
-}
-
-// search asks owners until one has a free slot, or enough were asked.
-func (s *step) search(ctx context.Context, search *placement.Search) placement.Candidate {
-	owners := s.dispatcher.Owners
-	s.counted = false
-	for {
-		candidate, ask := search.Next()
-		if !ask && s.counted {
-			return candidate
-		}
-		outstanding, granted, err := owners.Reserve(ctx, candidate.Zone, candidate.ID, s.slots, !ask)
-		s.counted = granted && err == nil
-		switch {
-		case !ask:
-			return candidate
-		case err != nil:
-			search.Unanswered(candidate)
-		default:
-			running := min(outstanding, s.slots)
-			search.Answer(candidate, running, outstanding-running)
-		}
-	}
-}
-
 // dispatch sends the request to one endpoint, once.
 func (s *step) dispatch(ctx context.Context, candidate placement.Candidate) (answer *engine.Answer, crashed bool, err error) {
 	d := s.dispatcher
@@ -388,21 +245,6 @@
 	return false
 }
 
-// gone reports whether nothing listens at the address any more.
-func (s *step) gone(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-	defer cancel()
-	return !s.dispatcher.Engines.Reachable(ctx, address)
-}
-
-// uncount tells the endpoint's owner that the dispatch has ended.
-func (s *step) uncount(candidate placement.Candidate) {
-	if s.counted {
-		s.counted = false
-		s.dispatcher.Owners.Release(candidate.Zone, candidate.ID)
-	}
-}
-
 func (s *step) finish(candidate placement.Candidate, firstToken time.Duration, err error) {
 	s.uncount(candidate)
 	s.dispatcher.Endpoints.Finished(time.Now(), candidate.ID, firstToken, err != nil)
--- a/node/feedback/feedback.go
+++ b/node/feedback/feedback.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 )
@@ -141,17 +142,8 @@
 		<-ctx.Done()
 		return nil
 	}
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
 	var cursor uint64
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			cursor = f.poll(ctx, cursor)
-		}
-	}
+	return loop.Every(ctx, pollInterval, func(time.Time) { cursor = f.poll(ctx, cursor) })
 }
 
 func (f *Feedback) poll(ctx context.Context, cursor uint64) uint64 {
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonusher/wigeonusher/node/cluster"
 	"github.com/wigeonusher/wigeonusher/node/follow"
 	"github.com/wigeonusher/wigeonusher/node/logwriter"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 )
 
 // keeperInterval is the time between looks whether a snapshot is due.
@@ -39,16 +40,7 @@
 
 // run appends snapshots until the context ends.
 func (k *keeper) run(ctx context.Context) error {
-	ticker := time.NewTicker(keeperInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			k.look(now)
-		}
-	}
+	return loop.Every(ctx, keeperInterval, k.look)
 }
 
 func (k *keeper) look(now time.Time) {
--- a/node/limits/limits.go
+++ b/node/limits/limits.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/config"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/quota"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
@@ -48,17 +49,10 @@
 
 // Run updates the shares until the context ends.
 func (l *Limits) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			l.apply(now)
-			l.shares.Tick(now, max(1, l.instances()))
-		}
-	}
+	return loop.Every(ctx, tickInterval, func(now time.Time) {
+		l.apply(now)
+		l.shares.Tick(now, max(1, l.instances()))
+	})
 }
 
 // apply sets the limits of a policy that is new.
--- /dev/null
+++ b/node/loop/loop.go
@@ -0,0 +1,23 @@
+// Package loop repeats work at an interval.
+package loop
+
+import (
+	"context"
+	"time"
+)
+
+// Every does the work at once and then at the interval, until the context ends.
+// Work that takes longer than the interval delays the next.
+func Every(ctx context.Context, interval time.Duration, work func(now time.Time)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	work(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			work(now)
+		}
+	}
+}
--- a/node/once/once.go
+++ b/node/once/once.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/follow"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 )
 
 const (
@@ -116,25 +117,24 @@
 // the number of records after them. first tells whether this instance is the
 // one to do so.
 func (r *Runner) RunAdvance(ctx context.Context, first func() bool) error {
-	ticker := time.NewTicker(advanceInterval)
-	defer ticker.Stop()
-	for number := 1; ; {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	number := 0
+	return loop.Every(ctx, advanceInterval, func(time.Time) {
 		full := false
 		r.state.Do(func() { full = r.ledger.Full() })
-		if !full || !first() {
-			continue
-		}
-		id := "advance/" + string(r.instance) + "/" + strconv.Itoa(number)
-		number++
-		if entry, err := platform.NewEntry(id, intent.KindAdvance, r.instance, struct{}{}); err == nil {
-			_ = r.writer.Add(entry)
+		if full && first() {
+			number++
+			r.advance(number)
 		}
+	})
+}
+
+func (r *Runner) advance(number int) {
+	id := "advance/" + string(r.instance) + "/" + strconv.Itoa(number)
+	entry, err := platform.NewEntry(id, intent.KindAdvance, r.instance, struct{}{})
+	if err != nil {
+		return
 	}
+	_ = r.writer.Add(entry)
 }
 
 // Run runs a call and returns what to tell the caller. The call itself may
--- a/node/pace.go
+++ b/node/pace.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/node/loop"
 )
 
 // Appends per second that the whole fleet may make to each stream. Each
@@ -33,17 +35,10 @@
 
 // pace keeps the parts in step with the number of instances listed.
 func (n *Node) pace(ctx context.Context) error {
-	ticker := time.NewTicker(paceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return loop.Every(ctx, paceInterval, func(time.Time) {
 		instances := float64(max(1, n.parts.directory.Instances()))
 		n.parts.billWriter.Pace(billAppends / instances)
 		n.parts.intentWriter.Pace(intentAppends / instances)
 		n.parts.sessionWriter.Pace(sessionAppends / instances)
-	}
+	})
 }
--- a/node/rollouts/rollouts.go
+++ b/node/rollouts/rollouts.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/rollout"
 	"github.com/wigeonusher/wigeonusher/policy/session"
@@ -112,16 +113,7 @@
 
 // Run steps the controller until the context ends.
 func (r *Rollouts) Run(ctx context.Context) error {
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			r.step(now)
-		}
-	}
+	return loop.Every(ctx, stepInterval, r.step)
 }
 
 func (r *Rollouts) step(now time.Time) {
--- a/node/run.go
+++ b/node/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/admin"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/wire/peer"
 )
 
@@ -55,8 +56,8 @@
 		actors = append(actors, keeper.run)
 	}
 	var group run.Group
-	for _, work1 := range actors {
-		group.Add(func() error { return work1(work) }, func(error) { stopWork() })
+	for _, act := range actors {
+		group.Add(func() error { return act(work) }, func(error) { stopWork() })
 	}
 	n.addServer(&group, n.callerServer, n.callers)
 	n.addServer(&group, n.adminServer, n.admins)
@@ -130,16 +131,7 @@
 
 // announce keeps the instance listed until the context ends.
 func (n *Node) announce(ctx context.Context) error {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		n.announceOnce(ctx, n.stopping.Load())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	return loop.Every(ctx, announceInterval, func(time.Time) { n.announceOnce(ctx, n.stopping.Load()) })
 }
 
 func (n *Node) announceOnce(ctx context.Context, leaving bool) {
--- a/node/sessions/sessions.go
+++ b/node/sessions/sessions.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
@@ -269,17 +270,10 @@
 
 // Run appends births in batches until the context ends.
 func (s *Sessions) Run(ctx context.Context) error {
-	ticker := time.NewTicker(appendInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.flush()
-			s.table.Sweep(time.Now())
-		}
-	}
+	return loop.Every(ctx, appendInterval, func(now time.Time) {
+		s.flush()
+		s.table.Sweep(now)
+	})
 }
 
 func (s *Sessions) flush() {
