--- a/policy/admission/main_test.go
+++ b/policy/admission/main_test.go
@@ -1,19 +1,9 @@
 package admission_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
-	_ "pgregory.net/rapid"
+	"github.com/wigeonusher/wigeonusher/coord/proptest"
 )
 
-// TestMain fixes the seed of the property tests, unless the command line gives
-// one, so that equal code gets equal verdicts.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		_ = flag.Set("rapid.seed", "20260103")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, "20260103") }
