--- a/cmd/internal/tool/diff.go
+++ b/cmd/internal/tool/diff.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/pmezard/go-difflib/difflib"
 	"github.com/rotisserie/eris"
@@ -38,14 +37,7 @@
 
 // Run compares.
 func (c *diffCommand) Run(env *environment) error {
-	body, err := os.ReadFile(c.File)
-	if err != nil {
-		return eris.Wrap(err, "read file")
-	}
-	if findings := checkJSON(c.File, body); len(findings) > 0 {
-		return env.report(findings)
-	}
-	reader, err := c.caughtUp(env)
+	body, reader, err := c.readInputs(env, c.File)
 	if err != nil {
 		return err
 	}
--- a/cmd/internal/tool/platform.go
+++ b/cmd/internal/tool/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -94,3 +95,17 @@
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
 	return body, eris.Wrap(err, "read answer")
 }
+
+// readInputs reads a section's file, checks that it is JSON, and reads the
+// control stream to its end.
+func (a logArguments) readInputs(env *environment, file string) ([]byte, *control.Reader, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "read file")
+	}
+	if findings := checkJSON(file, body); len(findings) > 0 {
+		return nil, nil, env.report(findings)
+	}
+	reader, err := a.caughtUp(env)
+	return body, reader, err
+}
--- a/cmd/internal/tool/publish.go
+++ b/cmd/internal/tool/publish.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,14 +48,7 @@
 
 // Run publishes the section.
 func (c *publishCommand) Run(env *environment) error {
-	body, err := os.ReadFile(c.File)
-	if err != nil {
-		return eris.Wrap(err, "read file")
-	}
-	if findings := checkJSON(c.File, body); len(findings) > 0 {
-		return env.report(findings)
-	}
-	reader, err := c.caughtUp(env)
+	body, reader, err := c.readInputs(env, c.File)
 	if err != nil {
 		return err
 	}
