--- a/node/assemble.go
+++ b/node/assemble.go
@@ -90,7 +90,7 @@
 	once           *once.Runner
 	intentTail     *follow.Follower
 	intentWriter   *logwriter.Writer
-	books          *billing.Books
+	biller         *billing.Biller
 	billWriter     *logwriter.Writer
 	sessions       *sessions.Sessions
 	sessionWriter  *logwriter.Writer
@@ -177,8 +177,8 @@
 	})
 	p.once.CaughtUpOn(p.intentTail.Ready())
 	p.billWriter = n.newWriter(p, platform.StreamBills, millis(n.settings.Timing.BillIntervalMillis), n.settings.Limits.HeldBills,
-		func(ids []string) { p.books.Settled(ids) })
-	p.books = billing.New(n.id, p.billWriter, p.peers, p.cluster, billing.Config{
+		func(ids []string) { p.biller.Settled(ids) })
+	p.biller = billing.New(n.id, p.billWriter, p.peers, p.cluster, billing.Config{
 		MaxBills:     n.settings.Limits.HeldBills,
 		CopyDeadline: copyDeadline,
 		GoneAfter:    goneAfter,
@@ -302,7 +302,7 @@
 		Dispatcher: dispatcher,
 		Endpoints:  p.directory,
 		Services:   p.engines,
-		Biller:     p.books,
+		Biller:     p.biller,
 		Sessions:   p.sessions,
 		Limits:     p.limits,
 		Once:       p.once,
@@ -320,7 +320,7 @@
 	p.handlerOfPeers = &cluster.Handler{
 		Cluster:  p.cluster,
 		Records:  &records{control: p.controlTail, intents: p.intentTail},
-		Copies:   p.books,
+		Copies:   p.biller,
 		Sessions: p.sessions,
 		Slots:    asks.Owner{Asks: p.asks},
 	}
@@ -331,8 +331,8 @@
 	gauge := p.telemetry.Gauge
 	gauge(`wigeonusher_revision`, func() float64 { return float64(n.Status().Revision) })
 	gauge(`wigeonusher_bills_held`, func() float64 { return float64(p.billWriter.Len()) })
-	gauge(`wigeonusher_bills_for_peers`, func() float64 { return float64(p.books.HeldForPeers()) })
-	gauge(`wigeonusher_bills_uncopied`, func() float64 { return float64(p.books.Uncopied()) })
+	gauge(`wigeonusher_bills_for_peers`, func() float64 { return float64(p.biller.HeldForPeers()) })
+	gauge(`wigeonusher_bills_uncopied`, func() float64 { return float64(p.biller.Uncopied()) })
 	gauge(`wigeonusher_sessions`, func() float64 { return float64(p.sessions.Len()) })
 	gauge(`wigeonusher_idempotency_keys`, func() float64 { return float64(p.once.Keys()) })
 	gauge(`wigeonusher_queued_requests`, func() float64 { return float64(p.pools.Queued()) })
--- a/node/billing/billing.go
+++ b/node/billing/billing.go
@@ -1,4 +1,4 @@
-// Package billing books requests: each bill is copied to a peer before the
+// Package billing records what requests cost: each bill is copied to a peer before the
 // last byte of its answer goes out, and appended to the log in batches.
 package billing
 
@@ -40,7 +40,7 @@
 	// CostMicro is the price in micro-units of money.
 	CostMicro float64 `json:"cost_micro"`
 	Outcome   string  `json:"outcome"`
-	// Key makes the booking unique: the same key is booked once.
+	// Key makes the bill unique: the same key is billed once.
 	Key string `json:"-"`
 }
 
@@ -57,9 +57,9 @@
 	Gone(id platform.InstanceID) bool
 }
 
-// Books keeps bills until the log has them. Its methods may be called from
+// Biller keeps bills until the log has them. Its methods may be called from
 // several goroutines.
-type Books struct {
+type Biller struct {
 	instance platform.InstanceID
 	writer   *logwriter.Writer
 	copier   Copier
@@ -73,7 +73,7 @@
 	adopted    map[string]platform.InstanceID
 }
 
-// Config bounds the books.
+// Config bounds the biller.
 type Config struct {
 	// MaxBills bounds the bills held, own and peers' each.
 	MaxBills int
@@ -84,16 +84,16 @@
 	GoneAfter time.Duration
 }
 
-// New returns empty books. The writer must report settled entries to
-// [Books.Settled].
-func New(instance platform.InstanceID, writer *logwriter.Writer, copier Copier, peers Peers, config Config) *Books {
+// New returns a biller that holds nothing. The writer must report settled entries to
+// [Biller.Settled].
+func New(instance platform.InstanceID, writer *logwriter.Writer, copier Copier, peers Peers, config Config) *Biller {
 	const (
 		maxBytes       = 32 << 20
 		maxBatch       = 256
 		settleInterval = 500 * time.Millisecond
 		avoidFor       = 2 * time.Second
 	)
-	return &Books{
+	return &Biller{
 		instance: instance,
 		writer:   writer,
 		copier:   copier,
@@ -118,35 +118,35 @@
 	}
 }
 
-// Page is the room kept for the bill of one request, which must not start
+// Reservation is the room kept for the bill of one request, which must not start
 // without it.
-type Page struct {
-	books *Books
-	room  *logwriter.Reservation
+type Reservation struct {
+	biller *Biller
+	room   *logwriter.Reservation
 }
 
-// Open keeps room for a bill. The error reports that no further bill can be
+// Reserve keeps room for a bill. The error reports that no further bill can be
 // held.
-func (b *Books) Open() (*Page, error) {
+func (b *Biller) Reserve() (*Reservation, error) {
 	room, err := b.writer.Reserve(maxBillBytes)
 	if err != nil {
 		return nil, eris.Wrap(err, "billing: no room for a bill")
 	}
-	return &Page{books: b, room: room}, nil
+	return &Reservation{biller: b, room: room}, nil
 }
 
-// Close gives the room back if no bill was booked.
-func (p *Page) Close() { p.room.Cancel() }
+// Close gives the room back if no bill was recorded.
+func (r *Reservation) Close() { r.room.Cancel() }
 
-// Bill books the request and returns once a peer has a copy, or none could be
+// Bill records the cost of the request and returns once a peer has a copy, or none could be
 // had in time. The error reports that the bill could not be held at all.
-func (p *Page) Bill(ctx context.Context, bill Bill) error {
-	b := p.books
+func (r *Reservation) Bill(ctx context.Context, bill Bill) error {
+	b := r.biller
 	entry, err := platform.NewEntry(keyPrefix+bill.Key, KindBill, b.instance, bill)
 	if err != nil {
 		return err
 	}
-	if err := p.room.Add(entry); err != nil {
+	if err := r.room.Add(entry); err != nil {
 		return eris.Wrap(err, "billing: hold bill")
 	}
 	if b.alone() {
@@ -164,13 +164,13 @@
 }
 
 // alone reports whether no peer could hold a copy.
-func (b *Books) alone() bool {
+func (b *Biller) alone() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.addresses) == 0
 }
 
-func (b *Books) protect(entry platform.Entry) <-chan struct{} {
+func (b *Biller) protect(entry platform.Entry) <-chan struct{} {
 	b.mu.Lock()
 	released, known := b.waiting[entry.ID]
 	if !known {
@@ -185,7 +185,7 @@
 }
 
 // Settled takes in IDs of entries that the log has.
-func (b *Books) Settled(ids []string) {
+func (b *Biller) Settled(ids []string) {
 	b.mu.Lock()
 	for _, id := range ids {
 		if from, ok := b.adopted[id]; ok {
@@ -198,7 +198,7 @@
 }
 
 // HeldForPeers returns the number of copies held for peers.
-func (b *Books) HeldForPeers() int {
+func (b *Biller) HeldForPeers() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.store.Len()
@@ -206,14 +206,14 @@
 
 // Uncopied returns the number of bills whose answer went out without a copy at
 // a peer.
-func (b *Books) Uncopied() uint64 {
+func (b *Biller) Uncopied() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.replicator.Uncopied()
 }
 
 // HoldEntries implements cluster.Copies.
-func (b *Books) HoldEntries(request *peerpb.HoldEntriesRequest) (*peerpb.HoldEntriesReply, error) {
+func (b *Biller) HoldEntries(request *peerpb.HoldEntriesRequest) (*peerpb.HoldEntriesReply, error) {
 	from := platform.InstanceID(request.HolderFor)
 	entries := make([]platform.Entry, 0, len(request.Entries))
 	for _, held := range request.Entries {
@@ -230,7 +230,7 @@
 }
 
 // Run sends copies and adopts the bills of dead peers until the context ends.
-func (b *Books) Run(ctx context.Context) error {
+func (b *Biller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(peersInterval)
 	defer ticker.Stop()
 	wake := time.NewTimer(0)
@@ -251,13 +251,13 @@
 	}
 }
 
-func (b *Books) nextWake() (time.Time, bool) {
+func (b *Biller) nextWake() (time.Time, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.replicator.Wake()
 }
 
-func (b *Books) step(event hold.Event) {
+func (b *Biller) step(event hold.Event) {
 	b.mu.Lock()
 	effects := b.replicator.Step(time.Now(), event)
 	for _, effect := range effects {
@@ -274,7 +274,7 @@
 }
 
 // release lets answers go on. The caller holds the lock.
-func (b *Books) release(ids []string) {
+func (b *Biller) release(ids []string) {
 	for _, id := range ids {
 		if released, ok := b.waiting[id]; ok {
 			close(released)
@@ -283,7 +283,7 @@
 	}
 }
 
-func (b *Books) send(message hold.Copy) {
+func (b *Biller) send(message hold.Copy) {
 	request := &peerpb.HoldEntriesRequest{
 		HolderFor: string(b.instance),
 		Stream:    string(message.Stream),
@@ -305,7 +305,7 @@
 
 // rankPeers returns the live peers in order of preference: those of the zone
 // first.
-func (b *Books) rankPeers() []platform.InstanceID {
+func (b *Biller) rankPeers() []platform.InstanceID {
 	candidates := b.peers.Rank(string(b.instance))
 	for _, other := range b.peers.All() {
 		if other.Liveness == membership.Alive && other.Zone != b.peers.Self().Zone {
@@ -327,7 +327,7 @@
 }
 
 // adopt appends the bills of peers that are gone.
-func (b *Books) adopt() {
+func (b *Biller) adopt() {
 	b.mu.Lock()
 	orphans := b.store.Orphans(time.Now(), b.peers.Gone)
 	b.mu.Unlock()
@@ -338,7 +338,7 @@
 	}
 }
 
-func (b *Books) adoptOne(from platform.InstanceID, entry platform.Entry) {
+func (b *Biller) adoptOne(from platform.InstanceID, entry platform.Entry) {
 	b.mu.Lock()
 	b.adopted[entry.ID] = from
 	b.mu.Unlock()
--- a/node/bills_test.go
+++ b/node/bills_test.go
@@ -109,7 +109,7 @@
 	assert.Equal(t, f.bills()["twice"], 1)
 }
 
-func TestFullBooksRefuseBeforeTheRequestRuns(t *testing.T) {
+func TestFullOutboxRefusesBeforeTheRequestRuns(t *testing.T) {
 	f, nodes := newModels(t, 1, func(s *settings.Settings) { s.Limits.HeldBills = 5 })
 	n := nodes[0].Node
 	f.eventually("nothing is held", func() bool { return n.Status().BillsHeld == 0 })
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -31,11 +31,11 @@
 	if trouble := s.fill(e, request); trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	e.page, trouble = s.openPage(e)
+	e.reservation, trouble = s.reserveBill(e)
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	defer e.page.Close()
+	defer e.reservation.Close()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), request.Deadline)
 	defer cancel()
 	if trouble := s.bindSession(ctx, e, request); trouble != nil {
@@ -47,13 +47,13 @@
 	return s.whole(ctx, e, request)
 }
 
-// openPage keeps room for the request's bill.
-func (s *Server) openPage(e *exchange) (*billing.Page, *problem.Problem) {
-	page, err := s.Biller.Open()
+// reserveBill keeps room for the request's bill.
+func (s *Server) reserveBill(e *exchange) (*billing.Reservation, *problem.Problem) {
+	reservation, err := s.Biller.Reserve()
 	if err != nil {
 		return nil, problem.New(problem.LogUnavailable, http.StatusServiceUnavailable, "no further bill can be held", e.attempt).After(retryAfter)
 	}
-	return page, nil
+	return reservation, nil
 }
 
 // fill reads the request's body and headers.
@@ -167,8 +167,8 @@
 	return sink.event(streamError{trouble})
 }
 
-// bill books what the request used, before its last byte goes out. Nothing is
-// booked for a request that no endpoint answered.
+// bill records what the request used, before its last byte goes out. Nothing is
+// recorded for a request that no endpoint answered.
 func (s *Server) bill(ctx context.Context, e *exchange, request *dispatch.Request, result *dispatch.Result) {
 	if len(result.Uses) == 0 {
 		return
@@ -187,14 +187,14 @@
 		bill.AnswerTokens += use.AnswerTokens
 		bill.CostMicro += version.PromptCost*float64(use.PromptTokens) + version.AnswerCost*float64(use.AnswerTokens)
 	}
-	if err := e.page.Bill(ctx, bill); err != nil {
+	if err := e.reservation.Bill(ctx, bill); err != nil {
 		s.Telemetry.BillRefused(e.id, err)
 		return
 	}
 	s.Telemetry.Billed(result.Ref, bill.CostMicro)
 }
 
-// billKey returns what makes the booking unique: the caller's idempotency key,
+// billKey returns what makes the bill unique: the caller's idempotency key,
 // or a number of this instance's own, because callers may reuse request IDs.
 func (s *Server) billKey(e *exchange) string {
 	if key := e.echo.Request().Header.Get(HeaderIdempotency); key != "" {
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -56,10 +56,10 @@
 	Policy() *document.Policy
 }
 
-// Biller books requests.
+// Biller records what requests cost.
 type Biller interface {
-	// Open keeps room for the bill of a request that is about to start.
-	Open() (*billing.Page, error)
+	// Reserve keeps room for the bill of a request that is about to start.
+	Reserve() (*billing.Reservation, error)
 }
 
 // Sessions finds the birth of a session.
@@ -137,8 +137,8 @@
 	account document.AccountID
 	body    []byte
 	attempt *outcome.Attempt
-	// page is the room for the bill of a chat request.
-	page *billing.Page
+	// reservation is the room for the bill of a chat request.
+	reservation *billing.Reservation
 }
 
 // open authenticates a request, counts it against its account's limit and
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -17,8 +17,8 @@
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
-// acquaintance is how long after its start an instance may not know a live one.
-const acquaintance = 10 * time.Second
+// discoveryPeriod is how long after its start an instance may not know a live one.
+const discoveryPeriod = 10 * time.Second
 
 // Gossip is a part of the instance that tells peers something in every digest
 // and hears the same from them. Its methods may be called from several
@@ -131,7 +131,7 @@
 			return known.Liveness == membership.Dead || known.Liveness == membership.Left
 		}
 	}
-	return id != c.Self().ID && time.Since(c.started) >= acquaintance
+	return id != c.Self().ID && time.Since(c.started) >= discoveryPeriod
 }
 
 // SetControlNext notes the offset that this instance wants next of the control
--- a/node/run.go
+++ b/node/run.go
@@ -20,7 +20,7 @@
 	announceInterval = time.Second
 	// announceTimeout bounds one announcement.
 	announceTimeout = 2 * time.Second
-	// leaveTimeout bounds the farewell to the peers.
+	// leaveTimeout bounds the leaving to the peers.
 	leaveTimeout = time.Second
 	// sessionsPause is the time between reads of the sessions stream.
 	sessionsPause = time.Second
@@ -42,7 +42,7 @@
 	actors := []actor{
 		p.controlTail.Run, p.controlWriter.Run,
 		p.intentTail.Run, p.intentWriter.Run,
-		p.billWriter.Run, p.books.Run,
+		p.billWriter.Run, p.biller.Run,
 		p.sessionWriter.Run, p.sessions.Run, n.followSessions,
 		p.cluster.Run, p.directory.RunList, p.directory.RunLoads,
 		p.limits.Run, p.pools.Run, p.rollouts.Run, p.orders.Run, p.feedback.RunSubmit, p.feedback.RunRatings,
@@ -110,10 +110,10 @@
 	}
 	n.parts.orders.Release()
 	n.flush(ctx)
-	farewell, stop := context.WithTimeout(n.killed, leaveTimeout)
+	leaving, stop := context.WithTimeout(n.killed, leaveTimeout)
 	defer stop()
-	n.parts.cluster.Leave(farewell)
-	n.announceOnce(farewell, true)
+	n.parts.cluster.Leave(leaving)
+	n.announceOnce(leaving, true)
 }
 
 // flush settles what waits for the log. Bills that the log does not take in
@@ -204,8 +204,8 @@
 		ControlNext:   p.controlTail.Next(),
 		IntentsNext:   p.intentTail.Next(),
 		BillsHeld:     p.billWriter.Len(),
-		BillsForPeers: p.books.HeldForPeers(),
-		BillsUncopied: p.books.Uncopied(),
+		BillsForPeers: p.biller.HeldForPeers(),
+		BillsUncopied: p.biller.Uncopied(),
 		Sessions:      p.sessions.Len(),
 		Keys:          p.once.Keys(),
 		Queued:        p.pools.Queued(),
--- a/node/sessions/sessions.go
+++ b/node/sessions/sessions.go
@@ -151,7 +151,7 @@
 	}
 	for _, owner := range ranked[:min(owners, len(ranked))] {
 		if owner.ID == s.peers.Self().ID {
-			return Found{Birth: s.bear(ctx, query, s.exposer, ranked), Fresh: true}
+			return Found{Birth: s.create(ctx, query, s.exposer, ranked), Fresh: true}
 		}
 		reply, err := s.lookups.LookupSession(ctx, owner.Address, request)
 		if err != nil || !reply.Found {
@@ -161,12 +161,12 @@
 			return Found{Birth: birth, Fresh: reply.Born}
 		}
 	}
-	return Found{Birth: s.bear(ctx, query, session.NoExposure{}, ranked), Fresh: true}
+	return Found{Birth: s.create(ctx, query, session.NoExposure{}, ranked), Fresh: true}
 }
 
-// bear makes the birth of a session, remembers it and tells the other owner,
+// create makes the birth of a session, remembers it and tells the other owner,
 // which may know an earlier one.
-func (s *Sessions) bear(ctx context.Context, query Query, exposer session.Exposer, ranked []membership.Peer) session.Birth {
+func (s *Sessions) create(ctx context.Context, query Query, exposer session.Exposer, ranked []membership.Peer) session.Birth {
 	birth := session.NewBirth(s.policies.Policy(), exposer, query.Account, query.Session, time.Now(), query.Models...)
 	birth = s.table.Adopt(birth, time.Now())
 	encoded, err := json.Marshal(birth)
@@ -207,7 +207,7 @@
 	case valid && told.Account == query.Account && told.Session == query.Session:
 		birth = s.table.Adopt(told, time.Now())
 	case !known:
-		birth = s.bear(context.Background(), query, s.exposer, s.rank(query.Account, query.Session))
+		birth = s.create(context.Background(), query, s.exposer, s.rank(query.Account, query.Session))
 		reply.Born = true
 	}
 	encoded, err := json.Marshal(birth)
--- a/node/suspects/suspects.go
+++ b/node/suspects/suspects.go
@@ -40,7 +40,7 @@
 	writer   Writer
 	expecter Expecter
 	entries  atomic.Uint64
-	told     rumours
+	told     recentReports
 }
 
 // New returns suspects over the fold.
