A caller that leaves in the middle of a stream is billed once for what it got

Cause: bills were made of whole answers only, so a caller could take all but the last frame of a stream and leave; and a request whose last cascade step failed was billed for the first, without an answer. Now a request without an answer is not billed, and a stream that had begun is billed by its frames.

--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -133,7 +133,7 @@
 
 func (s *Server) whole(ctx context.Context, e *exchange, request *dispatch.Request) error {
 	result, trouble := s.Dispatcher.Run(ctx, request, discard{})
-	s.bill(ctx, e, request, result)
+	s.bill(ctx, e, request, result, false)
 	if trouble != nil {
 		return s.refuse(e.echo, trouble)
 	}
@@ -156,7 +156,7 @@
 func (s *Server) streamed(ctx context.Context, e *exchange, request *dispatch.Request) error {
 	sink := &sseSink{exchange: e}
 	result, trouble := s.Dispatcher.Run(ctx, request, sink)
-	s.bill(ctx, e, request, result)
+	s.bill(ctx, e, request, result, sink.started)
 	if trouble == nil {
 		return sink.raw([]byte("[DONE]"))
 	}
@@ -168,9 +168,10 @@
 }
 
 // bill records what the request used, before its last byte goes out. Nothing is
-// recorded for a request that no endpoint answered.
-func (s *Server) bill(ctx context.Context, e *exchange, request *dispatch.Request, result *dispatch.Result) {
-	if len(result.Uses) == 0 {
+// recorded for a request that got no answer; a caller that left in the middle
+// of a stream that had begun pays for what it got.
+func (s *Server) bill(ctx context.Context, e *exchange, request *dispatch.Request, result *dispatch.Result, begun bool) {
+	if result.Answer == nil && !(result.CallerGone && begun) {
 		return
 	}
 	bill := billing.Bill{
--- a/node/dispatch/request.go
+++ b/node/dispatch/request.go
@@ -56,6 +56,8 @@
 	Answer *engine.Answer
 	// Uses lists all dispatches that produced tokens.
 	Uses []Use
+	// CallerGone says that the caller left in the middle of the answer.
+	CallerGone bool
 	// Degraded says that a step of the cascade that should have followed was
 	// not to be had.
 	Degraded bool
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -46,6 +46,8 @@
 	prefix      []uint64
 	avoid       []platform.EndpointID
 	delivered   bool
+	// frames counts those passed on in the present dispatch.
+	frames int
 	// counted tells whether the endpoint's owner counts the present dispatch.
 	counted bool
 }
@@ -189,6 +191,7 @@
 		return nil, false, engine.ErrRefused
 	}
 	var sent outcome.Attempt
+	s.frames = 0
 	call := engine.Call{
 		Address:   candidate.Address,
 		RequestID: s.request.ID,
@@ -230,6 +233,9 @@
 	if refused {
 		d.Endpoints.Refused(platform.ListedEndpoint{ID: candidate.ID, Address: candidate.Address})
 	}
+	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) {
+		s.usePart()
+	}
 	if refused || ctx.Err() != nil || errors.Is(err, errCallerGone) {
 		s.finish(candidate, 0, nil)
 		d.Suspects.Finished(s.fingerprint, candidate.ID)
@@ -250,6 +256,21 @@
 	s.dispatcher.Endpoints.Finished(time.Now(), candidate.ID, firstToken, err != nil)
 }
 
+// usePart notes what a caller got that left in the middle of the answer: a
+// token a frame.
+func (s *step) usePart() {
+	if s.frames == 0 {
+		return
+	}
+	s.result.Ref = s.ref
+	s.result.CallerGone = true
+	s.result.Uses = append(s.result.Uses, Use{
+		Ref:          s.ref,
+		PromptTokens: placement.EstimateTokens(s.request.Prompt),
+		AnswerTokens: s.frames,
+	})
+}
+
 func (s *step) use(answer *engine.Answer) {
 	usage := answer.Usage()
 	s.result.Uses = append(s.result.Uses, Use{
@@ -261,6 +282,7 @@
 
 func (s *step) pass(chunk *openai.Chunk) error {
 	s.delivered = true
+	s.frames++
 	if err := s.sink.Frame(s.ref, chunk); err != nil {
 		return errCallerGone
 	}
--- a/node/streams_test.go
+++ b/node/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -40,6 +41,23 @@
 	assert.Assert(t, whole > 0 && cut > 0, "whole %d, cut %d", whole, cut)
 }
 
+func TestCallerThatLeavesIsBilledOnceForWhatItGot(t *testing.T) {
+	f, nodes := newModels(t, 1, nil)
+	body := strings.Replace(chatBody("small", true), `"max_tokens":12`, `"max_tokens":5000`, 1)
+	request, err := http.NewRequest(http.MethodPost, "http://"+nodes[0].Addresses().Caller+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	request.Header.Set("X-Request-Id", "left")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(response.Body, make([]byte, 200))
+	assert.NilError(t, err)
+	response.Body.Close()
+	f.eventually("it is billed", func() bool { return f.bills()["left"] >= 1 })
+	f.eventually("nothing is held", func() bool { return nodes[0].Status().BillsHeld == 0 })
+	assert.Equal(t, f.bills()["left"], 1)
+}
+
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	f, nodes := newModels(t, 1, func(s *settings.Settings) { s.Timing.ProgressMillis = 300 })
 	for range 6 {
