--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -16,6 +16,9 @@
 const (
 	// listTimeout bounds one read of the instance list.
 	listTimeout = 2 * time.Second
+	// emptyListPatience is how long a list without any endpoint is taken for
+	// one that lags.
+	emptyListPatience = 2 * time.Second
 	// loadTimeout bounds one load report.
 	loadTimeout = time.Second
 )
@@ -50,8 +53,9 @@
 
 	mu        sync.RWMutex
 	endpoints *membership.Endpoints
-	listed    bool
 	instances int
+	// listedSince is when the instance list first answered.
+	listedSince time.Time
 
 	loads    *placement.LoadTable
 	prefixes *placement.PrefixIndex
@@ -87,11 +91,15 @@
 	return d.endpoints.All()
 }
 
-// Listed reports whether the instance list has answered at least once.
+// Listed reports whether the instance list has shown an endpoint, or has
+// answered for a while without one: right after a start of everything it lags.
 func (d *Directory) Listed() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.listed
+	if d.listedSince.IsZero() {
+		return false
+	}
+	return len(d.endpoints.All()) > 0 || time.Since(d.listedSince) >= emptyListPatience
 }
 
 // Instances returns the number of instances that the list shows.
--- a/node/directory/poll.go
+++ b/node/directory/poll.go
@@ -35,7 +35,9 @@
 	}
 	d.mu.Lock()
 	d.endpoints.Listed(now, listing)
-	d.listed = true
+	if d.listedSince.IsZero() {
+		d.listedSince = now
+	}
 	d.instances = len(listing.Instances)
 	d.mu.Unlock()
 	for _, instance := range listing.Instances {
