--- a/node/added_time_test.go
+++ b/node/added_time_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bufio"
+	"context"
+	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/standin/endpoint"
 	"github.com/wigeonusher/wigeonusher/standin/engine"
 )
@@ -97,3 +102,65 @@
 		})
 	}
 }
+
+// BenchmarkStreamMemory holds streams open and reports the memory of each. The
+// engine stand-in and the client share the process, so it is an upper bound.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 400
+	f := newFleet(b)
+	profile := engine.DefaultProfile()
+	profile.PerToken = 50 * time.Millisecond
+	server := engine.New(engine.Config{
+		Identity: endpoint.Identity{ID: "bench", Pool: platform.PoolName("models"), Zone: "a", InstanceList: f.list.URL()},
+		Loaded:   []string{"small@v1"},
+		Slots:    streams,
+		Profiles: map[string]engine.Profile{"small@v1": profile},
+	})
+	if err := server.Listen(loopback); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { server.Close() })
+	f.publishDefault()
+	f.publish(document.SectionEndpoints, map[platform.PoolName]document.Pool{
+		"models": {Slots: streams, Serves: []document.Ref{{Model: "small", Version: "v1"}}},
+		"desk":   {Slots: 8, Service: "desk"},
+	})
+	n := f.startReady("a")
+	f.eventually("chat is served", func() bool { return f.tryChat(n.Node) })
+	body := strings.Replace(chatBody("small", true), `"max_tokens":12`, `"max_tokens":2000`, 1)
+	for b.Loop() {
+		before := memoryInUse()
+		ctx, cancel := context.WithCancel(b.Context())
+		var group sync.WaitGroup
+		for range streams {
+			group.Go(func() { holdStream(ctx, n.Addresses().Caller, body) })
+		}
+		f.eventually("all streams run", func() bool { return server.Load().Running >= streams })
+		b.ReportMetric((memoryInUse()-before)/streams/1024, "KiB/stream")
+		cancel()
+		group.Wait()
+	}
+}
+
+// holdStream reads a stream until the context ends.
+func holdStream(ctx context.Context, address, body string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	request.Header.Set("Deadline-Ms", "600000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+}
+
+func memoryInUse() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse + stats.StackInuse)
+}
--- a/node/keys/keys_test.go
+++ b/node/keys/keys_test.go
@@ -1,75 +1,18 @@
 package keys_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/node/keys"
-	"github.com/wigeonusher/wigeonusher/node/settings"
+	"github.com/wigeonusher/wigeonusher/node/keys/keystest"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-	pem  []byte
-}
-
-func template(name string, serial int64) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(serial),
-		Subject:      pkix.Name{CommonName: name},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
-
-func newAuthority(t *testing.T, name string) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	own := template(name, 1)
-	own.IsCA, own.BasicConstraintsValid, own.KeyUsage = true, true, x509.KeyUsageCertSign
-	der, err := x509.CreateCertificate(rand.Reader, own, own, &key.PublicKey, key)
-	assert.NilError(t, err)
-	cert, err := x509.ParseCertificate(der)
-	assert.NilError(t, err)
-	return &authority{key: key, cert: cert, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
-}
-
-// write puts a certificate with the serial number, its key and the authority
-// into files.
-func (a *authority) write(t *testing.T, dir string, serial int64) settings.TLS {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	der, err := x509.CreateCertificate(rand.Reader, template("instance", serial), a.cert, &key.PublicKey, a.key)
-	assert.NilError(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	assert.NilError(t, err)
-	files := settings.TLS{
-		CertFile: filepath.Join(dir, "cert.pem"),
-		KeyFile:  filepath.Join(dir, "key.pem"),
-		CAFile:   filepath.Join(dir, "ca.pem"),
-	}
-	assert.NilError(t, os.WriteFile(files.CertFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	assert.NilError(t, os.WriteFile(files.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
-	assert.NilError(t, os.WriteFile(files.CAFile, a.pem, 0o600))
-	return files
-}
-
 // handshake connects a client to a server and returns the serial number that
 // the client saw.
 func handshake(t *testing.T, server, client *tls.Config) (int64, error) {
@@ -100,7 +43,7 @@
 }
 
 func TestPeersOfOneAuthorityTrustEachOther(t *testing.T) {
-	files := newAuthority(t, "fleet").write(t, t.TempDir(), 7)
+	files := keystest.NewAuthority(t, "fleet").Write(t, t.TempDir(), 7)
 	server, err := keys.Server(files)
 	assert.NilError(t, err)
 	client, err := keys.Client(files)
@@ -111,8 +54,8 @@
 }
 
 func TestStrangersAreRefused(t *testing.T) {
-	ours := newAuthority(t, "fleet").write(t, t.TempDir(), 7)
-	theirs := newAuthority(t, "stranger").write(t, t.TempDir(), 8)
+	ours := keystest.NewAuthority(t, "fleet").Write(t, t.TempDir(), 7)
+	theirs := keystest.NewAuthority(t, "stranger").Write(t, t.TempDir(), 8)
 	server, err := keys.Server(ours)
 	assert.NilError(t, err)
 	client, err := keys.Client(theirs)
@@ -123,8 +66,8 @@
 }
 
 func TestStrangersServersAreRefused(t *testing.T) {
-	ours := newAuthority(t, "fleet").write(t, t.TempDir(), 7)
-	theirs := newAuthority(t, "stranger").write(t, t.TempDir(), 8)
+	ours := keystest.NewAuthority(t, "fleet").Write(t, t.TempDir(), 7)
+	theirs := keystest.NewAuthority(t, "stranger").Write(t, t.TempDir(), 8)
 	theirs.CAFile = ""
 	server, err := keys.Server(theirs)
 	assert.NilError(t, err)
@@ -136,13 +79,13 @@
 
 func TestChangedFilesAreReadAgain(t *testing.T) {
 	dir := t.TempDir()
-	fleet := newAuthority(t, "fleet")
-	files := fleet.write(t, dir, 7)
+	fleet := keystest.NewAuthority(t, "fleet")
+	files := fleet.Write(t, dir, 7)
 	server, err := keys.Server(files)
 	assert.NilError(t, err)
 	client, err := keys.Client(files)
 	assert.NilError(t, err)
-	fleet.write(t, dir, 9)
+	fleet.Write(t, dir, 9)
 	later := time.Now().Add(time.Minute)
 	assert.NilError(t, os.Chtimes(files.CertFile, later, later))
 	deadline := time.Now().Add(20 * time.Second)
--- /dev/null
+++ b/node/keys/keystest/keystest.go
@@ -0,0 +1,70 @@
+// Package keystest makes keys for tests.
+package keystest
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/node/settings"
+)
+
+// Authority signs certificates for tests.
+type Authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	pem  []byte
+}
+
+func template(name string, serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
+
+// NewAuthority returns an authority of the name.
+func NewAuthority(t testing.TB, name string) *Authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	own := template(name, 1)
+	own.IsCA, own.BasicConstraintsValid, own.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, own, own, &key.PublicKey, key)
+	assert.NilError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &Authority{key: key, cert: cert, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+}
+
+// Write puts a certificate with the serial number, its key and the authority
+// into files.
+func (a *Authority) Write(t testing.TB, dir string, serial int64) settings.TLS {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, template("instance", serial), a.cert, &key.PublicKey, a.key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	files := settings.TLS{
+		CertFile: filepath.Join(dir, "cert.pem"),
+		KeyFile:  filepath.Join(dir, "key.pem"),
+		CAFile:   filepath.Join(dir, "ca.pem"),
+	}
+	assert.NilError(t, os.WriteFile(files.CertFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	assert.NilError(t, os.WriteFile(files.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
+	assert.NilError(t, os.WriteFile(files.CAFile, a.pem, 0o600))
+	return files
+}
--- a/policy/document/document.go
+++ b/policy/document/document.go
@@ -55,7 +55,7 @@
 	Services map[ServiceName]Service
 	Routing  Routing
 
-	accountByKey map[string]AccountID
+	keys []accountKey
 }
 
 // Account is a client account.
--- a/policy/document/parse.go
+++ b/policy/document/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -64,10 +65,23 @@
 }
 
 // AccountForKey returns the account that owns an API key. The key is compared
-// by its digest only.
+// by its digest, in a time that does not depend on the key.
 func (p *Policy) AccountForKey(key string) (AccountID, bool) {
-	id, ok := p.accountByKey[HashKey(key)]
-	return id, ok
+	digest := sha256.Sum256([]byte(key))
+	var owner AccountID
+	found := false
+	for i := range p.keys {
+		if subtle.ConstantTimeCompare(digest[:], p.keys[i].digest[:]) == 1 {
+			owner, found = p.keys[i].account, true
+		}
+	}
+	return owner, found
+}
+
+// accountKey is the digest of an API key with the account that owns it.
+type accountKey struct {
+	digest  [sha256.Size]byte
+	account AccountID
 }
 
 // HashKey returns the hex SHA-256 digest of an API key, as kept in the document.
@@ -77,10 +91,12 @@
 }
 
 func (p *Policy) indexKeys() {
-	p.accountByKey = make(map[string]AccountID)
 	for id, account := range p.Accounts {
 		for _, hash := range account.KeyHashes {
-			p.accountByKey[strings.ToLower(hash)] = id
+			key := accountKey{account: id}
+			if n, err := hex.Decode(key.digest[:], []byte(hash)); err == nil && n == len(key.digest) {
+				p.keys = append(p.keys, key)
+			}
 		}
 	}
 }
