Dispatch goes to endpoints that have the version loaded

Cause: an engine without the version refuses, and three tries of five engines may all miss the one that has it, which is what engine orders make of a candidate's first step. Ruled out: more tries, which grow with the pool. Before: a version loaded on one engine of five was not served 30 times in a row within 20 s, through two instances.

--- a/node/directory/directory.go
+++ b/node/directory/directory.go
@@ -59,6 +59,7 @@
 
 	loads    *placement.LoadTable
 	prefixes *placement.PrefixIndex
+	loaded   *loadedVersions
 }
 
 // New returns an empty directory.
@@ -68,6 +69,7 @@
 		endpoints: membership.NewEndpoints(membership.EndpointsConfig{}),
 		loads:     placement.NewLoadTable(),
 		prefixes:  placement.NewPrefixIndex(placement.PrefixConfig{}),
+		loaded:    newLoadedVersions(),
 	}
 }
 
--- a/node/directory/gossip.go
+++ b/node/directory/gossip.go
@@ -23,9 +23,14 @@
 		if len(digest.Loads) == maxReports {
 			break
 		}
-		if load := encodeLoad(report, own[report.Endpoint]); load != nil {
-			digest.Loads = append(digest.Loads, load)
+		load := encodeLoad(report, own[report.Endpoint])
+		if load == nil {
+			continue
 		}
+		if load.Reported {
+			load.Loaded, load.LoadedKnown = d.loaded.of(report.Endpoint)
+		}
+		digest.Loads = append(digest.Loads, load)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -67,6 +72,9 @@
 		if load.Reported {
 			age := time.Duration(load.AgeMs) * time.Millisecond
 			d.loads.Report(now, endpoint, int(load.Running), int(load.Queued), age)
+			if load.LoadedKnown {
+				d.loaded.told(endpoint, load.Loaded)
+			}
 		}
 	}
 	d.mu.Lock()
--- a/node/directory/poll.go
+++ b/node/directory/poll.go
@@ -40,11 +40,21 @@
 	}
 	d.instances = len(listing.Instances)
 	d.mu.Unlock()
+	d.forgetUnlisted()
 	for _, instance := range listing.Instances {
 		d.config.Peers.Introduce(membership.KnownPeer{ID: instance.ID, Zone: instance.Zone, Address: instance.Address})
 	}
 }
 
+// forgetUnlisted drops what is remembered of endpoints that are gone.
+func (d *Directory) forgetUnlisted() {
+	present := map[platform.EndpointID]bool{}
+	for _, endpoint := range d.All() {
+		present[endpoint.ID] = true
+	}
+	d.loaded.retain(func(id platform.EndpointID) bool { return present[id] })
+}
+
 // pollLoads asks the endpoints of the share, all at once.
 func (d *Directory) pollLoads(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -105,6 +115,9 @@
 		age = max(age, now.Sub(time.UnixMilli(report.AtUnixMillis)))
 	}
 	d.loads.Report(now, endpoint.ID, report.Running, report.Queued, age)
+	if report.Loaded != nil {
+		d.loaded.reported(endpoint.ID, report.Loaded)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.endpoints.Succeeded(now, endpoint.ID)
--- a/node/dispatch/dispatch_test.go
+++ b/node/dispatch/dispatch_test.go
@@ -38,7 +38,8 @@
 func (w *world) Usable(...platform.PoolName) []platform.ListedEndpoint {
 	return []platform.ListedEndpoint{{ID: "e1", Address: "a1"}, {ID: "e2", Address: "a2"}, {ID: "e3", Address: "a3"}}
 }
-func (w *world) MayDispatch(platform.EndpointID) bool { return true }
+func (w *world) MayDispatch(platform.EndpointID) bool           { return true }
+func (w *world) MayHave(platform.EndpointID, document.Ref) bool { return true }
 func (w *world) Candidate(_ time.Time, e platform.ListedEndpoint, slots int, _ []uint64) placement.Candidate {
 	return placement.Candidate{ID: e.ID, Address: e.Address, Slots: slots, ReportAge: placement.NoReportAge}
 }
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -30,6 +30,9 @@
 type Endpoints interface {
 	Usable(pools ...platform.PoolName) []platform.ListedEndpoint
 	MayDispatch(endpoint platform.EndpointID) bool
+	// MayHave reports whether the endpoint has the version loaded, as far as
+	// is known.
+	MayHave(endpoint platform.EndpointID, ref document.Ref) bool
 	Candidate(now time.Time, endpoint platform.ListedEndpoint, slots int, prefix []uint64) placement.Candidate
 	PrefixHashes(prompt string) []uint64
 	Dispatched(now time.Time, endpoint platform.EndpointID, prefix []uint64)
--- a/node/dispatch/place.go
+++ b/node/dispatch/place.go
@@ -46,7 +46,7 @@
 	}
 	now := time.Now()
 	var candidates []placement.Candidate
-	for _, endpoint := range d.Endpoints.Usable(s.pool) {
+	for _, endpoint := range s.withVersion(d.Endpoints.Usable(s.pool)) {
 		if excluded == nil || !excluded(endpoint.ID) {
 			candidates = append(candidates, d.Endpoints.Candidate(now, endpoint, s.slots, s.prefix))
 		}
@@ -68,6 +68,21 @@
 	return s.search(ctx, search), nil
 }
 
+// withVersion returns the endpoints that have the version loaded, or all if
+// none is known to: what is known may be old.
+func (s *step) withVersion(endpoints []platform.ListedEndpoint) []platform.ListedEndpoint {
+	var having []platform.ListedEndpoint
+	for _, endpoint := range endpoints {
+		if s.dispatcher.Endpoints.MayHave(endpoint.ID, s.ref) {
+			having = append(having, endpoint)
+		}
+	}
+	if len(having) == 0 {
+		return endpoints
+	}
+	return having
+}
+
 // asksFor returns how many owners may be asked. A pool with much room is not
 // worth the round trips.
 func asksFor(candidates []placement.Candidate) int {
