Node: follower keeps records with tail.Recent; one random source

The follower had a ring of its own beside tail.Recent, which the tailer's simulation proves; it uses that now. Four copies of the runtime's random source are one package, and a method of the cluster that nothing called is gone.

--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -234,8 +233,3 @@
 	}
 	_ = s.refuse(c, problem.New(kind, status, http.StatusText(status), &outcome.Attempt{}))
 }
-
-// globalRandom draws from the runtime's source.
-type globalRandom struct{}
-
-func (globalRandom) IntN(n int) int { return rand.IntN(n) }
--- a/node/caller/service.go
+++ b/node/caller/service.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/node/random"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/gate"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
@@ -159,7 +160,7 @@
 			candidates = append(candidates, s.Endpoints.Candidate(now, endpoint, call.slots, nil))
 		}
 	}
-	picked, err := s.Scheduler.Pick(globalRandom{}, placement.Request{Zone: s.Zone, Avoid: call.avoid}, candidates)
+	picked, err := s.Scheduler.Pick(random.Global{}, placement.Request{Zone: s.Zone, Avoid: call.avoid}, candidates)
 	if err != nil {
 		return placement.Candidate{}, call.noEndpoint()
 	}
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -134,14 +134,6 @@
 	return id != c.Self().ID && time.Since(c.started) >= discoveryPeriod
 }
 
-// SetControlNext notes the offset that this instance wants next of the control
-// stream.
-func (c *Cluster) SetControlNext(next platform.Offset) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.peers.SetControlNext(next)
-}
-
 // Run exchanges digests until the context ends.
 func (c *Cluster) Run(ctx context.Context) error {
 	return loop.Every(ctx, c.interval, func(now time.Time) { c.heartbeat(ctx, now) })
--- a/node/dispatch/dispatcher.go
+++ b/node/dispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -190,9 +189,3 @@
 func (d *Dispatcher) attemptID() string {
 	return string(d.Instance) + "-" + strconv.FormatUint(d.attempts.Add(1), 36)
 }
-
-// globalRandom draws from the runtime's source.
-type globalRandom struct{}
-
-func (globalRandom) IntN(n int) int       { return rand.IntN(n) }
-func (globalRandom) Int64N(n int64) int64 { return rand.Int64N(n) }
--- a/node/dispatch/place.go
+++ b/node/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/random"
 	"github.com/wigeonusher/wigeonusher/policy/gate"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
@@ -52,7 +53,7 @@
 		}
 	}
 	asks := asksFor(candidates)
-	search, err := d.Scheduler.Search(globalRandom{}, placement.Request{
+	search, err := d.Scheduler.Search(random.Global{}, placement.Request{
 		Ref:          s.ref,
 		Zone:         d.Zone,
 		PromptTokens: placement.EstimateTokens(s.request.Prompt),
--- a/node/dispatch/step.go
+++ b/node/dispatch/step.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/node/random"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
@@ -142,7 +143,7 @@
 		if !eris.Is(err, engine.ErrRefused) && !retry.WithdrawAll(time.Now(), accountBudget, poolBudget) {
 			return nil, s.interrupted(err)
 		}
-		if !sleep(ctx, retry.Backoff{}.Wait(globalRandom{}, number)) {
+		if !sleep(ctx, retry.Backoff{}.Wait(random.Global{}, number)) {
 			return nil, s.ended()
 		}
 	}
--- a/node/feedback/feedback.go
+++ b/node/feedback/feedback.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/loop"
+	"github.com/wigeonusher/wigeonusher/node/random"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 )
@@ -71,15 +71,11 @@
 	}
 }
 
-type globalRandom struct{}
-
-func (globalRandom) Float64() float64 { return rand.Float64() }
-
 // Plan implements dispatch.Planner.
 func (f *Feedback) Plan(rule document.ClassRule, exploreShare float64, request cascade.Request) cascade.Plan {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.planner.Plan(globalRandom{}, rule, exploreShare, request)
+	return f.planner.Plan(random.Global{}, rule, exploreShare, request)
 }
 
 // Answered implements dispatch.Planner.
--- a/node/follow/follower.go
+++ b/node/follow/follower.go
@@ -72,7 +72,7 @@
 	fold    Fold
 	tailer  *tail.Tailer
 	heard   map[platform.InstanceID]platform.Offset
-	records ring
+	records tail.Recent
 	// changed is closed and replaced when the fold moves forward.
 	changed chan struct{}
 	// pause is the time between two reads of a peer.
@@ -212,7 +212,9 @@
 		go f.readPeer(ctx, effect, f.addressOf(effect.Peer))
 	case tail.Deliver:
 		f.fold.Apply(effect.Records)
-		f.records.add(effect.Records)
+		for _, record := range effect.Records {
+			f.records.Add(record)
+		}
 		f.announce()
 	case tail.DeliverSnapshot:
 		return f.restore(effect), true
@@ -225,7 +227,7 @@
 	if err != nil {
 		f.logger.WithError(err).WithField("stream", f.stream).Warn("snapshot refused")
 	} else {
-		f.records.reset()
+		f.records = tail.Recent{}
 		f.announce()
 	}
 	return tail.SnapshotResult{Next: f.fold.Next(), Refused: err != nil}
@@ -322,7 +324,7 @@
 	if from >= f.fold.Next() {
 		return reply, nil
 	}
-	records, held := f.records.from(from, int(request.Limit))
+	records, held := f.records.Read(from, int(request.Limit))
 	if !held {
 		return reply, f.addSnapshot(reply)
 	}
--- a/node/logwriter/logwriter.go
+++ b/node/logwriter/logwriter.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/outbox"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/random"
 )
 
 const (
@@ -57,16 +57,12 @@
 		onSettled: onSettled,
 		interval:  config.MinInterval,
 		limiter:   rate.NewLimiter(rate.Inf, appendBurst),
-		box:       outbox.New(config, globalRandom{}),
+		box:       outbox.New(config, random.Global{}),
 		wake:      make(chan struct{}, 1),
 		results:   make(chan outbox.Event, resultBuffer),
 	}
 }
 
-type globalRandom struct{}
-
-func (globalRandom) Float64() float64 { return rand.Float64() }
-
 // Add hands an entry over. The errors are those of outbox.Outbox.Add.
 func (w *Writer) Add(entry platform.Entry) error {
 	w.mu.Lock()
