--- a/cmd/wigeonusherd/main.go
+++ b/cmd/wigeonusherd/main.go
@@ -22,38 +22,57 @@
 )
 
 type arguments struct {
-	Settings string `arg:"" help:"JSON file with the instance's settings." type:"existingfile"`
-	Check    bool   `help:"Check the settings and exit."`
+	Serve serveCommand `cmd:"" default:"withargs" help:"Run an instance with the project's own interface."`
+	Entry entryCommand `cmd:"" help:"Run an entry instance on the users' platform."`
 }
 
+// settingsError reports settings that are not in order.
+type settingsError struct{ cause error }
+
+func (e settingsError) Error() string { return e.cause.Error() }
+
 func main() {
 	var args arguments
-	kong.Parse(&args,
+	parsed := kong.Parse(&args,
 		kong.Name("wigeonusherd"),
 		kong.Description("Runs one entry instance of the router. Exit codes: 0 stopped or settings in order, 1 failed, 2 settings not in order."))
-	loaded, err := settings.Load(args.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
-	}
-	if args.Check {
-		fmt.Println("settings are in order")
+	err := parsed.Run()
+	if err == nil {
 		return
 	}
-	logger := newLogger(loaded.LogLevel)
-	if err := serve(loaded, logger); err != nil {
-		logger.WithError(err).Error("instance failed")
-		os.Exit(exitFailed)
+	fmt.Fprintln(os.Stderr, err)
+	if _, ok := err.(settingsError); ok {
+		os.Exit(exitSettings)
 	}
+	os.Exit(exitFailed)
 }
 
-func newLogger(level string) *logrus.Logger {
+// serveCommand runs an instance with the project's own interface.
+type serveCommand struct {
+	Settings string `arg:"" help:"JSON file with the instance's settings." type:"existingfile"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Run implements the command.
+func (c *serveCommand) Run() error {
+	loaded, err := settings.Load(c.Settings)
+	if err != nil {
+		return settingsError{err}
+	}
+	if c.Check {
+		fmt.Println("settings are in order")
+		return nil
+	}
 	logger := logrus.New()
+	configureLogger(logger, loaded.LogLevel)
+	return serve(loaded, logger)
+}
+
+func configureLogger(logger *logrus.Logger, level string) {
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		logger.SetLevel(parsed)
 	}
-	return logger
 }
 
 func serve(loaded settings.Settings, logger *logrus.Logger) error {
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,366 @@
+// Package entry assembles an entry instance: the core path of package relay,
+// what follows the platform's log, and the servers for clients and operators.
+// The platform itself is behind the interface [Platform].
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/node/tailer"
+	"github.com/wigeonusher/wigeonusher/node/versions"
+	"github.com/wigeonusher/wigeonusher/policy/canary"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+// Topics names the topics of the platform's log.
+type Topics struct {
+	// Operator holds the configuration and the orders of roll-outs.
+	Operator keyed.Topic
+	// Registry holds the endpoints' entries.
+	Registry keyed.Topic
+	// Status holds the agreed state of roll-outs.
+	Status keyed.Topic
+}
+
+// Platform translates between the platform and the product.
+type Platform interface {
+	Log() keyed.Log
+	Topics() Topics
+	Endpoints() relay.Endpoints
+	// Handler serves clients by the relay.
+	Handler(server *relay.Relay, limits func() route.Limits) http.Handler
+	// DecodeTable decodes the configuration; nil if the change is none.
+	DecodeTable(change keyed.Change) (*route.Table, error)
+	DecodeEndpoint(change keyed.Change) (pool.Record, error)
+	// DecodeOrder decodes the order of a roll-out; nil if the change is none.
+	DecodeOrder(change keyed.Change) (*canary.Order, error)
+	// DecodeStatus decodes the state of a roll-out; nil if the change is none.
+	DecodeStatus(change keyed.Change) (*canary.Status, error)
+	// EncodeStatus is the inverse of DecodeStatus.
+	EncodeStatus(status canary.Status) (key string, value []byte, err error)
+}
+
+const (
+	// operatorWait bounds a read of the operator's topic. Each answer proves
+	// the configuration current, so it has to be well below the time in which
+	// revoked keys must stop.
+	operatorWait = 1500 * time.Millisecond
+	// registryWait and statusWait bound reads of topics whose silence needs no
+	// proof.
+	registryWait = 10 * time.Second
+	statusWait   = 20 * time.Second
+	// registryPart is the part of the endpoints' drain time that may pass
+	// between two reads of the registry.
+	registryPart = 0.3
+	// revocationMargin is what remains of the revocation bound for the way of a
+	// request to its endpoint.
+	revocationMargin = 700 * time.Millisecond
+	// balancerLag is how long a stopping instance goes on serving as before,
+	// until the balancer has taken it out: it asks each second and acts on the
+	// second miss.
+	balancerLag = 2600 * time.Millisecond
+	// graceReserve is what a stop leaves unused of its grace.
+	graceReserve = 500 * time.Millisecond
+	// expireInterval is the time between looks for endpoints that did not
+	// register again.
+	expireInterval = 250 * time.Millisecond
+	// memoryPart is the part of the memory limit that the garbage collector
+	// keeps the heap below.
+	memoryPart = 0.7
+	// headerTimeout and idleTimeout bound clients while no configuration is
+	// known.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+)
+
+// Entry is an entry instance.
+type Entry struct {
+	settings Settings
+	platform Platform
+	log      *logrus.Entry
+
+	table    atomic.Pointer[route.Table]
+	provenAt atomic.Int64
+	pools    *pool.Pools
+	versions *versions.Versions
+	observer *observer
+	relay    *relay.Relay
+	stopping atomic.Bool
+	clients  *http.Server
+}
+
+// New assembles an instance.
+func New(settings Settings, platform Platform, logger *logrus.Logger) *Entry {
+	log := logger.WithField("instance", settings.Name)
+	e := &Entry{settings: settings, platform: platform, log: log}
+	e.pools = pool.New(settings.Zone, log)
+	e.observer = newObserver(log)
+	e.versions = versions.New(canary.Tuning{
+		Share:      canaryPart * settings.Bounds.ExposureShare,
+		SessionGap: millis(settings.Bounds.SessionGapMillis),
+	}, e.pools, e, log)
+	e.relay = relay.New(relay.Config{
+		Tables:    e,
+		Pools:     e.pools,
+		Endpoints: platform.Endpoints(),
+		Budgets:   newBudgets(settings.Bounds),
+		Versions:  e.versions,
+		Suspects:  newSuspects(log),
+		Observer:  e.observer,
+		Tuning: relay.Tuning{
+			ConfigMaxAge:     e.configMaxAge(),
+			Dial:             time.Duration(settings.Routing.DialMillis) * time.Millisecond,
+			AcceptConfidence: settings.Routing.AcceptConfidence,
+		},
+	})
+	e.observer.gauges(e)
+	return e
+}
+
+// canaryPart is the part of the allowed exposure that the first phase of a
+// roll-out uses.
+const canaryPart = 0.6
+
+func millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+// configMaxAge returns how old the proof of the configuration may be for
+// requests that need a key; 0 if any age will do.
+func (e *Entry) configMaxAge() time.Duration {
+	if !e.settings.Bounds.StrictRevocation {
+		return 0
+	}
+	return millis(e.settings.Bounds.RevocationMillis) - revocationMargin
+}
+
+// Table implements [relay.Tables].
+func (e *Entry) Table() (*route.Table, boottime.Instant) {
+	return e.table.Load(), boottime.Instant(e.provenAt.Load())
+}
+
+func (e *Entry) limits() route.Limits {
+	if table := e.table.Load(); table != nil {
+		return table.Limits
+	}
+	return route.Limits{}
+}
+
+// Ready reports whether the instance can serve requests.
+func (e *Entry) Ready() bool {
+	table, provenAt := e.Table()
+	if table == nil || e.stopping.Load() || e.pools.Count() == 0 {
+		return false
+	}
+	maxAge := e.configMaxAge()
+	return maxAge == 0 || boottime.Since(provenAt) < maxAge
+}
+
+// Propose implements [versions.Writer].
+func (e *Entry) Propose(ctx context.Context, at keyed.Offset, status canary.Status) error {
+	key, value, err := e.platform.EncodeStatus(status)
+	if err != nil {
+		return err
+	}
+	return e.platform.Log().AppendAt(ctx, e.platform.Topics().Status, at, key, value)
+}
+
+// Run serves until the context ends, then drains and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	e.bound()
+	health, err := net.Listen("tcp", e.settings.HealthAddress)
+	if err != nil {
+		return eris.Wrap(err, "entry: listen for health checks")
+	}
+	clients, err := net.Listen("tcp", e.settings.ClientAddress)
+	if err != nil {
+		health.Close()
+		return eris.Wrap(err, "entry: listen for clients")
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group run.Group
+	for _, act := range []func(context.Context) error{
+		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.expire,
+	} {
+		group.Add(func() error { return act(work) }, func(error) { stop() })
+	}
+	e.clients = e.clientServer()
+	healthServer := &http.Server{Handler: e.healthHandler(), ReadHeaderTimeout: headerTimeout}
+	group.Add(func() error { return serveUntil(work, healthServer, health) }, func(error) { healthServer.Close() })
+	group.Add(func() error { return serveUntil(work, e.clients, clients) }, func(error) { e.clients.Close() })
+	group.Add(func() error { return e.awaitStop(ctx, work) }, func(error) { stop() })
+	e.log.WithFields(logrus.Fields{"clients": e.settings.ClientAddress, "health": e.settings.HealthAddress, "zone": e.settings.Zone}).Info("instance starts")
+	err = group.Run()
+	e.log.Info("instance stopped")
+	return err
+}
+
+// serveUntil serves until the context ends; a shutdown of the server alone
+// does not end it.
+func serveUntil(ctx context.Context, server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if eris.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return eris.Wrap(err, "entry: serve")
+}
+
+// bound fits the runtime to the machine.
+func (e *Entry) bound() {
+	runtime.GOMAXPROCS(max(1, e.settings.Limits.Processors))
+	debug.SetMemoryLimit(int64(e.settings.Limits.MemoryMB * memoryPart * (1 << 20)))
+}
+
+func (e *Entry) clientServer() *http.Server {
+	return &http.Server{
+		Handler:           e.platform.Handler(e.relay, e.limits),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+}
+
+func (e *Entry) awaitStop(ctx, work context.Context) error {
+	select {
+	case <-ctx.Done():
+		e.drain(work)
+	case <-work.Done():
+	}
+	return nil
+}
+
+// drain stops gracefully: not ready at once, serving until the balancer has
+// noticed, then no new connections and an end to each kept one.
+func (e *Entry) drain(work context.Context) {
+	started := time.Now()
+	e.stopping.Store(true)
+	e.log.Info("instance drains")
+	grace := millis(e.settings.Bounds.StopGraceMillis) - graceReserve
+	select {
+	case <-time.After(min(balancerLag, grace/2)):
+	case <-work.Done():
+		return
+	}
+	ctx, cancel := context.WithDeadline(work, started.Add(grace))
+	defer cancel()
+	if err := e.clients.Shutdown(ctx); err != nil {
+		e.log.WithError(err).Warn("requests are cut off at the end of the grace period")
+	}
+}
+
+func (e *Entry) expire(ctx context.Context) error {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.pools.Expire(now)
+		}
+	}
+}
+
+func (e *Entry) operatorTailer() *tailer.Tailer {
+	return tailer.New(tailer.Config{
+		Log: e.platform.Log(), Topic: e.platform.Topics().Operator, Wait: operatorWait, Apply: e.applyOperator, Logger: e.log,
+	})
+}
+
+func (e *Entry) registryTailer() *tailer.Tailer {
+	return tailer.New(tailer.Config{
+		Log: e.platform.Log(), Topic: e.platform.Topics().Registry, Wait: registryWait,
+		Pace:  time.Duration(registryPart * float64(millis(e.settings.Bounds.EndpointDrainMillis))),
+		Apply: e.applyRegistry, Logger: e.log,
+	})
+}
+
+func (e *Entry) statusTailer() *tailer.Tailer {
+	return tailer.New(tailer.Config{
+		Log: e.platform.Log(), Topic: e.platform.Topics().Status, Wait: statusWait, Apply: e.applyStatus, Logger: e.log,
+	})
+}
+
+func (e *Entry) applyOperator(batch tailer.Batch) {
+	for _, change := range batch.Changes {
+		table, err := e.platform.DecodeTable(change)
+		if err != nil {
+			e.log.WithError(err).WithField("key", change.Key).Error("configuration not understood; the former stays in force")
+		}
+		if table != nil {
+			e.adopt(table)
+		}
+		order, err := e.platform.DecodeOrder(change)
+		if err != nil {
+			e.log.WithError(err).WithField("key", change.Key).Error("order of a roll-out not understood")
+		}
+		if order != nil {
+			e.versions.Order(*order)
+		}
+	}
+	e.provenAt.Store(int64(batch.Sent))
+}
+
+// adopt puts a table in force. Revisions only go forward.
+func (e *Entry) adopt(table *route.Table) {
+	former := e.table.Load()
+	if former != nil && former.Revision >= table.Revision {
+		return
+	}
+	e.table.Store(table)
+	fields := logrus.Fields{"revision": table.Revision, "routes": table.Routes()}
+	if former != nil {
+		fields["former"] = former.Revision
+	}
+	e.log.WithFields(fields).Info("configuration in force")
+}
+
+func (e *Entry) applyRegistry(batch tailer.Batch) {
+	now := time.Now()
+	if batch.Regained {
+		e.pools.Regained(now)
+	}
+	for _, change := range batch.Changes {
+		id := endpointID(change.Key)
+		if change.Value == nil {
+			e.pools.Remove(now, id)
+			continue
+		}
+		record, err := e.platform.DecodeEndpoint(change)
+		if err != nil {
+			e.log.WithError(err).WithField("endpoint", change.Key).Warn("entry of the registry is not usable")
+			continue
+		}
+		e.pools.Put(record)
+	}
+}
+
+func (e *Entry) applyStatus(batch tailer.Batch) {
+	var statuses []canary.Status
+	for _, change := range batch.Changes {
+		status, err := e.platform.DecodeStatus(change)
+		if err != nil {
+			e.log.WithError(err).WithField("key", change.Key).Error("state of a roll-out not understood")
+			continue
+		}
+		if status != nil {
+			statuses = append(statuses, *status)
+		}
+	}
+	e.versions.Agreed(batch.Next, statuses...)
+}
--- /dev/null
+++ b/node/entry/parts.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+func endpointID(key string) platform.EndpointID { return platform.EndpointID(key) }
+
+const (
+	// retryPart is the part of the fleet's retry ratio that an instance uses.
+	retryPart = 0.85
+	// slackInstances is among how many instances the fleet's slack is divided.
+	slackInstances = 20
+	// leastSlack lets an instance save up for two retries.
+	leastSlack = 2
+)
+
+// budgets holds the retry budget of each service. A retry ratio of its own
+// requests and a fixed part of the slack keep the sum over all instances below
+// the fleet's bound, however many there are.
+type budgets struct {
+	config retry.BudgetConfig
+
+	mu       sync.Mutex
+	services map[route.ServiceName]*retry.Budget
+}
+
+func newBudgets(bounds Bounds) *budgets {
+	return &budgets{
+		config: retry.BudgetConfig{
+			Ratio:          retryPart * bounds.RetryRatio,
+			FloorPerSecond: -1,
+			Cap:            max(leastSlack, bounds.RetrySlack/slackInstances),
+		},
+		services: make(map[route.ServiceName]*retry.Budget),
+	}
+}
+
+// Service implements [relay.Budgets].
+func (b *budgets) Service(name route.ServiceName) *retry.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := b.services[name]
+	if found == nil {
+		found = retry.NewBudget(b.config)
+		b.services[name] = found
+	}
+	return found
+}
+
+const (
+	// suspectMemory is how long a request that crashed endpoints is remembered,
+	// and maxSuspects how many are.
+	suspectMemory = 5 * time.Minute
+	maxSuspects   = 4096
+	// refusedCrashes is the number of crashes after which a request is refused.
+	refusedCrashes = 2
+	// probeAfter is how long a crashed endpoint takes to refuse connections,
+	// and probeTimeout bounds the look.
+	probeAfter   = 20 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
+)
+
+// suspects counts the endpoints that a request crashed.
+type suspects struct {
+	mu      sync.Mutex
+	crashes *expirable.LRU[uint64, int]
+	log     *logrus.Entry
+}
+
+func newSuspects(log *logrus.Entry) *suspects {
+	return &suspects{crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), log: log}
+}
+
+// Refused implements [relay.Suspects].
+func (s *suspects) Refused(fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashes, _ := s.crashes.Peek(fingerprint)
+	return crashes >= refusedCrashes
+}
+
+// Crashed implements [relay.Suspects]. An endpoint that still accepts
+// connections lost an answer and has not crashed.
+func (s *suspects) Crashed(fingerprint uint64, address string) {
+	go func() {
+		time.Sleep(probeAfter)
+		conn, err := net.DialTimeout("tcp", address, probeTimeout)
+		if err == nil {
+			conn.Close()
+			return
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.count(fingerprint, address)
+		}
+	}()
+}
+
+func (s *suspects) count(fingerprint uint64, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashes, _ := s.crashes.Peek(fingerprint)
+	s.crashes.Add(fingerprint, crashes+1)
+	s.log.WithFields(logrus.Fields{
+		"fingerprint": fingerprint, "address": address, "crashes": crashes + 1, "refused": crashes+1 >= refusedCrashes,
+	}).Warn("endpoint crashed while it ran a request")
+}
--- /dev/null
+++ b/node/entry/settings.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/finding"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+// Settings are the static settings of one entry instance, read from a JSON
+// file at the start and again at each reload. Addresses are IP numbers with a
+// port.
+type Settings struct {
+	// Name identifies the instance in logs.
+	Name string        `json:"name"`
+	Zone platform.Zone `json:"zone"`
+	// ClientAddress serves clients; HealthAddress serves readiness, metrics
+	// and status.
+	ClientAddress string `json:"client_address"`
+	HealthAddress string `json:"health_address"`
+	// StoreAddress is the platform's store.
+	StoreAddress string          `json:"store_address"`
+	Limits       ProcessLimits   `json:"limits"`
+	Bounds       Bounds          `json:"bounds"`
+	Routing      RoutingSettings `json:"routing"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+}
+
+// ProcessLimits are what the machine gives the process.
+type ProcessLimits struct {
+	MemoryMB    float64 `json:"memory_mb"`
+	Descriptors int     `json:"descriptors"`
+	Processors  int     `json:"processors"`
+}
+
+// Bounds are what the fleet is held to. Their names end in the unit.
+type Bounds struct {
+	// EndpointDrainMillis is the time after which a leaving endpoint gets no
+	// request.
+	EndpointDrainMillis float64 `json:"endpoint_drain_ms"`
+	// StopGraceMillis is the time from the stop signal to the kill.
+	StopGraceMillis float64 `json:"stop_grace_ms"`
+	// RevocationMillis is the time after which a revoked key runs nothing, and
+	// StrictRevocation tells that it holds for instances out of touch too.
+	RevocationMillis float64 `json:"revocation_ms"`
+	StrictRevocation bool    `json:"strict_revocation"`
+	// RetryRatio and RetrySlack bound the arrivals of a service beyond the
+	// first of each request, in a window of RetryWindowMillis.
+	RetryRatio        float64 `json:"retry_ratio"`
+	RetrySlack        float64 `json:"retry_slack"`
+	RetryWindowMillis float64 `json:"retry_window_ms"`
+	// ExposureShare bounds the share of requests that a bad version gets.
+	ExposureShare float64 `json:"exposure_share"`
+	// SessionGapMillis is the longest pause between requests of one session.
+	SessionGapMillis float64 `json:"session_gap_ms"`
+}
+
+// RoutingSettings tune the core path.
+type RoutingSettings struct {
+	// AcceptConfidence is the least confidence of an answer that is passed on
+	// without asking a larger model, in [0, 1], by the rank of the request from
+	// 0, the most urgent. The last holds for all further ranks.
+	AcceptConfidence []float64 `json:"accept_confidence"`
+	// DialMillis bounds the time to connect to an endpoint.
+	DialMillis int `json:"dial_ms"`
+}
+
+// DefaultSettings returns settings with all that has a default.
+func DefaultSettings() Settings {
+	return Settings{
+		Name:     "wigeonusher",
+		LogLevel: "info",
+		Limits:   ProcessLimits{MemoryMB: 256, Descriptors: 4096, Processors: 1},
+		Bounds: Bounds{
+			EndpointDrainMillis: 2000,
+			StopGraceMillis:     8000,
+			RevocationMillis:    5000,
+			RetryRatio:          0.1,
+			RetrySlack:          10,
+			RetryWindowMillis:   10_000,
+			ExposureShare:       0.1,
+			SessionGapMillis:    5000,
+		},
+		Routing: RoutingSettings{AcceptConfidence: []float64{0.65, 0.6, 0.5}, DialMillis: 300},
+	}
+}
+
+// LoadSettings reads settings from a JSON file over the defaults and checks
+// them. The error is a [finding.List] if the file could be read.
+func LoadSettings(path string) (Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "entry: read settings")
+	}
+	return ParseSettings(path, body)
+}
+
+// ParseSettings decodes settings over the defaults and reports all findings
+// together: unknown names, wrong types and values out of range.
+func ParseSettings(name string, body []byte) (Settings, error) {
+	settings := DefaultSettings()
+	var findings finding.List
+	decodeObject(name, "", body, reflect.ValueOf(&settings).Elem(), &findings)
+	if len(findings) == 0 {
+		settings.check(&findings)
+	}
+	findings.Sort()
+	return settings, findings.Err()
+}
+
+// decodeObject decodes each field by itself, so that one of a wrong type does
+// not hide the others.
+func decodeObject(name, place string, body []byte, target reflect.Value, findings *finding.List) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		findings.Add(name+place, err.Error(), "see docs/CONFIG.md")
+		return
+	}
+	known := make(map[string]reflect.Value)
+	for i := range target.NumField() {
+		known[target.Type().Field(i).Tag.Get("json")] = target.Field(i)
+	}
+	for key, raw := range fields {
+		field, ok := known[key]
+		at := place + "/" + key
+		switch {
+		case !ok:
+			findings.Add(name+at, "no such setting", "see docs/CONFIG.md")
+		case field.Kind() == reflect.Struct:
+			decodeObject(name, at, raw, field, findings)
+		default:
+			decodeField(name+at, raw, field, findings)
+		}
+	}
+}
+
+func decodeField(place string, raw json.RawMessage, field reflect.Value, findings *finding.List) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	if err := decoder.Decode(field.Addr().Interface()); err != nil {
+		findings.Add(place, err.Error(), "want "+field.Kind().String())
+	}
+}
+
+func (s *Settings) check(findings *finding.List) {
+	for place, address := range map[string]string{
+		"/client_address": s.ClientAddress,
+		"/health_address": s.HealthAddress,
+		"/store_address":  s.StoreAddress,
+	} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			findings.Add(place, "not an IP number with a port: "+strconv.Quote(address), "for example 10.1.0.40:8227")
+		}
+	}
+	if strings.TrimSpace(s.Name) == "" {
+		findings.Add("/name", "empty", "")
+	}
+	if s.Zone == "" {
+		findings.Add("/zone", "empty", "")
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		findings.Add("/log_level", err.Error(), "debug, info, warn or error")
+	}
+	s.checkRanges(findings)
+}
+
+func (s *Settings) checkRanges(findings *finding.List) {
+	for place, value := range map[string]float64{
+		"/limits/memory_mb":          s.Limits.MemoryMB,
+		"/limits/descriptors":        float64(s.Limits.Descriptors),
+		"/limits/processors":         float64(s.Limits.Processors),
+		"/bounds/endpoint_drain_ms":  s.Bounds.EndpointDrainMillis,
+		"/bounds/stop_grace_ms":      s.Bounds.StopGraceMillis,
+		"/bounds/revocation_ms":      s.Bounds.RevocationMillis,
+		"/bounds/retry_window_ms":    s.Bounds.RetryWindowMillis,
+		"/bounds/session_gap_ms":     s.Bounds.SessionGapMillis,
+		"/routing/dial_ms":           float64(s.Routing.DialMillis),
+	} {
+		if value <= 0 {
+			findings.Add(place, fmt.Sprintf("%v is not above 0", value), "")
+		}
+	}
+	shares := map[string]float64{
+		"/bounds/retry_ratio":    s.Bounds.RetryRatio,
+		"/bounds/exposure_share": s.Bounds.ExposureShare,
+	}
+	for rank, value := range s.Routing.AcceptConfidence {
+		shares["/routing/accept_confidence/"+strconv.Itoa(rank)] = value
+	}
+	for place, value := range shares {
+		if value < 0 || value > 1 {
+			findings.Add(place, fmt.Sprintf("%v is not in [0, 1]", value), "")
+		}
+	}
+	if s.Bounds.RetrySlack < 0 {
+		findings.Add("/bounds/retry_slack", "below 0", "")
+	}
+}
--- /dev/null
+++ b/node/pool/choose.go
@@ -0,0 +1,212 @@
+package pool
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+// Bounds of how far affinity goes before load: an endpoint that holds the
+// prompt is taken up to this factor of the mean cost, and this much over it.
+const (
+	affinityFactor = 1.25
+	affinitySlack  = 3.0
+)
+
+// Pool holds the endpoints of one service.
+type Pool struct {
+	zone platform.Zone
+
+	mu      sync.Mutex
+	members map[platform.EndpointID]*member
+	// firstEvent is the smoothed time to the first event by model.
+	firstEvent map[route.ModelName]time.Duration
+}
+
+func newPool(zone platform.Zone) *Pool {
+	return &Pool{
+		zone:       zone,
+		members:    make(map[platform.EndpointID]*member),
+		firstEvent: make(map[route.ModelName]time.Duration),
+	}
+}
+
+// put takes in a record. It reports whether it changed anything.
+func (p *Pool) put(record Record) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.members[record.ID]
+	switch {
+	case known == nil || known.record.Born < record.Born:
+		p.members[record.ID] = &member{record: record}
+		return true
+	case record.older(known.record):
+		return false
+	}
+	changed := known.record.Leaving != record.Leaving || known.record.Address != record.Address
+	// An endpoint never comes back from leaving within one lifetime.
+	record.Leaving = record.Leaving || known.record.Leaving
+	known.record = record
+	return changed
+}
+
+func (p *Pool) remove(id platform.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.members, id)
+}
+
+func (p *Pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, m := range p.members {
+		if !m.record.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// Query describes a request that needs an endpoint.
+type Query struct {
+	Model route.ModelName
+	// Affinity is the prompt part that an endpoint should already hold; empty
+	// if there is none.
+	Affinity string
+	// Version reports whether endpoints of a version may run the request.
+	Version func(version string) bool
+	// Avoid lists endpoints that the request must not meet again.
+	Avoid []platform.EndpointID
+}
+
+// Choose returns the endpoint that is to run the request and counts it there.
+// It reports false if no endpoint may run it.
+func (p *Pool) Choose(now time.Time, query Query) (*Lease, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := p.candidates(now, query)
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	chosen := p.prefer(candidates, query)
+	chosen.inFlight++
+	return &Lease{pool: p, member: chosen, Endpoint: chosen.record, model: query.Model}, true
+}
+
+// candidates returns the endpoints that may run the request: those that are
+// neither full nor paused if there are any.
+func (p *Pool) candidates(now time.Time, query Query) []*member {
+	var free, full, paused []*member
+	for id, m := range p.members {
+		switch {
+		case m.record.Leaving || slices.Contains(query.Avoid, id):
+		case query.Version != nil && !query.Version(m.record.Version):
+		case !m.usable(now):
+			paused = append(paused, m)
+		case m.full(now):
+			full = append(full, m)
+		default:
+			free = append(free, m)
+		}
+	}
+	for _, group := range [][]*member{free, full, paused} {
+		if len(group) > 0 {
+			return group
+		}
+	}
+	return nil
+}
+
+// prefer takes the endpoint that holds the prompt part unless it is much
+// busier than the others. All instances agree on the order of endpoints for a
+// part, so that it is read in few places.
+func (p *Pool) prefer(candidates []*member, query Query) *member {
+	if query.Affinity == "" {
+		return p.cheapest(candidates)
+	}
+	total := 0.0
+	for _, m := range candidates {
+		total += m.cost()
+	}
+	bound := affinityFactor*total/float64(len(candidates)) + affinitySlack
+	var best *member
+	var bestRank uint64
+	for _, m := range candidates {
+		if m.cost() > bound {
+			continue
+		}
+		rank := xxhash.Sum64String(query.Affinity + "\x00" + string(m.record.ID))
+		if best == nil || rank > bestRank {
+			best, bestRank = m, rank
+		}
+	}
+	if best == nil {
+		return p.cheapest(candidates)
+	}
+	return best
+}
+
+// cheapest returns the candidate of least cost, one of this instance's zone if
+// costs are equal.
+func (p *Pool) cheapest(candidates []*member) *member {
+	return slices.MinFunc(candidates, func(a, b *member) int {
+		switch costA, costB := p.distanceCost(a), p.distanceCost(b); {
+		case costA < costB:
+			return -1
+		case costA > costB:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+func (p *Pool) distanceCost(m *member) float64 {
+	const otherZone = 0.5 // requests: a zone away is worth half a request of load
+	if m.record.Zone == p.zone {
+		return m.cost()
+	}
+	return m.cost() + otherZone
+}
+
+// Occupancy returns the requests at all endpoints that take new ones, as far
+// as is known, and their slots.
+func (p *Pool) Occupancy() (load float64, slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if m.record.Leaving {
+			continue
+		}
+		load += m.load()
+		slots += m.record.Slots
+	}
+	return load, slots
+}
+
+// Versions returns the versions of the endpoints that take new requests.
+func (p *Pool) Versions() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var versions []string
+	for _, m := range p.members {
+		if !m.record.Leaving && !slices.Contains(versions, m.record.Version) {
+			versions = append(versions, m.record.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// FirstEvent returns the usual time to a model's first event, 0 if unknown.
+func (p *Pool) FirstEvent(model route.ModelName) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.firstEvent[model]
+}
--- /dev/null
+++ b/node/pool/lease.go
@@ -0,0 +1,81 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+// Lease is a request's place at an endpoint. It ends with exactly one call of
+// [Lease.End].
+type Lease struct {
+	pool   *Pool
+	member *member
+	model  route.ModelName
+	ended  bool
+	// Endpoint is the registry's record at the time of the choice.
+	Endpoint Record
+}
+
+// Result tells how a request ended at an endpoint.
+type Result int
+
+// Results.
+const (
+	// Succeeded requests got a whole answer.
+	Succeeded Result = iota
+	// Abandoned requests were given up by this side: the endpoint is not to
+	// blame.
+	Abandoned
+	// Failed requests got a failure as the endpoint's own answer.
+	Failed
+	// Full endpoints refused to run the request.
+	Full
+	// Replaced endpoints were not the ones that the registry listed.
+	Replaced
+	// Broken requests got no answer, or one that broke off.
+	Broken
+)
+
+// Reported takes in the load that the endpoint told with its answer.
+func (l *Lease) Reported(running, waiting int) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.member.report(running, waiting)
+}
+
+// FirstEvent takes in the time to the first event or the whole answer.
+func (l *Lease) FirstEvent(took time.Duration) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	usual := l.pool.firstEvent[l.model]
+	if usual == 0 {
+		l.pool.firstEvent[l.model] = took
+		return
+	}
+	l.member.timed(float64(took) / float64(max(usual, time.Millisecond)))
+	const weight = 0.05 // of the newest time in the pool's mean
+	l.pool.firstEvent[l.model] += time.Duration(weight * float64(took-usual))
+}
+
+// End gives the place back.
+func (l *Lease) End(now time.Time, result Result) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.member.inFlight--
+	switch result {
+	case Succeeded:
+		l.member.succeeded()
+	case Failed:
+		l.member.failed()
+	case Full:
+		l.member.fullUntil = now.Add(fullPause)
+	case Replaced, Broken:
+		l.member.broke(now)
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/node/pool/pool.go
@@ -0,0 +1,171 @@
+// Package pool knows the endpoints of all services: what the registry says of
+// them, what they told of their load, and what this instance saw of them. It
+// chooses the endpoint of a request.
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+// Record is the registry's word about an endpoint.
+type Record struct {
+	ID      platform.EndpointID
+	Service route.ServiceName
+	Address string
+	Zone    platform.Zone
+	// Version is the version of the endpoint's program.
+	Version string
+	Slots   int
+	// Leaving endpoints take no new requests.
+	Leaving bool
+	// Born tells one lifetime of the endpoint from the next; later is greater.
+	Born int64
+	// Sequence numbers what the endpoint said in one lifetime.
+	Sequence int64
+}
+
+// older reports whether the record was written before the other.
+func (r Record) older(other Record) bool {
+	if r.Born != other.Born {
+		return r.Born < other.Born
+	}
+	return r.Sequence < other.Sequence
+}
+
+// absenceGrace is how long an endpoint that was removed while the registry was
+// out of reach may take to register again.
+const absenceGrace = 2 * time.Second
+
+// Pools holds the endpoints of all services. Its methods may be called from
+// several goroutines.
+type Pools struct {
+	zone platform.Zone
+	log  *logrus.Entry
+
+	mu       sync.RWMutex
+	services map[route.ServiceName]*Pool
+	homes    map[platform.EndpointID]*Pool
+	// graceUntil is until when missing endpoints are kept.
+	graceUntil time.Time
+	missing    map[platform.EndpointID]struct{}
+	listed     bool
+}
+
+// New returns pools without endpoints. zone is this instance's.
+func New(zone platform.Zone, log *logrus.Entry) *Pools {
+	return &Pools{
+		zone:     zone,
+		log:      log,
+		services: make(map[route.ServiceName]*Pool),
+		homes:    make(map[platform.EndpointID]*Pool),
+		missing:  make(map[platform.EndpointID]struct{}),
+	}
+}
+
+// Service returns the pool of a service.
+func (p *Pools) Service(name route.ServiceName) *Pool {
+	p.mu.RLock()
+	found := p.services[name]
+	p.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(name)
+}
+
+func (p *Pools) service(name route.ServiceName) *Pool {
+	if found := p.services[name]; found != nil {
+		return found
+	}
+	created := newPool(p.zone)
+	p.services[name] = created
+	return created
+}
+
+// Regained tells that the registry is in reach again after a time without it.
+// Endpoints that are missing from now on may only have failed to renew.
+func (p *Pools) Regained(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.graceUntil = now.Add(absenceGrace)
+}
+
+// Put takes in a record of the registry.
+func (p *Pools) Put(record Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = true
+	delete(p.missing, record.ID)
+	home := p.service(record.Service)
+	if former := p.homes[record.ID]; former != nil && former != home {
+		former.remove(record.ID)
+	}
+	p.homes[record.ID] = home
+	if home.put(record) {
+		p.log.WithFields(logrus.Fields{
+			"endpoint": record.ID, "service": record.Service, "version": record.Version,
+			"address": record.Address, "leaving": record.Leaving, "born": record.Born,
+		}).Info("endpoint listed")
+	}
+}
+
+// Remove takes in that the registry no longer has an endpoint.
+func (p *Pools) Remove(now time.Time, id platform.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = true
+	if now.Before(p.graceUntil) {
+		p.missing[id] = struct{}{}
+		return
+	}
+	p.drop(id, "not listed any more")
+}
+
+// Expire drops the endpoints that are still missing after the grace period.
+func (p *Pools) Expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.missing) == 0 || now.Before(p.graceUntil) {
+		return
+	}
+	for id := range p.missing {
+		p.drop(id, "did not register again")
+	}
+	clear(p.missing)
+}
+
+func (p *Pools) drop(id platform.EndpointID, reason string) {
+	home := p.homes[id]
+	if home == nil {
+		return
+	}
+	home.remove(id)
+	delete(p.homes, id)
+	p.log.WithFields(logrus.Fields{"endpoint": id, "reason": reason}).Info("endpoint removed")
+}
+
+// Listed reports whether the registry has been read.
+func (p *Pools) Listed() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.listed
+}
+
+// Count returns the number of endpoints that take requests.
+func (p *Pools) Count() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	count := 0
+	for _, service := range p.services {
+		count += service.count()
+	}
+	return count
+}
--- /dev/null
+++ b/node/relay/attempt.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+// verdict is what became of one attempt.
+type verdict int
+
+const (
+	// verdictNotSent: no byte of the request left.
+	verdictNotSent verdict = iota
+	// verdictNotExecuted: the endpoint said that it did not run the request.
+	verdictNotExecuted
+	// verdictDelivered: the client has the whole answer.
+	verdictDelivered
+	// verdictFailure: the endpoint's own answer is a failure, kept for the
+	// client if nothing better comes.
+	verdictFailure
+	// verdictLowConfidence: the answer was dropped for a larger model's.
+	verdictLowConfidence
+	// verdictBroken: no answer, or one that broke off; it may have run.
+	verdictBroken
+	// verdictClientGone: the client left.
+	verdictClientGone
+)
+
+var verdictNames = [...]string{
+	"not sent", "not executed", "delivered", "failure", "low confidence", "broken", "client gone",
+}
+
+func (v verdict) String() string { return verdictNames[v] }
+
+// attempt is one try of a request at one endpoint.
+type attempt struct {
+	run     *run
+	lease   *pool.Lease
+	model   route.ModelName
+	started time.Time
+
+	verdict     verdict
+	// crashed tells that the endpoint broke the connection.
+	crashed     bool
+	misdirected bool
+	answer      *Answer
+	failure     []byte
+	events      int
+	firstEvent  time.Duration
+	err         error
+}
+
+// ran reports whether the endpoint may have run the request.
+func (a *attempt) ran() bool { return a.verdict != verdictNotSent && a.verdict != verdictNotExecuted }
+
+func (a *attempt) do(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := a.run.relay.Endpoints.Send(ctx, a.call(), a.headerBy())
+	if err != nil {
+		a.sendFailed(ctx, err)
+		return
+	}
+	defer answer.Body.Close()
+	a.answer = answer
+	if answer.HasLoad {
+		a.lease.Reported(answer.Running, answer.Waiting)
+	}
+	switch {
+	case answer.NotExecuted:
+		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
+	case !answer.Genuine:
+		a.verdict, a.err = verdictBroken, errors.New("answer is not the endpoint's own")
+	case answer.Status >= http.StatusBadRequest:
+		a.keepFailure()
+	case a.escalates():
+		a.verdict = verdictLowConfidence
+		a.firstEvent = time.Since(a.started)
+		a.observe(false)
+	case a.run.permission.route.Kind == route.Stream:
+		a.copyStream(ctx)
+	default:
+		a.copyWhole(ctx)
+	}
+}
+
+func (a *attempt) call() *Call {
+	r := a.run
+	return &Call{
+		Request:     r.request,
+		Endpoint:    a.lease.Endpoint.ID,
+		Address:     a.lease.Endpoint.Address,
+		Account:     r.permission.account,
+		Model:       a.model,
+		Left:        time.Until(r.deadline),
+		ResumeAfter: r.lastEvent,
+		Priority:    r.permission.priority,
+		Dial:        r.relay.Tuning.Dial,
+	}
+}
+
+// headerBy is when a silent endpoint is given up: at the deadline if the
+// request must not be repeated.
+func (a *attempt) headerBy() time.Time {
+	r := a.run
+	found := r.permission.route
+	if !found.Repeatable() || r.runs+1 >= found.MaxAttempts {
+		return r.deadline
+	}
+	usual := r.relay.Pools.Service(r.service).FirstEvent(a.model)
+	patience := max(leastPatience, usualFactor*usual, time.Duration(firstEventShare*float64(found.TargetLatency)))
+	by := a.started.Add(patience)
+	if by.After(r.deadline) {
+		return r.deadline
+	}
+	return by
+}
+
+func (a *attempt) sendFailed(ctx context.Context, err error) {
+	a.err = err
+	var failed *SendError
+	departed, silent := true, false
+	if errors.As(err, &failed) {
+		departed, silent = failed.Departed, failed.Silent
+	}
+	switch {
+	case !departed:
+		a.verdict = verdictNotSent
+	case errors.Is(ctx.Err(), context.Canceled):
+		a.verdict = verdictClientGone
+	default:
+		a.verdict = verdictBroken
+		a.crashed = !silent && ctx.Err() == nil
+	}
+}
+
+// escalates reports whether the answer is dropped for a larger model's.
+func (a *attempt) escalates() bool {
+	r := a.run
+	found := r.permission.route
+	if !a.answer.HasConfidence || r.begun || r.escalated || !larger(found.Models, a.model) {
+		return false
+	}
+	if a.answer.Confidence >= r.relay.Tuning.accept(r.permission.priority) {
+		return false
+	}
+	return r.runs+1 < found.MaxAttempts && time.Until(r.deadline) > found.TargetLatency/2 && r.pay()
+}
+
+// keepFailure reads the endpoint's failure, for the client if nothing better
+// comes.
+func (a *attempt) keepFailure() {
+	a.verdict = verdictFailure
+	_ = a.answer.Body.SetReadDeadline(time.Now().Add(leastPatience)) // a failure shows in the read
+	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
+	if err != nil {
+		a.verdict, a.err = verdictBroken, err
+		return
+	}
+	a.failure = body
+	a.observe(true)
+}
+
+// passFailure gives the client the endpoint's failure.
+func (a *attempt) passFailure() {
+	a.begin()
+	if err := a.run.client.Write(a.failure); err != nil {
+		a.err = err
+	}
+}
+
+func (a *attempt) begin() {
+	if a.run.begun {
+		return
+	}
+	a.run.begun = true
+	a.run.status = a.answer.Status
+	a.run.client.Begin(a.answer.Status, a.answer.Header)
+}
+
+// copyWhole keeps the answer until it is whole, then passes it on.
+func (a *attempt) copyWhole(ctx context.Context) {
+	_ = a.answer.Body.SetReadDeadline(a.run.deadline) // a failure shows in the read
+	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
+	if err != nil {
+		a.broke(ctx, err)
+		return
+	}
+	a.noteFirstEvent()
+	a.begin()
+	a.verdict = verdictDelivered
+	if err := a.run.client.Write(body); err != nil {
+		a.verdict, a.err = verdictClientGone, err
+	}
+	a.observe(false)
+}
+
+// broke sorts a body that did not come whole.
+func (a *attempt) broke(ctx context.Context, err error) {
+	a.verdict, a.err = verdictBroken, err
+	a.crashed = ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		a.verdict = verdictClientGone
+	}
+}
+
+func (a *attempt) noteFirstEvent() {
+	if a.firstEvent > 0 {
+		return
+	}
+	a.firstEvent = time.Since(a.started)
+	a.lease.FirstEvent(a.firstEvent)
+}
+
+func (a *attempt) observe(failed bool) {
+	a.run.relay.Versions.Observe(a.run.service, a.lease.Endpoint.Version, VersionOutcome{
+		Failed:     failed,
+		FirstEvent: a.firstEvent,
+		Usual:      a.run.relay.Pools.Service(a.run.service).FirstEvent(a.model),
+	})
+}
+
+// result is what the attempt tells of its endpoint.
+func (a *attempt) result() pool.Result {
+	switch a.verdict {
+	case verdictDelivered, verdictLowConfidence:
+		return pool.Succeeded
+	case verdictFailure:
+		return pool.Failed
+	case verdictNotExecuted:
+		if a.misdirected {
+			return pool.Replaced
+		}
+		return pool.Full
+	case verdictClientGone:
+		return pool.Abandoned
+	default:
+		return pool.Broken
+	}
+}
+
+func (a *attempt) event() *AttemptEvent {
+	event := &AttemptEvent{
+		RequestID:  a.run.request.ID,
+		Number:     a.run.arrivals,
+		Service:    a.run.service,
+		Endpoint:   string(a.lease.Endpoint.ID),
+		Version:    a.lease.Endpoint.Version,
+		Model:      a.model,
+		Revision:   a.run.permission.table.Revision,
+		Verdict:    a.verdict.String(),
+		Events:     a.events,
+		Took:       time.Since(a.started),
+		FirstEvent: a.firstEvent,
+		Err:        a.err,
+	}
+	if a.answer != nil {
+		event.Status, event.Confidence = a.answer.Status, a.answer.Confidence
+	}
+	return event
+}
--- /dev/null
+++ b/node/relay/run.go
@@ -0,0 +1,276 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+// run is the work on one request.
+type run struct {
+	relay   *Relay
+	request *Request
+	client  Client
+	// draw chooses among the services of the route, in [0, 1).
+	draw float64
+
+	permission  permission
+	fingerprint uint64
+	deadline    time.Time
+	service     route.ServiceName
+	budget      *retry.Budget
+	versions    Choice
+	// model is the model planned for the next attempt.
+	model route.ModelName
+
+	arrivals int
+	// unsent counts attempts of which no byte left.
+	unsent int
+	runs     int
+	// mayHaveRun tells that some attempt may have run the request.
+	mayHaveRun bool
+	// escalated tells that an answer was dropped for a better one.
+	escalated bool
+	avoid     []platform.EndpointID
+	begun     bool
+	// lastEvent is the ID of the last event that the client has.
+	lastEvent string
+	status    int
+	refusal   *Refusal
+	aborted   bool
+}
+
+func (r *run) serve(ctx context.Context) {
+	permission, refusal := r.relay.gate(r.request)
+	r.permission = permission
+	if refusal != nil {
+		r.refuse(refusal)
+		return
+	}
+	r.fingerprint = fingerprint(r.request, permission.account)
+	if r.relay.Suspects.Refused(r.fingerprint) {
+		r.refuse(&Refusal{Reason: CrashSuspect, NotRun: true})
+		return
+	}
+	if !r.settle() {
+		r.refuse(&Refusal{Reason: NoEndpoint, NotRun: true, RetryAfter: defaultRetryAfter})
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	r.attempts(ctx)
+}
+
+// settle fixes what stays the same over all attempts of the request.
+func (r *run) settle() bool {
+	found := r.permission.route
+	r.deadline = r.request.Received.Add(found.Timeout)
+	if r.request.Patience > 0 && r.request.Patience < found.Timeout {
+		r.deadline = r.request.Received.Add(r.request.Patience)
+	}
+	service, ok := found.Pick(r.draw)
+	if !ok {
+		return false
+	}
+	r.enter(service)
+	r.lastEvent = r.request.ResumeAfter
+	if r.request.AnyModel && len(found.Models) > 0 {
+		r.model = found.Models[0]
+	}
+	return true
+}
+
+// enter makes a service the one that runs the request.
+func (r *run) enter(service route.ServiceName) {
+	r.service = service
+	r.budget = r.relay.Budgets.Service(service)
+	r.budget.Deposit()
+	r.versions = r.relay.Versions.Choose(service, r.request.Session, r.request.ID)
+}
+
+// attempts tries until the request has its final answer.
+func (r *run) attempts(ctx context.Context) {
+	for {
+		if refusal := r.check(ctx); refusal != nil {
+			r.end(ctx, refusal)
+			return
+		}
+		lease, ok := r.choose()
+		if !ok {
+			r.end(ctx, &Refusal{Reason: NoEndpoint, RetryAfter: defaultRetryAfter})
+			return
+		}
+		r.arrivals++
+		attempt := &attempt{run: r, lease: lease, model: r.model, started: time.Now()}
+		attempt.do(ctx)
+		lease.End(time.Now(), attempt.result())
+		r.relay.Observer.Attempted(attempt.event())
+		if !r.next(ctx, attempt) {
+			return
+		}
+	}
+}
+
+// check asks whether the request may be sent now.
+func (r *run) check(ctx context.Context) *Refusal {
+	if ctx.Err() != nil || time.Until(r.deadline) < leastLeft {
+		return &Refusal{Reason: TimeIsUp}
+	}
+	permission, refusal := r.relay.gate(r.request)
+	if refusal != nil {
+		return refusal
+	}
+	r.permission = permission
+	if permission.route.Allows(r.service) {
+		return nil
+	}
+	service, ok := permission.route.Pick(r.draw)
+	if !ok {
+		return &Refusal{Reason: NoEndpoint, RetryAfter: defaultRetryAfter}
+	}
+	r.enter(service)
+	return nil
+}
+
+// choose picks an endpoint: of the versions meant for the request, else of any
+// version that is not known to be bad, and one that the request has met only if
+// there is no other.
+func (r *run) choose() (*pool.Lease, bool) {
+	query := pool.Query{Model: r.model, Affinity: r.request.affinity()}
+	endpoints := r.relay.Pools.Service(r.service)
+	now := time.Now()
+	for _, avoid := range [][]platform.EndpointID{r.avoid, nil} {
+		for _, allowed := range []func(string) bool{r.versions.Meant, r.versions.Allowed} {
+			query.Avoid, query.Version = avoid, allowed
+			if lease, ok := endpoints.Choose(now, query); ok {
+				return lease, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// pay takes what another arrival costs from the retry budget.
+func (r *run) pay() bool {
+	return r.arrivals < maxArrivals && r.budget.Withdraw(time.Now())
+}
+
+// next decides what follows an attempt. It reports false if the request has
+// its final answer.
+func (r *run) next(ctx context.Context, a *attempt) bool {
+	if a.ran() {
+		r.runs++
+		r.mayHaveRun = true
+	}
+	switch a.verdict {
+	case verdictDelivered, verdictClientGone:
+		return false
+	case verdictLowConfidence:
+		// The budget has been asked before the answer was dropped.
+		r.escalate()
+		return true
+	}
+	r.avoid = append(r.avoid, a.lease.Endpoint.ID)
+	if a.verdict == verdictNotSent {
+		// It did not arrive, and so costs no retry.
+		r.arrivals--
+		r.unsent++
+		return r.unsent < maxArrivals || r.giveUp(ctx, a)
+	}
+	if a.crashed {
+		r.relay.Suspects.Crashed(r.fingerprint, a.lease.Endpoint.Address)
+	}
+	if a.ran() && !r.mayRepeat() || !r.pay() {
+		return r.giveUp(ctx, a)
+	}
+	return true
+}
+
+// mayRepeat reports whether another run is allowed after one that may have
+// run.
+func (r *run) mayRepeat() bool {
+	return r.permission.route.Repeatable() && r.runs < r.permission.route.MaxAttempts
+}
+
+// giveUp answers with what the last attempt brought. It returns false: the
+// request is at its end.
+func (r *run) giveUp(ctx context.Context, a *attempt) bool {
+	if a.verdict == verdictFailure && !r.begun {
+		a.passFailure()
+		return false
+	}
+	r.end(ctx, &Refusal{Reason: EndpointsFailed, RetryAfter: defaultRetryAfter})
+	return false
+}
+
+// escalate plans the next larger model.
+func (r *run) escalate() {
+	r.escalated = true
+	models := r.permission.route.Models
+	r.model = models[len(models)-1]
+}
+
+// end gives the final answer if no endpoint's answer was passed on.
+func (r *run) end(ctx context.Context, refusal *Refusal) {
+	if r.begun {
+		r.aborted = true
+		r.client.Abort()
+		return
+	}
+	if ctx.Err() != nil && refusal.Reason != TimeIsUp {
+		refusal = &Refusal{Reason: TimeIsUp}
+	}
+	final := *refusal
+	final.NotRun = !r.mayHaveRun
+	r.refuse(&final)
+}
+
+func (r *run) refuse(refusal *Refusal) {
+	r.refusal = refusal
+	r.client.Refuse(refusal)
+}
+
+func (r *run) report(ctx context.Context) {
+	event := &DoneEvent{
+		RequestID: r.request.ID,
+		Account:   r.permission.account,
+		ConfigAge: r.permission.age,
+		Attempts:  r.arrivals,
+		Refusal:   r.refusal,
+		Status:    r.status,
+		Gone:      ctx.Err() != nil,
+		Aborted:   r.aborted,
+		Took:      time.Since(r.request.Received),
+	}
+	if r.permission.route != nil {
+		event.Route = r.permission.route.Name
+	}
+	if r.permission.table != nil {
+		event.Revision = r.permission.table.Revision
+	}
+	r.relay.Observer.Done(event)
+}
+
+// larger reports whether the route has a larger model than the one.
+func larger(models []route.ModelName, model route.ModelName) bool {
+	at := slices.Index(models, model)
+	return at >= 0 && at < len(models)-1
+}
+
+// fingerprint names a request by what decides how an endpoint runs it.
+func fingerprint(request *Request, account route.AccountName) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{request.Method, request.Target, string(account)} {
+		_, _ = digest.WriteString(part) // a digest's writes never fail
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(request.Body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/node/relay/tuning.go
@@ -0,0 +1,47 @@
+package relay
+
+import "time"
+
+// Tuning holds the bounds that the core path works with.
+type Tuning struct {
+	// ConfigMaxAge is the greatest age at which a table may still permit a
+	// request that needs a key; 0 means any.
+	ConfigMaxAge time.Duration
+	// Dial bounds the time to connect to an endpoint.
+	Dial time.Duration
+	// AcceptConfidence is the least confidence, in [0, 1], at which an answer
+	// of a model that is not the largest is passed on, by the rank of the
+	// request from 0, the most urgent. The last holds for all further ranks.
+	AcceptConfidence []float64
+}
+
+func (t *Tuning) accept(rank int) float64 {
+	if len(t.AcceptConfidence) == 0 {
+		return 0
+	}
+	return t.AcceptConfidence[min(max(0, rank), len(t.AcceptConfidence)-1)]
+}
+
+const (
+	// firstEventShare is the part of the latency objective after which a silent
+	// endpoint is given up for another, if the request may be repeated.
+	firstEventShare = 0.75
+	// usualFactor is how many times the usual time a first event may take
+	// before its endpoint is given up.
+	usualFactor = 5
+	// leastPatience is the least time that an endpoint gets for a first event.
+	leastPatience = 400 * time.Millisecond
+	// gapShare is how many times the greatest pause between events after which a
+	// silent endpoint is given up for another.
+	gapShare = 1.5
+	// defaultRetryAfter is when to come back if nothing better is known.
+	defaultRetryAfter = 500 * time.Millisecond
+	// leastLeft is the time left below which no attempt is worth starting.
+	leastLeft = 20 * time.Millisecond
+	// maxArrivals bounds the endpoints that one request may arrive at,
+	// refusals included.
+	maxArrivals = 6
+	// maxAnswerBytes bounds an answer that is not a stream, which is kept until
+	// it is whole.
+	maxAnswerBytes = 8 << 20
+)
--- /dev/null
+++ b/node/versions/versions.go
@@ -0,0 +1,272 @@
+// Package versions decides which version of a service's endpoints a request
+// may run on, and carries roll-outs through the log.
+package versions
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/policy/canary"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+const (
+	// maxSessions bounds the sessions remembered of one service.
+	maxSessions = 20_000
+	// proposeSpread is the time over which the instances spread a proposal, so
+	// that one of them is first and the others need no call.
+	proposeSpread = 400 * time.Millisecond
+	// checkInterval is the time between looks at the roll-outs.
+	checkInterval = 200 * time.Millisecond
+)
+
+// Writer writes the agreed state of roll-outs.
+type Writer interface {
+	// Propose appends a status if the status topic still ends at the offset.
+	Propose(ctx context.Context, at keyed.Offset, status canary.Status) error
+}
+
+// Versions holds the roll-outs. Its methods may be called from several
+// goroutines.
+type Versions struct {
+	tuning Tuning
+	writer Writer
+	pools  relay.Pools
+	log    *logrus.Entry
+	begun  boottime.Instant
+
+	mu       sync.Mutex
+	services map[route.ServiceName]*service
+	// end is where the status topic ended when it was last read.
+	end      keyed.Offset
+	statuses map[route.ServiceName]canary.Status
+}
+
+// Tuning bounds roll-outs.
+type Tuning = canary.Tuning
+
+// service is one service's roll-out with the sessions that run.
+type service struct {
+	rollout  *canary.Rollout
+	sessions *simplelru.LRU[string, sessionState]
+	// proposeAt is when this instance proposes the phase it waits for.
+	proposeAt time.Duration
+	proposes  canary.Phase
+}
+
+type sessionState struct {
+	onTarget bool
+	lastSeen time.Duration
+}
+
+// New returns versions without a roll-out.
+func New(tuning Tuning, pools relay.Pools, writer Writer, log *logrus.Entry) *Versions {
+	return &Versions{
+		tuning:   tuning,
+		writer:   writer,
+		pools:    pools,
+		log:      log,
+		begun:    boottime.Now(),
+		services: make(map[route.ServiceName]*service),
+		statuses: make(map[route.ServiceName]canary.Status),
+	}
+}
+
+func now() time.Duration { return time.Duration(boottime.Now()) }
+
+func (v *Versions) service(name route.ServiceName) *service {
+	found := v.services[name]
+	if found == nil {
+		sessions, err := simplelru.NewLRU[string, sessionState](maxSessions, nil)
+		if err != nil {
+			panic(eris.Wrap(err, "versions: size of a cache"))
+		}
+		found = &service{sessions: sessions}
+		v.services[name] = found
+	}
+	return found
+}
+
+// Order takes in an order of the operator.
+func (v *Versions) Order(order canary.Order) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(order.Service)
+	if s.rollout != nil && s.rollout.Order == order {
+		return
+	}
+	s.rollout = canary.New(order, v.tuning, now())
+	if status, ok := v.statuses[order.Service]; ok {
+		s.rollout.Agreed(status)
+	}
+	v.log.WithFields(logrus.Fields{
+		"service": order.Service, "target": order.Target, "duration_s": order.Duration.Seconds(), "phase": s.rollout.Phase.String(),
+	}).Info("roll-out ordered")
+}
+
+// Agreed takes in what the status topic says, and where it ends.
+func (v *Versions) Agreed(end keyed.Offset, statuses ...canary.Status) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.end = end
+	for _, status := range statuses {
+		v.statuses[status.Service] = status
+		s := v.service(status.Service)
+		if s.rollout == nil {
+			continue
+		}
+		before := s.rollout.Phase
+		s.rollout.Agreed(status)
+		if before != s.rollout.Phase {
+			answers, bad := s.rollout.Evidence()
+			v.log.WithFields(logrus.Fields{
+				"service": status.Service, "target": status.Target, "phase": s.rollout.Phase.String(),
+				"answers": answers, "bad": bad,
+			}).Info("roll-out phase agreed")
+		}
+	}
+}
+
+// Choose implements [relay.Versions].
+func (v *Versions) Choose(name route.ServiceName, session, requestID string) relay.Choice {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(name)
+	onTarget := false
+	if s.rollout != nil {
+		onTarget = v.onTarget(s, session, requestID)
+	}
+	if session != "" {
+		s.sessions.Add(session, sessionState{onTarget: onTarget, lastSeen: now()})
+	}
+	if s.rollout == nil {
+		return relay.Choice{}
+	}
+	target, phase := s.rollout.Order.Target, s.rollout.Phase
+	choice := relay.Choice{Meant: func(version string) bool { return (version == target) == onTarget }}
+	if !onTarget && phase != canary.Canary {
+		choice.Allowed = choice.Meant
+	}
+	return choice
+}
+
+func (v *Versions) onTarget(s *service, session, requestID string) bool {
+	switch s.rollout.Phase {
+	case canary.Full, canary.Completed:
+		return true
+	case canary.Canary:
+	default:
+		return false
+	}
+	if session == "" {
+		return s.rollout.Chosen(requestID)
+	}
+	if known, ok := s.sessions.Get(session); ok && now()-known.lastSeen < v.tuning.SessionGap {
+		return known.onTarget
+	}
+	if boottime.Since(v.begun) < v.tuning.SessionGap {
+		// Sessions that began on the old version before this instance are not
+		// known yet.
+		return false
+	}
+	return s.rollout.Chosen(session)
+}
+
+// Observe implements [relay.Versions].
+func (v *Versions) Observe(name route.ServiceName, version string, outcome relay.VersionOutcome) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[name]
+	if s == nil || s.rollout == nil || s.rollout.Phase.Over() {
+		return
+	}
+	s.rollout.Observe(canary.Answer{
+		Version: version, Failed: outcome.Failed, FirstEvent: outcome.FirstEvent, Usual: outcome.Usual,
+	})
+}
+
+// Run proposes phases until the context ends.
+func (v *Versions) Run(ctx context.Context) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, due := range v.due() {
+			v.propose(ctx, due)
+		}
+	}
+}
+
+// proposal is a status that this instance wants agreed.
+type proposal struct {
+	at     keyed.Offset
+	status canary.Status
+}
+
+// due returns the proposals whose time has come.
+func (v *Versions) due() []proposal {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var due []proposal
+	for name, s := range v.services {
+		if s.rollout == nil || s.rollout.Phase.Over() {
+			continue
+		}
+		next := s.rollout.Next(now(), v.available(name, s.rollout.Order.Target))
+		if next == s.rollout.Phase {
+			s.proposes = next
+			continue
+		}
+		if s.proposes != next {
+			s.proposes = next
+			s.proposeAt = now() + v.hesitation(next)
+		}
+		if now() < s.proposeAt {
+			continue
+		}
+		s.proposeAt = now() + proposeSpread + rand.N(proposeSpread)
+		due = append(due, proposal{at: v.end, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next}})
+	}
+	return due
+}
+
+// hesitation spreads proposals that all instances come to at the same moment.
+// A bad version is not waited for.
+func (v *Versions) hesitation(phase canary.Phase) time.Duration {
+	if phase == canary.RolledBack {
+		return 0
+	}
+	return rand.N(proposeSpread)
+}
+
+func (v *Versions) available(name route.ServiceName, target string) bool {
+	return slices.Contains(v.pools.Service(name).Versions(), target)
+}
+
+func (v *Versions) propose(ctx context.Context, p proposal) {
+	entry := v.log.WithFields(logrus.Fields{
+		"service": p.status.Service, "target": p.status.Target, "phase": p.status.Phase.String(), "at": p.at,
+	})
+	if err := v.writer.Propose(ctx, p.at, p.status); err != nil {
+		entry.WithError(err).Info("roll-out phase not accepted")
+		return
+	}
+	entry.Info("roll-out phase proposed")
+}
+
+var _ relay.Pools = (*pool.Pools)(nil)
