Sizes of models by time and budget; long prompts on endpoints of their own

Changed: first-event times learned by prompt length, patience from them; larger share of the retry budget; the largest model first when no escalation can follow; endpoints for long prompts by their part of the work.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -70,6 +70,14 @@
 	return true
 }
 
+// Available returns the number of retries that may be made now.
+func (b *Budget) Available(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return b.tokens
+}
+
 // refund returns a token whose retry was not made.
 func (b *Budget) refund() {
 	b.mu.Lock()
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -47,6 +47,7 @@
 		"version": event.Version, "model": event.Model, "revision": event.Revision, "verdict": event.Verdict,
 		"status": event.Status, "confidence": event.Confidence, "events": event.Events,
 		"took_ms": event.Took.Milliseconds(), "first_event_ms": event.FirstEvent.Milliseconds(),
+		"after_ms": event.SinceStart.Milliseconds(), "longest_gap_ms": event.LongestGap.Milliseconds(),
 	}
 	if event.Err != nil {
 		fields["error"] = event.Err.Error()
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -19,11 +19,11 @@
 
 const (
 	// retryPart is the part of the fleet's retry ratio that an instance uses.
-	retryPart = 0.85
+	retryPart = 0.95
 	// slackInstances is among how many instances the fleet's slack is divided.
-	slackInstances = 20
-	// leastSlack lets an instance save up for two retries.
-	leastSlack = 2
+	slackInstances = 12
+	// leastSlack lets an instance save up for three retries.
+	leastSlack = 3
 )
 
 // budgets holds the retry budget of each service. A retry ratio of its own
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -176,15 +176,15 @@
 
 func (s *Settings) checkRanges(findings *finding.List) {
 	for place, value := range map[string]float64{
-		"/limits/memory_mb":          s.Limits.MemoryMB,
-		"/limits/descriptors":        float64(s.Limits.Descriptors),
-		"/limits/processors":         float64(s.Limits.Processors),
-		"/bounds/endpoint_drain_ms":  s.Bounds.EndpointDrainMillis,
-		"/bounds/stop_grace_ms":      s.Bounds.StopGraceMillis,
-		"/bounds/revocation_ms":      s.Bounds.RevocationMillis,
-		"/bounds/retry_window_ms":    s.Bounds.RetryWindowMillis,
-		"/bounds/session_gap_ms":     s.Bounds.SessionGapMillis,
-		"/routing/dial_ms":           float64(s.Routing.DialMillis),
+		"/limits/memory_mb":         s.Limits.MemoryMB,
+		"/limits/descriptors":       float64(s.Limits.Descriptors),
+		"/limits/processors":        float64(s.Limits.Processors),
+		"/bounds/endpoint_drain_ms": s.Bounds.EndpointDrainMillis,
+		"/bounds/stop_grace_ms":     s.Bounds.StopGraceMillis,
+		"/bounds/revocation_ms":     s.Bounds.RevocationMillis,
+		"/bounds/retry_window_ms":   s.Bounds.RetryWindowMillis,
+		"/bounds/session_gap_ms":    s.Bounds.SessionGapMillis,
+		"/routing/dial_ms":          float64(s.Routing.DialMillis),
 	} {
 		if value <= 0 {
 			findings.Add(place, fmt.Sprintf("%v is not above 0", value), "")
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/policy/latency"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -24,15 +25,16 @@
 
 	mu      sync.Mutex
 	members map[platform.EndpointID]*member
-	// firstEvent is the smoothed time to the first event by model.
-	firstEvent map[route.ModelName]time.Duration
+	// firstEvents tells how long first events take, by model.
+	firstEvents map[route.ModelName]*latency.Line
+	work        workShares
 }
 
 func newPool(zone platform.Zone) *Pool {
 	return &Pool{
-		zone:       zone,
-		members:    make(map[platform.EndpointID]*member),
-		firstEvent: make(map[route.ModelName]time.Duration),
+		zone:        zone,
+		members:     make(map[platform.EndpointID]*member),
+		firstEvents: make(map[route.ModelName]*latency.Line),
 	}
 }
 
@@ -79,6 +81,11 @@
 	// Affinity is the prompt part that an endpoint should already hold; empty
 	// if there is none.
 	Affinity string
+	// Tokens is the length of the prompt.
+	Tokens int
+	// GapTarget is the longest pause between two events of a stream that is
+	// on time; 0 if the request is none.
+	GapTarget time.Duration
 	// Version reports whether endpoints of a version may run the request.
 	Version func(version string) bool
 	// Avoid lists endpoints that the request must not meet again.
@@ -94,9 +101,10 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
+	candidates = p.separate(candidates, query)
 	chosen := p.prefer(candidates, query)
 	chosen.inFlight++
-	return &Lease{pool: p, member: chosen, Endpoint: chosen.record, model: query.Model}, true
+	return &Lease{pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens}, true
 }
 
 // candidates returns the endpoints that may run the request: those that are
@@ -204,9 +212,33 @@
 	return versions
 }
 
-// FirstEvent returns the usual time to a model's first event, 0 if unknown.
-func (p *Pool) FirstEvent(model route.ModelName) time.Duration {
+// FirstEvent returns the usual time to a model's first event for a prompt of
+// so many tokens, 0 if unknown.
+func (p *Pool) FirstEvent(model route.ModelName, tokens int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.firstEvent[model]
+	return p.expect(model, tokens)
+}
+
+func (p *Pool) expect(model route.ModelName, tokens int) time.Duration {
+	if line := p.firstEvents[model]; line != nil {
+		return line.Expect(tokens)
+	}
+	return 0
+}
+
+func (p *Pool) reading(model route.ModelName, tokens int) time.Duration {
+	if line := p.firstEvents[model]; line != nil {
+		return line.Reading(tokens)
+	}
+	return 0
+}
+
+func (p *Pool) learn(model route.ModelName, tokens int, took time.Duration) {
+	line := p.firstEvents[model]
+	if line == nil {
+		line = &latency.Line{}
+		p.firstEvents[model] = line
+	}
+	line.Add(tokens, took)
 }
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -12,6 +12,7 @@
 	pool   *Pool
 	member *member
 	model  route.ModelName
+	tokens int
 	ended  bool
 	// Endpoint is the registry's record at the time of the choice.
 	Endpoint Record
@@ -48,14 +49,11 @@
 func (l *Lease) FirstEvent(took time.Duration) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	usual := l.pool.firstEvent[l.model]
-	if usual == 0 {
-		l.pool.firstEvent[l.model] = took
-		return
+	usual := l.pool.expect(l.model, l.tokens)
+	if usual > 0 {
+		l.member.timed(float64(took) / float64(usual))
 	}
-	l.member.timed(float64(took) / float64(max(usual, time.Millisecond)))
-	const weight = 0.05 // of the newest time in the pool's mean
-	l.pool.firstEvent[l.model] += time.Duration(weight * float64(took-usual))
+	l.pool.learn(l.model, l.tokens, took)
 }
 
 // End gives the place back.
--- /dev/null
+++ b/node/pool/separate.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// longShare is the part of the longest allowed pause that reading a prompt
+	// takes from which on it counts as long: engines read prompts between the
+	// tokens of the requests beside them.
+	longShare = 0.5
+	// longReserve is how much more than their part of the work the endpoints
+	// for long prompts may take, and mostForLong the greatest part of all
+	// endpoints.
+	longReserve = 1.4
+	mostForLong = 0.5
+	// otherWork stands for the work on a request besides reading its prompt.
+	otherWork = 200 * time.Millisecond
+	// forgetWork is the weight that each further request takes from the
+	// earlier ones in the shares of work.
+	forgetWork = 0.995
+	// leastToSeparate is the number of endpoints below which none is kept.
+	leastToSeparate = 4
+	// crowdedFactor is how many times the load of the endpoints for long
+	// prompts the others must carry before they are relieved.
+	crowdedFactor = 2.0
+)
+
+// separate keeps long prompts on endpoints of their own, where they do not
+// stall the streams of others. All instances agree on these endpoints without
+// a word, by the order of a hash.
+func (p *Pool) separate(candidates []*member, query Query) []*member {
+	if query.GapTarget <= 0 || len(candidates) < leastToSeparate {
+		return candidates
+	}
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b *member) int {
+		if longRank(a) < longRank(b) {
+			return -1
+		}
+		return 1
+	})
+	reading := p.reading(query.Model, query.Tokens)
+	long := float64(reading) > longShare*float64(query.GapTarget)
+	p.work.add(reading, long)
+	part := min(mostForLong, longReserve*p.work.longPart())
+	kept := max(1, int(math.Round(part*float64(len(ranked)))))
+	forLong, others := ranked[:kept], ranked[kept:]
+	if long {
+		return forLong
+	}
+	if meanCost(others) > crowdedFactor*meanCost(forLong)+affinitySlack {
+		return candidates
+	}
+	return others
+}
+
+// workShares tells which part of the work long prompts make.
+type workShares struct{ all, long float64 }
+
+func (w *workShares) add(reading time.Duration, long bool) {
+	work := (reading + otherWork).Seconds()
+	w.all = w.all*forgetWork + work
+	w.long *= forgetWork
+	if long {
+		w.long += work
+	}
+}
+
+func (w *workShares) longPart() float64 {
+	if w.all <= 0 {
+		return 0
+	}
+	return w.long / w.all
+}
+
+func longRank(m *member) uint64 { return xxhash.Sum64String("long prompts\x00" + string(m.record.ID)) }
+
+func meanCost(members []*member) float64 {
+	total := 0.0
+	for _, m := range members {
+		total += m.cost()
+	}
+	return total / float64(max(1, len(members)))
+}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/policy/sizes"
 )
 
 // verdict is what became of one attempt.
@@ -46,7 +48,9 @@
 	model   route.ModelName
 	started time.Time
 
-	verdict     verdict
+	verdict verdict
+	// next is the model to ask after an answer of low confidence.
+	next route.ModelName
 	// crashed tells that the endpoint broke the connection.
 	crashed     bool
 	misdirected bool
@@ -54,6 +58,8 @@
 	failure     []byte
 	events      int
 	firstEvent  time.Duration
+	lastEventAt time.Time
+	longestGap  time.Duration
 	err         error
 }
 
@@ -82,7 +88,7 @@
 		a.keepFailure()
 	case a.escalates():
 		a.verdict = verdictLowConfidence
-		a.firstEvent = time.Since(a.started)
+		a.noteFirstEvent()
 		a.observe(false)
 	case a.run.permission.route.Kind == route.Stream:
 		a.copyStream(ctx)
@@ -114,7 +120,7 @@
 	if !found.Repeatable() || r.runs+1 >= found.MaxAttempts {
 		return r.deadline
 	}
-	usual := r.relay.Pools.Service(r.service).FirstEvent(a.model)
+	usual := r.relay.Pools.Service(r.service).FirstEvent(a.model, r.request.PromptTokens)
 	patience := max(leastPatience, usualFactor*usual, time.Duration(firstEventShare*float64(found.TargetLatency)))
 	by := a.started.Add(patience)
 	if by.After(r.deadline) {
@@ -148,10 +154,14 @@
 	if !a.answer.HasConfidence || r.begun || r.escalated || !larger(found.Models, a.model) {
 		return false
 	}
-	if a.answer.Confidence >= r.relay.Tuning.accept(r.permission.priority) {
+	plan := r.sizes(found.Models)
+	accept := r.relay.Tuning.accept(r.permission.priority)
+	next, ok := sizes.Next(plan, slices.Index(found.Models, a.model), a.answer.Confidence, accept)
+	if !ok || r.runs+1 >= found.MaxAttempts || !r.pay() {
 		return false
 	}
-	return r.runs+1 < found.MaxAttempts && time.Until(r.deadline) > found.TargetLatency/2 && r.pay()
+	a.next = found.Models[next]
+	return true
 }
 
 // keepFailure reads the endpoint's failure, for the client if nothing better
@@ -223,7 +233,7 @@
 	a.run.relay.Versions.Observe(a.run.service, a.lease.Endpoint.Version, VersionOutcome{
 		Failed:     failed,
 		FirstEvent: a.firstEvent,
-		Usual:      a.run.relay.Pools.Service(a.run.service).FirstEvent(a.model),
+		Usual:      a.run.relay.Pools.Service(a.run.service).FirstEvent(a.model, a.run.request.PromptTokens),
 	})
 }
 
@@ -259,6 +269,8 @@
 		Events:     a.events,
 		Took:       time.Since(a.started),
 		FirstEvent: a.firstEvent,
+		SinceStart: a.started.Sub(a.run.request.Received),
+		LongestGap: a.longestGap,
 		Err:        a.err,
 	}
 	if a.answer != nil {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -85,6 +85,10 @@
 	Events     int
 	Took       time.Duration
 	FirstEvent time.Duration
+	// SinceStart is the time from the request's arrival to the attempt.
+	SinceStart time.Duration
+	// LongestGap is the longest pause between two events.
+	LongestGap time.Duration
 	Err        error
 }
 
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/policy/sizes"
 )
 
 // run is the work on one request.
@@ -33,7 +34,7 @@
 	arrivals int
 	// unsent counts attempts of which no byte left.
 	unsent int
-	runs     int
+	runs   int
 	// mayHaveRun tells that some attempt may have run the request.
 	mayHaveRun bool
 	// escalated tells that an answer was dropped for a better one.
@@ -82,11 +83,35 @@
 	r.enter(service)
 	r.lastEvent = r.request.ResumeAfter
 	if r.request.AnyModel && len(found.Models) > 0 {
-		r.model = found.Models[0]
+		r.model = r.firstModel(found.Models)
 	}
 	return true
 }
 
+// firstModel is the model to ask first.
+func (r *run) firstModel(models []route.ModelName) route.ModelName {
+	plan := r.sizes(models)
+	plan.Retries -= escalationReserve
+	if r.permission.route.MaxAttempts < 2 {
+		plan.Retries = 0
+	}
+	return models[sizes.First(plan)]
+}
+
+// sizes describes the models of the route for this request, now.
+func (r *run) sizes(models []route.ModelName) sizes.Request {
+	described := sizes.Request{
+		Target:  r.permission.route.TargetLatency,
+		Elapsed: time.Since(r.request.Received),
+		Retries: r.budget.Available(time.Now()),
+	}
+	endpoints := r.relay.Pools.Service(r.service)
+	for _, model := range models {
+		described.Models = append(described.Models, sizes.Model{FirstEvent: endpoints.FirstEvent(model, r.request.PromptTokens)})
+	}
+	return described
+}
+
 // enter makes a service the one that runs the request.
 func (r *run) enter(service route.ServiceName) {
 	r.service = service
@@ -143,7 +168,12 @@
 // version that is not known to be bad, and one that the request has met only if
 // there is no other.
 func (r *run) choose() (*pool.Lease, bool) {
-	query := pool.Query{Model: r.model, Affinity: r.request.affinity()}
+	query := pool.Query{
+		Model:     r.model,
+		Affinity:  r.request.affinity(),
+		Tokens:    r.request.PromptTokens,
+		GapTarget: r.permission.route.TargetGap,
+	}
 	endpoints := r.relay.Pools.Service(r.service)
 	now := time.Now()
 	for _, avoid := range [][]platform.EndpointID{r.avoid, nil} {
@@ -174,7 +204,7 @@
 		return false
 	case verdictLowConfidence:
 		// The budget has been asked before the answer was dropped.
-		r.escalate()
+		r.escalated, r.model = true, a.next
 		return true
 	}
 	r.avoid = append(r.avoid, a.lease.Endpoint.ID)
@@ -210,13 +240,6 @@
 	return false
 }
 
-// escalate plans the next larger model.
-func (r *run) escalate() {
-	r.escalated = true
-	models := r.permission.route.Models
-	r.model = models[len(models)-1]
-}
-
 // end gives the final answer if no endpoint's answer was passed on.
 func (r *run) end(ctx context.Context, refusal *Refusal) {
 	if r.begun {
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -65,6 +65,7 @@
 // pass gives whole events to the client.
 func (a *attempt) pass(events []byte) bool {
 	a.noteFirstEvent()
+	a.noteGap()
 	a.begin()
 	if err := a.run.client.Write(events); err != nil {
 		a.verdict, a.err = verdictClientGone, err
@@ -77,6 +78,15 @@
 	return true
 }
 
+// noteGap measures the pauses between events.
+func (a *attempt) noteGap() {
+	now := time.Now()
+	if !a.lastEventAt.IsZero() {
+		a.longestGap = max(a.longestGap, now.Sub(a.lastEventAt))
+	}
+	a.lastEventAt = now
+}
+
 // finish ends a stream whose body came whole. What is left after the last
 // event is passed on as it is.
 func (a *attempt) finish(rest []byte) {
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -28,7 +28,7 @@
 	firstEventShare = 0.75
 	// usualFactor is how many times the usual time a first event may take
 	// before its endpoint is given up.
-	usualFactor = 5
+	usualFactor = 4
 	// leastPatience is the least time that an endpoint gets for a first event.
 	leastPatience = 400 * time.Millisecond
 	// gapShare is how many times the greatest pause between events after which a
@@ -38,6 +38,9 @@
 	defaultRetryAfter = 500 * time.Millisecond
 	// leastLeft is the time left below which no attempt is worth starting.
 	leastLeft = 20 * time.Millisecond
+	// escalationReserve is the part of the retry budget, in retries, that is
+	// left for requests under way.
+	escalationReserve = 1
 	// maxArrivals bounds the endpoints that one request may arrive at,
 	// refusals included.
 	maxArrivals = 6
