--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -151,7 +151,7 @@
 func (a *attempt) escalates() bool {
 	r := a.run
 	found := r.permission.route
-	if !a.answer.HasConfidence || r.begun || r.escalated || !larger(found.Models, a.model) {
+	if !found.Repeatable() || !a.answer.HasConfidence || r.begun || r.escalated || !larger(found.Models, a.model) {
 		return false
 	}
 	plan := r.sizes(found.Models)
--- /dev/null
+++ b/node/relay/relay_test.go
@@ -0,0 +1,272 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+func whole(*Call, int) act { return act{events: -1} }
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Stream)), 2, whole)
+	h.serve(testRequest())
+	assert.Equal(t, h.client.body.String(), wholeStream(0))
+	assert.Equal(t, h.client.status, http.StatusOK)
+	assert.Assert(t, !h.client.aborted)
+}
+
+func TestCutStreamGoesOnAfterItsLastWholeEvent(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Stream)), 3, func(_ *Call, number int) act {
+		if number == 0 {
+			return act{events: 2}
+		}
+		return act{events: -1}
+	})
+	h.serve(testRequest())
+	assert.Equal(t, h.client.body.String(), wholeStream(0))
+	assert.Equal(t, h.endpoints.arrivals[1].call.ResumeAfter, "2")
+	assert.Assert(t, h.endpoints.arrivals[0].call.Endpoint != h.endpoints.arrivals[1].call.Endpoint)
+}
+
+func TestCutStreamThatNobodyEndsLooksCutOff(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Stream)), 3, func(*Call, int) act { return act{events: 1} })
+	h.serve(testRequest())
+	assert.Assert(t, h.client.aborted)
+	assert.Equal(t, h.endpoints.runs(), 3, "max attempts")
+}
+
+func TestForeignAnswerIsNotPassedOn(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.AtMostOnce)), 2, func(*Call, int) act { return act{foreign: true, events: -1} })
+	h.serve(testRequest())
+	assert.Assert(t, h.client.refusal != nil)
+	assert.Assert(t, !h.client.refusal.NotRun)
+	assert.Equal(t, h.endpoints.runs(), 1)
+}
+
+func TestIdempotentRequestIsRepeatedAfterAFailure(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Idempotent)), 2, func(_ *Call, number int) act {
+		if number == 0 {
+			return act{status: http.StatusInternalServerError, events: -1}
+		}
+		return act{events: -1}
+	})
+	h.serve(testRequest())
+	assert.Equal(t, h.client.status, http.StatusOK)
+}
+
+func TestFailureOfTheEndpointIsPassedOnIfNothingBetterComes(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Idempotent)), 2, func(*Call, int) act {
+		return act{status: http.StatusInternalServerError, events: -1}
+	})
+	h.serve(testRequest())
+	assert.Equal(t, h.client.status, http.StatusInternalServerError)
+	assert.Assert(t, h.client.refusal == nil)
+}
+
+func TestLowConfidenceIsDroppedOnlyIfTheBudgetPays(t *testing.T) {
+	found := testRoute(route.Stream)
+	found.Models = []route.ModelName{"small", "large"}
+	script := func(call *Call, _ int) act {
+		if call.Model == "small" {
+			return act{confidence: 0.2, events: -1}
+		}
+		return act{confidence: 0.9, events: -1}
+	}
+	request := testRequest()
+	request.AnyModel = true
+	paid := newHarness(testTable(found), 2, script)
+	paid.serve(request)
+	assert.Equal(t, len(paid.endpoints.arrivals), 2)
+	assert.Equal(t, paid.client.body.String(), wholeStream(0))
+
+	// Without a retry to follow, the largest model is asked at once.
+	poor := newHarness(testTable(found), 2, script)
+	for poor.budget.Withdraw(time.Now()) {
+	}
+	poor.serve(testRequestOfAnyModel())
+	assert.Equal(t, len(poor.endpoints.arrivals), 1)
+	assert.Equal(t, poor.endpoints.arrivals[0].call.Model, route.ModelName("large"))
+}
+
+func testRequestOfAnyModel() *Request {
+	request := testRequest()
+	request.AnyModel = true
+	return request
+}
+
+func TestGate(t *testing.T) {
+	public := testRoute(route.Idempotent)
+	public.Prefix, public.Public = "/open/", true
+	table := testTable(testRoute(route.Idempotent), public)
+	cases := []struct {
+		name   string
+		table  *route.Table
+		age    time.Duration
+		change func(*Request)
+		reason Reason
+		runs   int
+	}{
+		{name: "no table", reason: NoConfig},
+		{name: "served", table: table, runs: 1},
+		{name: "unknown key", table: table, change: func(r *Request) { r.Key = "other" }, reason: UnknownKey},
+		{name: "unknown path", table: table, change: func(r *Request) { r.Path = "/q/" }, reason: UnknownRoute},
+		{name: "unknown host", table: table, change: func(r *Request) { r.Host = "other" }, reason: UnknownRoute},
+		{name: "prefix without its slash", table: table, change: func(r *Request) { r.Path = "/p" }, reason: UnknownRoute},
+		{name: "old table, known key", table: table, age: 6 * time.Second, reason: ConfigTooOld},
+		{name: "old table, unknown key", table: table, age: 6 * time.Second, change: func(r *Request) { r.Key = "other" }, reason: ConfigTooOld},
+		{name: "old table, unknown path", table: table, age: 6 * time.Second, change: func(r *Request) { r.Path = "/q/" }, reason: ConfigTooOld},
+		{name: "old table, public route", table: table, age: 6 * time.Second, change: func(r *Request) { r.Path = "/open/x" }, runs: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(c.table, 1, whole)
+			h.tables.proven = boottime.Now() - boottime.Instant(c.age)
+			request := testRequest()
+			if c.change != nil {
+				c.change(request)
+			}
+			h.serve(request)
+			assert.Equal(t, h.endpoints.runs(), c.runs)
+			if c.reason == "" {
+				assert.Assert(t, h.client.refusal == nil)
+				return
+			}
+			assert.Equal(t, h.client.refusal.Reason, c.reason)
+			assert.Assert(t, h.client.refusal.NotRun)
+		})
+	}
+}
+
+func TestKeyRevokedBetweenAttemptsRunsNothingMore(t *testing.T) {
+	var h *harness
+	h = newHarness(testTable(testRoute(route.Idempotent)), 2, func(*Call, int) act {
+		h.tables.mu.Lock()
+		defer h.tables.mu.Unlock()
+		h.tables.table = route.NewTable(2, route.Limits{}, []*route.Route{testRoute(route.Idempotent)}, nil, map[string]*route.Account{})
+		return act{reset: true}
+	})
+	h.serve(testRequest())
+	assert.Equal(t, h.endpoints.runs(), 1)
+	assert.Assert(t, !h.client.refusal.NotRun, "the first attempt may have run")
+}
+
+func TestSilentEndpointIsGivenUpForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 2, func(_ *Call, number int) act {
+			return act{silent: number == 0, events: -1}
+		})
+		started := time.Now()
+		h.serve(testRequest())
+		assert.Equal(t, h.client.body.String(), wholeStream(0))
+		assert.Assert(t, time.Since(started) <= 2*time.Second, "within the latency objective")
+	})
+}
+
+func TestAtMostOnceCallWaitsForItsOnlyEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.AtMostOnce)), 2, func(*Call, int) act { return act{silent: true} })
+		started := time.Now()
+		h.serve(testRequest())
+		assert.Equal(t, time.Since(started), 5*time.Second)
+		assert.Equal(t, h.endpoints.runs(), 1)
+		assert.Assert(t, !h.client.refusal.NotRun)
+	})
+}
+
+func TestClientThatLeavesEndsTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 2, func(*Call, int) act { return act{silent: true} })
+		ctx, leave := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer leave()
+		ctx, cancel := context.WithCancel(ctx)
+		context.AfterFunc(ctx, cancel)
+		started := time.Now()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			cancel()
+		}()
+		h.relay.Serve(ctx, testRequest(), h.client)
+		assert.Equal(t, time.Since(started), 50*time.Millisecond)
+		assert.Equal(t, h.endpoints.runs(), 1)
+	})
+}
+
+// TestOutcomes checks, for every kind of request and any behaviour of the
+// endpoints: at most the allowed runs, one final answer, no promise that is
+// not true, and a stream that is whole or looks cut off.
+func TestOutcomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]route.Kind{route.AtMostOnce, route.Idempotent, route.Stream}).Draw(t, "kind")
+		found := testRoute(kind)
+		found.MaxAttempts = rapid.IntRange(1, 4).Draw(t, "attempts")
+		if kind == route.Stream {
+			found.Resumable = rapid.Bool().Draw(t, "resumable")
+			found.Models = []route.ModelName{"small", "middle", "large"}
+		}
+		script := rapid.SliceOfN(rapid.Custom(drawAct), 8, 8).Draw(t, "script")
+		h := newHarness(testTable(found), rapid.IntRange(0, 4).Draw(t, "endpoints"), func(_ *Call, number int) act {
+			return script[number%len(script)]
+		})
+		request := testRequestOfAnyModel()
+		after := 0
+		if found.Resumable {
+			after = rapid.IntRange(0, streamLength).Draw(t, "after")
+			request.ResumeAfter = strconv.Itoa(after)
+		}
+		h.serve(request)
+
+		runs := h.endpoints.runs()
+		limit := found.MaxAttempts
+		if !found.Repeatable() {
+			limit = 1
+		}
+		if runs > limit {
+			t.Fatalf("%d runs, %d allowed", runs, limit)
+		}
+		if h.client.finals != 1 {
+			t.Fatalf("%d final answers", h.client.finals)
+		}
+		if refusal := h.client.refusal; refusal != nil && refusal.NotRun && runs > 0 {
+			t.Fatalf("refused as not run after %d runs", runs)
+		}
+		if kind == route.Stream && h.client.begun && h.client.status == http.StatusOK && !h.client.aborted {
+			if got, want := h.client.body.String(), wholeStream(after); got != want {
+				t.Fatalf("got %q, want %q", got, want)
+			}
+		}
+	})
+}
+
+func drawAct(t *rapid.T) act {
+	return act{
+		refused:     rapid.IntRange(0, 4).Draw(t, "refused") == 0,
+		notExecuted: rapid.IntRange(0, 4).Draw(t, "not executed") == 0,
+		reset:       rapid.IntRange(0, 4).Draw(t, "reset") == 0,
+		foreign:     rapid.IntRange(0, 6).Draw(t, "foreign") == 0,
+		status:      rapid.SampledFrom([]int{0, 0, 0, 500, 404}).Draw(t, "status"),
+		confidence:  rapid.Float64Range(0, 1).Draw(t, "confidence"),
+		events:      rapid.IntRange(-1, streamLength).Draw(t, "events"),
+	}
+}
+
+func TestLastEventID(t *testing.T) {
+	for input, want := range map[string]string{
+		"":                                   "",
+		"data: x\n\n":                        "",
+		"id: 7\ndata: x\n\n":                 "7",
+		"id:7\ndata: x\n\nid: 8\ndata:y\n\n": "8",
+		"id: 7\ndata: x\n\ndata: y\n\n":      "7",
+	} {
+		assert.Equal(t, lastEventID([]byte(input)), want, input)
+	}
+}
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -92,7 +92,7 @@
 func (r *run) firstModel(models []route.ModelName) route.ModelName {
 	plan := r.sizes(models)
 	plan.Retries -= escalationReserve
-	if r.permission.route.MaxAttempts < 2 {
+	if found := r.permission.route; found.MaxAttempts < 2 || !found.Repeatable() {
 		plan.Retries = 0
 	}
 	return models[sizes.First(plan)]
