Silent endpoints are probed rather than timed out; less confidence asked under pressure

Changed: a connection probe after a silence, paused endpoints come back by a probe, the age of the configuration counts at a request's arrival, the asked confidence falls while streams are late.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -75,9 +75,9 @@
 	balancerLag = 2600 * time.Millisecond
 	// graceReserve is what a stop leaves unused of its grace.
 	graceReserve = 500 * time.Millisecond
-	// expireInterval is the time between looks for endpoints that did not
-	// register again.
-	expireInterval = 250 * time.Millisecond
+	// upkeepInterval is the time between looks for endpoints that did not
+	// register again, or whose pause is over.
+	upkeepInterval = 100 * time.Millisecond
 	// memoryPart is the part of the memory limit that the garbage collector
 	// keeps the heap below.
 	memoryPart = 0.7
@@ -97,6 +97,7 @@
 	table    atomic.Pointer[route.Table]
 	provenAt atomic.Int64
 	pools    *pool.Pools
+	reach    *reach
 	versions *versions.Versions
 	observer *observer
 	relay    *relay.Relay
@@ -109,6 +110,7 @@
 	log := logger.WithField("instance", settings.Name)
 	e := &Entry{settings: settings, platform: platform, log: log}
 	e.pools = pool.New(settings.Zone, log)
+	e.reach = newReach()
 	e.observer = newObserver(log)
 	e.versions = versions.New(canary.Tuning{
 		Share:      canaryPart * settings.Bounds.ExposureShare,
@@ -120,7 +122,8 @@
 		Endpoints: platform.Endpoints(),
 		Budgets:   newBudgets(settings.Bounds),
 		Versions:  e.versions,
-		Suspects:  newSuspects(log),
+		Suspects:  newSuspects(e.reach, log),
+		Reach:     e.reach,
 		Observer:  e.observer,
 		Tuning: relay.Tuning{
 			ConfigMaxAge:     e.configMaxAge(),
@@ -194,7 +197,7 @@
 	defer stop()
 	var group run.Group
 	for _, act := range []func(context.Context) error{
-		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.expire,
+		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.upkeep,
 	} {
 		group.Add(func() error { return act(work) }, func(error) { stop() })
 	}
@@ -263,8 +266,8 @@
 	}
 }
 
-func (e *Entry) expire(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
+func (e *Entry) upkeep(ctx context.Context) error {
+	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -272,6 +275,9 @@
 			return nil
 		case now := <-ticker.C:
 			e.pools.Expire(now)
+			for _, probe := range e.pools.Probes(now) {
+				go func() { probe.Done(time.Now(), e.reach.Reachable(ctx, probe.Address)) }()
+			}
 		}
 	}
 }
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"errors"
-	"net"
+	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
@@ -66,21 +64,20 @@
 	maxSuspects   = 4096
 	// refusedCrashes is the number of crashes after which a request is refused.
 	refusedCrashes = 2
-	// probeAfter is how long a crashed endpoint takes to refuse connections,
-	// and probeTimeout bounds the look.
-	probeAfter   = 20 * time.Millisecond
-	probeTimeout = 300 * time.Millisecond
+	// probeAfter is how long a crashed endpoint takes to refuse connections.
+	probeAfter = 20 * time.Millisecond
 )
 
 // suspects counts the endpoints that a request crashed.
 type suspects struct {
 	mu      sync.Mutex
 	crashes *expirable.LRU[uint64, int]
+	reach   *reach
 	log     *logrus.Entry
 }
 
-func newSuspects(log *logrus.Entry) *suspects {
-	return &suspects{crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), log: log}
+func newSuspects(reach *reach, log *logrus.Entry) *suspects {
+	return &suspects{crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), reach: reach, log: log}
 }
 
 // Refused implements [relay.Suspects].
@@ -96,12 +93,7 @@
 func (s *suspects) Crashed(fingerprint uint64, address string) {
 	go func() {
 		time.Sleep(probeAfter)
-		conn, err := net.DialTimeout("tcp", address, probeTimeout)
-		if err == nil {
-			conn.Close()
-			return
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if !s.reach.Reachable(context.Background(), address) {
 			s.count(fingerprint, address)
 		}
 	}()
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -92,7 +92,7 @@
 			ExposureShare:       0.1,
 			SessionGapMillis:    5000,
 		},
-		Routing: RoutingSettings{AcceptConfidence: []float64{0.65, 0.6, 0.5}, DialMillis: 300},
+		Routing: RoutingSettings{AcceptConfidence: []float64{0.65, 0.6, 0.5}, DialMillis: 150},
 	}
 }
 
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -45,7 +45,9 @@
 	known := p.members[record.ID]
 	switch {
 	case known == nil || known.record.Born < record.Born:
-		p.members[record.ID] = &member{record: record}
+		added := &member{record: record}
+		added.sign.Store(time.Now().UnixNano())
+		p.members[record.ID] = added
 		return true
 	case record.older(known.record):
 		return false
@@ -101,10 +103,12 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
-	candidates = p.separate(candidates, query)
+	candidates, long := p.separate(candidates, query)
 	chosen := p.prefer(candidates, query)
 	chosen.inFlight++
-	return &Lease{pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens}, true
+	return &Lease{
+		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, Long: long,
+	}, true
 }
 
 // candidates returns the endpoints that may run the request: those that are
@@ -242,3 +246,35 @@
 	}
 	line.Add(tokens, took)
 }
+
+// Probe is an endpoint that has to accept a connection before it gets requests
+// again.
+type Probe struct {
+	pool    *Pool
+	member  *member
+	Address string
+}
+
+// Probes returns the endpoints whose pause is over.
+func (p *Pool) Probes(now time.Time) []Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var probes []Probe
+	for _, m := range p.members {
+		if m.probing && !m.record.Leaving && !now.Before(m.pausedUntil) {
+			probes = append(probes, Probe{pool: p, member: m, Address: m.record.Address})
+		}
+	}
+	return probes
+}
+
+// Done takes in whether the endpoint accepted a connection.
+func (p Probe) Done(now time.Time, reachable bool) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	if reachable {
+		p.member.probing = false
+		return
+	}
+	p.member.broke(now)
+}
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -14,6 +14,8 @@
 	model  route.ModelName
 	tokens int
 	ended  bool
+	// Long tells that the prompt counts as long.
+	Long bool
 	// Endpoint is the registry's record at the time of the choice.
 	Endpoint Record
 }
@@ -38,6 +40,13 @@
 	Broken
 )
 
+// Sign notes that the endpoint sent something.
+func (l *Lease) Sign() { l.member.sign.Store(time.Now().UnixNano()) }
+
+// LastSign returns when the endpoint last sent something to this instance, at
+// first when it was listed.
+func (l *Lease) LastSign() time.Time { return time.Unix(0, l.member.sign.Load()) }
+
 // Reported takes in the load that the endpoint told with its answer.
 func (l *Lease) Reported(running, waiting int) {
 	l.pool.mu.Lock()
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // What an endpoint's outcomes do to its standing.
 const (
@@ -36,6 +39,11 @@
 	// pausedUntil and fullUntil end the times without new requests.
 	pausedUntil time.Time
 	fullUntil   time.Time
+	// probing tells that the endpoint is asked for a connection before it gets
+	// requests again.
+	probing bool
+	// sign is when the endpoint last sent something, in Unix nanoseconds.
+	sign atomic.Int64
 }
 
 // load estimates the requests at the endpoint now: its last report, moved by
@@ -60,6 +68,7 @@
 func (m *member) succeeded() {
 	m.streak = 0
 	m.pausedUntil = time.Time{}
+	m.probing = false
 	m.failing -= outcomeWeight * m.failing
 }
 
@@ -71,10 +80,11 @@
 	pause := min(longestPause, firstPause<<min(m.streak, 8))
 	m.streak++
 	m.pausedUntil = now.Add(pause)
+	m.probing = true
 }
 
 func (m *member) usable(now time.Time) bool {
-	return !m.record.Leaving && !now.Before(m.pausedUntil)
+	return !m.record.Leaving && !m.probing && !now.Before(m.pausedUntil)
 }
 
 func (m *member) full(now time.Time) bool { return now.Before(m.fullUntil) }
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -169,3 +169,14 @@
 	}
 	return count
 }
+
+// Probes returns the endpoints of all services whose pause is over.
+func (p *Pools) Probes(now time.Time) []Probe {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var probes []Probe
+	for _, service := range p.services {
+		probes = append(probes, service.Probes(now)...)
+	}
+	return probes
+}
--- a/node/pool/separate.go
+++ b/node/pool/separate.go
@@ -33,9 +33,9 @@
 // separate keeps long prompts on endpoints of their own, where they do not
 // stall the streams of others. All instances agree on these endpoints without
 // a word, by the order of a hash.
-func (p *Pool) separate(candidates []*member, query Query) []*member {
+func (p *Pool) separate(candidates []*member, query Query) (chosen []*member, long bool) {
 	if query.GapTarget <= 0 || len(candidates) < leastToSeparate {
-		return candidates
+		return candidates, false
 	}
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b *member) int {
@@ -45,18 +45,18 @@
 		return 1
 	})
 	reading := p.reading(query.Model, query.Tokens)
-	long := float64(reading) > longShare*float64(query.GapTarget)
+	long = float64(reading) > longShare*float64(query.GapTarget)
 	p.work.add(reading, long)
 	part := min(mostForLong, longReserve*p.work.longPart())
 	kept := max(1, int(math.Round(part*float64(len(ranked)))))
 	forLong, others := ranked[:kept], ranked[kept:]
 	if long {
-		return forLong
+		return forLong, true
 	}
 	if meanCost(others) > crowdedFactor*meanCost(forLong)+affinitySlack {
-		return candidates
+		return candidates, false
 	}
-	return others
+	return others, false
 }
 
 // workShares tells which part of the work long prompts make.
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/node/pool"
@@ -51,6 +52,10 @@
 	verdict verdict
 	// next is the model to ask after an answer of low confidence.
 	next route.ModelName
+	// heard is when the endpoint last sent something, in Unix nanoseconds, and
+	// streaming tells that the first event has come.
+	heard     atomic.Int64
+	streaming atomic.Bool
 	// crashed tells that the endpoint broke the connection.
 	crashed     bool
 	misdirected bool
@@ -67,15 +72,20 @@
 func (a *attempt) ran() bool { return a.verdict != verdictNotSent && a.verdict != verdictNotExecuted }
 
 func (a *attempt) do(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answer, err := a.run.relay.Endpoints.Send(ctx, a.call(), a.headerBy())
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if a.mayGoOnElsewhere() {
+		dog := a.watch(ctx, cancel)
+		defer dog.stop()
+	}
+	answer, err := a.run.relay.Endpoints.Send(ctx, a.call(), a.run.deadline)
 	if err != nil {
 		a.sendFailed(ctx, err)
 		return
 	}
 	defer answer.Body.Close()
 	a.answer = answer
+	a.hear()
 	if answer.HasLoad {
 		a.lease.Reported(answer.Running, answer.Waiting)
 	}
@@ -112,38 +122,48 @@
 	}
 }
 
-// headerBy is when a silent endpoint is given up: at the deadline if the
-// request must not be repeated.
-func (a *attempt) headerBy() time.Time {
-	r := a.run
-	found := r.permission.route
-	if !found.Repeatable() || r.runs+1 >= found.MaxAttempts {
-		return r.deadline
-	}
-	usual := r.relay.Pools.Service(r.service).FirstEvent(a.model, r.request.PromptTokens)
-	patience := max(leastPatience, usualFactor*usual, time.Duration(firstEventShare*float64(found.TargetLatency)))
-	by := a.started.Add(patience)
-	if by.After(r.deadline) {
-		return r.deadline
-	}
-	return by
+// mayGoOnElsewhere reports whether another endpoint may take the request over
+// if this one is silent.
+func (a *attempt) mayGoOnElsewhere() bool {
+	found := a.run.permission.route
+	return found.Repeatable() && a.run.runs+1 < found.MaxAttempts
+}
+
+// heardAt is when the endpoint last sent something, at first when it was
+// called.
+func (a *attempt) heardAt() time.Time { return time.Unix(0, a.heard.Load()) }
+
+// hear notes that the endpoint sent something.
+func (a *attempt) hear() {
+	a.heard.Store(time.Now().UnixNano())
+	a.lease.Sign()
 }
 
 func (a *attempt) sendFailed(ctx context.Context, err error) {
-	a.err = err
 	var failed *SendError
 	departed, silent := true, false
 	if errors.As(err, &failed) {
 		departed, silent = failed.Departed, failed.Silent
 	}
+	if !departed {
+		a.verdict, a.err = verdictNotSent, err
+		return
+	}
+	a.broke(ctx, err)
+	a.crashed = a.crashed && !silent
+}
+
+// broke sorts an answer that did not come, or not whole.
+func (a *attempt) broke(ctx context.Context, err error) {
+	a.verdict, a.err = verdictBroken, err
+	cause := context.Cause(ctx)
 	switch {
-	case !departed:
-		a.verdict = verdictNotSent
-	case errors.Is(ctx.Err(), context.Canceled):
+	case cause == nil:
+		a.crashed = !errors.Is(err, os.ErrDeadlineExceeded)
+	case errors.Is(cause, errUnreachable) || errors.Is(cause, errStuck):
+		a.err = cause
+	case errors.Is(cause, context.Canceled):
 		a.verdict = verdictClientGone
-	default:
-		a.verdict = verdictBroken
-		a.crashed = !silent && ctx.Err() == nil
 	}
 }
 
@@ -155,7 +175,7 @@
 		return false
 	}
 	plan := r.sizes(found.Models)
-	accept := r.relay.Tuning.accept(r.permission.priority)
+	accept := r.relay.pressures.accept(r.service, r.relay.Tuning.accept(r.permission.priority))
 	next, ok := sizes.Next(plan, slices.Index(found.Models, a.model), a.answer.Confidence, accept)
 	if !ok || r.runs+1 >= found.MaxAttempts || !r.pay() {
 		return false
@@ -212,20 +232,12 @@
 	a.observe(false)
 }
 
-// broke sorts a body that did not come whole.
-func (a *attempt) broke(ctx context.Context, err error) {
-	a.verdict, a.err = verdictBroken, err
-	a.crashed = ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
-	if errors.Is(ctx.Err(), context.Canceled) {
-		a.verdict = verdictClientGone
-	}
-}
-
 func (a *attempt) noteFirstEvent() {
 	if a.firstEvent > 0 {
 		return
 	}
 	a.firstEvent = time.Since(a.started)
+	a.streaming.Store(true)
 	a.lease.FirstEvent(a.firstEvent)
 }
 
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -18,14 +17,16 @@
 }
 
 // gate decides whether the request may run now. It is asked before each
-// attempt. Only a table that is known to be current denies: an older one may
-// lack a route or a key that was added since.
+// attempt, and by the newest table known. How old that may be counts at the
+// arrival of the request: one that was permitted when it came may go on at
+// another endpoint. Only a table that is known to be current denies: an older
+// one may lack a route or a key that was added since.
 func (r *Relay) gate(request *Request) (permission, *Refusal) {
 	table, provenAt := r.Tables.Table()
 	if table == nil {
 		return permission{}, &Refusal{Reason: NoConfig, NotRun: true, RetryAfter: defaultRetryAfter}
 	}
-	p := permission{table: table, age: boottime.Since(provenAt)}
+	p := permission{table: table, age: time.Duration(request.ReceivedBoot - provenAt)}
 	current := r.Tuning.ConfigMaxAge == 0 || p.age < r.Tuning.ConfigMaxAge
 	found, ok := table.Match(request.Host, request.Path)
 	if !ok {
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/policy/sizes"
 )
 
 // Tables gives the routing table in force.
@@ -115,16 +117,50 @@
 	Budgets   Budgets
 	Versions  Versions
 	Suspects  Suspects
+	Reach     Reach
 	Observer  Observer
 	Tuning    Tuning
 }
 
 // Relay serves requests. Its methods may be called from several goroutines.
-type Relay struct{ Config }
+type Relay struct {
+	Config
+	pressures pressures
+}
 
 // New returns a relay.
 func New(config Config) *Relay { return &Relay{Config: config} }
 
+// pressures holds the pressure on each service.
+type pressures struct {
+	mu       sync.Mutex
+	services map[route.ServiceName]*sizes.Pressure
+}
+
+func (p *pressures) of(service route.ServiceName) *sizes.Pressure {
+	if p.services == nil {
+		p.services = make(map[route.ServiceName]*sizes.Pressure)
+	}
+	found := p.services[service]
+	if found == nil {
+		found = &sizes.Pressure{}
+		p.services[service] = found
+	}
+	return found
+}
+
+func (p *pressures) add(service route.ServiceName, late bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(service).Add(late)
+}
+
+func (p *pressures) accept(service route.ServiceName, calm float64) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(service).Accept(calm)
+}
+
 // Serve runs a request to its end. The context ends when the client leaves.
 func (r *Relay) Serve(ctx context.Context, request *Request, client Client) {
 	run := &run{relay: r, request: request, client: client, draw: rand.Float64()}
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -25,6 +26,8 @@
 	// Key is the API key, empty if none was sent.
 	Key      string
 	Received time.Time
+	// ReceivedBoot is the same moment on the clock that counts suspensions.
+	ReceivedBoot boottime.Instant
 	// Patience is how long the client waits for the answer, 0 if it did not say.
 	Patience time.Duration
 	// Session joins the requests of one conversation; empty if there is none.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -133,7 +133,7 @@
 			return
 		}
 		r.arrivals++
-		attempt := &attempt{run: r, lease: lease, model: r.model, started: time.Now()}
+		attempt := r.newAttempt(lease)
 		attempt.do(ctx)
 		lease.End(time.Now(), attempt.result())
 		r.relay.Observer.Attempted(attempt.event())
@@ -143,6 +143,12 @@
 	}
 }
 
+func (r *run) newAttempt(lease *pool.Lease) *attempt {
+	a := &attempt{run: r, lease: lease, model: r.model, started: time.Now()}
+	a.heard.Store(a.started.UnixNano())
+	return a
+}
+
 // check asks whether the request may be sent now.
 func (r *run) check(ctx context.Context) *Refusal {
 	if ctx.Err() != nil || time.Until(r.deadline) < leastLeft {
@@ -200,7 +206,10 @@
 		r.mayHaveRun = true
 	}
 	switch a.verdict {
-	case verdictDelivered, verdictClientGone:
+	case verdictDelivered:
+		r.notePressure(a)
+		return false
+	case verdictClientGone:
 		return false
 	case verdictLowConfidence:
 		// The budget has been asked before the answer was dropped.
@@ -223,6 +232,17 @@
 	return true
 }
 
+// notePressure tells how late a stream was that a choice of models was made
+// for. Long prompts are late at any load, so they do not count.
+func (r *run) notePressure(a *attempt) {
+	found := r.permission.route
+	if !r.request.AnyModel || found.TargetLatency <= 0 || a.lease.Long {
+		return
+	}
+	first := a.started.Sub(r.request.Received) + a.firstEvent
+	r.relay.pressures.add(r.service, first > found.TargetLatency || a.longestGap > found.TargetGap)
+}
+
 // mayRepeat reports whether another run is allowed after one that may have
 // run.
 func (r *run) mayRepeat() bool {
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -22,12 +22,14 @@
 func (a *attempt) copyStream(ctx context.Context) {
 	pending := make([]byte, 0, streamBufferBytes)
 	for {
-		_ = a.answer.Body.SetReadDeadline(a.eventBy()) // a failure shows in the read
 		if len(pending) == cap(pending) {
 			pending = append(pending, 0)[:len(pending)]
 		}
 		n, err := a.answer.Body.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
+		if n > 0 {
+			a.hear()
+		}
 		if whole := wholeEvents(pending); whole > 0 {
 			if !a.pass(pending[:whole]) {
 				return
@@ -45,23 +47,6 @@
 	}
 }
 
-// eventBy is when a silent stream is given up for another endpoint.
-func (a *attempt) eventBy() time.Time {
-	r := a.run
-	found := r.permission.route
-	if !found.Repeatable() || r.runs+1 >= found.MaxAttempts {
-		return r.deadline
-	}
-	if a.firstEvent == 0 {
-		return a.headerBy()
-	}
-	by := time.Now().Add(max(leastPatience, time.Duration(gapShare*float64(found.TargetGap))))
-	if by.After(r.deadline) {
-		return r.deadline
-	}
-	return by
-}
-
 // pass gives whole events to the client.
 func (a *attempt) pass(events []byte) bool {
 	a.noteFirstEvent()
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -23,17 +23,8 @@
 }
 
 const (
-	// firstEventShare is the part of the latency objective after which a silent
-	// endpoint is given up for another, if the request may be repeated.
-	firstEventShare = 0.75
-	// usualFactor is how many times the usual time a first event may take
-	// before its endpoint is given up.
-	usualFactor = 4
-	// leastPatience is the least time that an endpoint gets for a first event.
+	// leastPatience is the least time that a silent endpoint gets.
 	leastPatience = 400 * time.Millisecond
-	// gapShare is how many times the greatest pause between events after which a
-	// silent endpoint is given up for another.
-	gapShare = 1.5
 	// defaultRetryAfter is when to come back if nothing better is known.
 	defaultRetryAfter = 500 * time.Millisecond
 	// leastLeft is the time left below which no attempt is worth starting.
