--- a/node/cluster/handler.go
+++ b/node/cluster/handler.go
@@ -30,6 +30,7 @@
 
 // Handler answers the peer protocol.
 type Handler struct {
+	peerpb.DRPCPeerUnimplementedServer
 	Cluster  *Cluster
 	Records  Records
 	Copies   Copies
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -18,12 +18,15 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/cluster"
+	"github.com/wigeonusher/wigeonusher/node/notices"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/node/tailer"
 	"github.com/wigeonusher/wigeonusher/node/versions"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
 	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/wire/peer"
 )
 
 // Topics names the topics of the platform's log.
@@ -98,6 +101,12 @@
 	provenAt atomic.Int64
 	pools    *pool.Pools
 	reach    *reach
+	suspects *suspects
+
+	cluster    *cluster.Cluster
+	peerClient *peer.Client
+	notices    *notices.Notices
+
 	versions *versions.Versions
 	observer *observer
 	relay    *relay.Relay
@@ -112,17 +121,20 @@
 	e.pools = pool.New(settings.Zone, log)
 	e.reach = newReach()
 	e.observer = newObserver(log)
+	e.newPeers()
+	e.suspects = newSuspects(e.reach, e.notices, log)
+	e.pools.OnLongRead(e.notices.LongRead)
 	e.versions = versions.New(canary.Tuning{
 		Share:      canaryPart * settings.Bounds.ExposureShare,
 		SessionGap: millis(settings.Bounds.SessionGapMillis),
-	}, e.pools, e, log)
+	}, versions.Config{Pools: e.pools, Writer: e, Sessions: e.notices, Logger: log})
 	e.relay = relay.New(relay.Config{
 		Tables:    e,
 		Pools:     e.pools,
 		Endpoints: platform.Endpoints(),
 		Budgets:   newBudgets(settings.Bounds),
 		Versions:  e.versions,
-		Suspects:  newSuspects(e.reach, log),
+		Suspects:  e.suspects,
 		Reach:     e.reach,
 		Observer:  e.observer,
 		Tuning: relay.Tuning{
@@ -193,11 +205,19 @@
 		health.Close()
 		return eris.Wrap(err, "entry: listen for clients")
 	}
+	peers, err := net.Listen("tcp", e.settings.PeerAddress)
+	if err != nil {
+		health.Close()
+		clients.Close()
+		return eris.Wrap(err, "entry: listen for peers")
+	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group run.Group
 	for _, act := range []func(context.Context) error{
 		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.upkeep,
+		e.cluster.Run, e.notices.Run,
+		func(ctx context.Context) error { return e.servePeers(ctx, peers) },
 	} {
 		group.Add(func() error { return act(work) }, func(error) { stop() })
 	}
@@ -208,6 +228,9 @@
 	group.Add(func() error { return e.awaitStop(ctx, work) }, func(error) { stop() })
 	e.log.WithFields(logrus.Fields{"clients": e.settings.ClientAddress, "health": e.settings.HealthAddress, "zone": e.settings.Zone}).Info("instance starts")
 	err = group.Run()
+	if closed := e.peerClient.Close(); closed != nil {
+		e.log.WithError(closed).Debug("connections to peers not closed")
+	}
 	e.log.Info("instance stopped")
 	return err
 }
@@ -264,6 +287,7 @@
 	if err := e.clients.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("requests are cut off at the end of the grace period")
 	}
+	e.cluster.Leave(ctx)
 }
 
 func (e *Entry) upkeep(ctx context.Context) error {
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -43,7 +43,7 @@
 		o.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_first_event_seconds{service=%q,model=%q}`, event.Service, event.Model)).Update(event.FirstEvent.Seconds())
 	}
 	fields := logrus.Fields{
-		"request": event.RequestID, "arrival": event.Number, "service": event.Service, "endpoint": event.Endpoint,
+		"request": event.RequestID, "session": event.Session, "arrival": event.Number, "service": event.Service, "endpoint": event.Endpoint,
 		"version": event.Version, "model": event.Model, "revision": event.Revision, "verdict": event.Verdict,
 		"status": event.Status, "confidence": event.Confidence, "events": event.Events,
 		"took_ms": event.Took.Milliseconds(), "first_event_ms": event.FirstEvent.Milliseconds(),
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -10,6 +10,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/node/notices"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -73,11 +74,14 @@
 	mu      sync.Mutex
 	crashes *expirable.LRU[uint64, int]
 	reach   *reach
+	notices *notices.Notices
 	log     *logrus.Entry
 }
 
-func newSuspects(reach *reach, log *logrus.Entry) *suspects {
-	return &suspects{crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), reach: reach, log: log}
+func newSuspects(reach *reach, notices *notices.Notices, log *logrus.Entry) *suspects {
+	return &suspects{
+		crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), reach: reach, notices: notices, log: log,
+	}
 }
 
 // Refused implements [relay.Suspects].
@@ -100,11 +104,18 @@
 }
 
 func (s *suspects) count(fingerprint uint64, address string) {
+	crashes := s.add(fingerprint)
+	s.notices.Crashed(fingerprint)
+	s.log.WithFields(logrus.Fields{
+		"fingerprint": fingerprint, "address": address, "crashes": crashes, "refused": crashes >= refusedCrashes,
+	}).Warn("endpoint crashed while it ran a request")
+}
+
+// add counts a crash that this instance or a peer saw.
+func (s *suspects) add(fingerprint uint64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	crashes, _ := s.crashes.Peek(fingerprint)
 	s.crashes.Add(fingerprint, crashes+1)
-	s.log.WithFields(logrus.Fields{
-		"fingerprint": fingerprint, "address": address, "crashes": crashes + 1, "refused": crashes+1 >= refusedCrashes,
-	}).Warn("endpoint crashed while it ran a request")
+	return crashes + 1
 }
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -28,6 +28,10 @@
 	// and status.
 	ClientAddress string `json:"client_address"`
 	HealthAddress string `json:"health_address"`
+	// PeerAddress serves the other instances; Seeds are such addresses of
+	// some of them.
+	PeerAddress string   `json:"peer_address"`
+	Seeds       []string `json:"seeds"`
 	// StoreAddress is the platform's store.
 	StoreAddress string          `json:"store_address"`
 	Limits       ProcessLimits   `json:"limits"`
@@ -157,6 +161,7 @@
 		"/client_address": s.ClientAddress,
 		"/health_address": s.HealthAddress,
 		"/store_address":  s.StoreAddress,
+		"/peer_address":   s.PeerAddress,
 	} {
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			findings.Add(place, "not an IP number with a port: "+strconv.Quote(address), "for example 10.1.0.40:8227")
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -28,6 +28,8 @@
 	// firstEvents tells how long first events take, by model.
 	firstEvents map[route.ModelName]*latency.Line
 	work        workShares
+	// onLongRead is told of each long prompt that is sent to an endpoint.
+	onLongRead func(endpoint platform.EndpointID, expected time.Duration)
 }
 
 func newPool(zone platform.Zone) *Pool {
@@ -105,6 +107,12 @@
 	}
 	candidates, long := p.separate(candidates, query)
 	chosen := p.prefer(candidates, query)
+	if long {
+		chosen = leastReading(now, candidates)
+		expected := p.reading(query.Model, query.Tokens)
+		chosen.read(now, expected)
+		p.onLongRead(chosen.record.ID, expected)
+	}
 	chosen.inFlight++
 	return &Lease{
 		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, Long: long,
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -39,6 +39,9 @@
 	// pausedUntil and fullUntil end the times without new requests.
 	pausedUntil time.Time
 	fullUntil   time.Time
+	// readingUntil is when the endpoint is through with the long prompts that
+	// are known.
+	readingUntil time.Time
 	// probing tells that the endpoint is asked for a connection before it gets
 	// requests again.
 	probing bool
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -55,6 +55,13 @@
 	graceUntil time.Time
 	missing    map[platform.EndpointID]struct{}
 	listed     bool
+	onLongRead func(service, endpoint string, expected time.Duration)
+}
+
+// OnLongRead names a function that is told of each long prompt that this
+// instance sends to an endpoint. It must be called before the first request.
+func (p *Pools) OnLongRead(tell func(service, endpoint string, expected time.Duration)) {
+	p.onLongRead = tell
 }
 
 // New returns pools without endpoints. zone is this instance's.
@@ -86,6 +93,11 @@
 		return found
 	}
 	created := newPool(p.zone)
+	created.onLongRead = func(endpoint platform.EndpointID, expected time.Duration) {
+		if p.onLongRead != nil {
+			p.onLongRead(string(name), string(endpoint), expected)
+		}
+	}
 	p.services[name] = created
 	return created
 }
--- a/node/pool/separate.go
+++ b/node/pool/separate.go
@@ -1,11 +1,14 @@
 package pool
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
 const (
@@ -87,3 +90,33 @@
 	}
 	return total / float64(max(1, len(members)))
 }
+
+// read notes that the endpoint begins to read a long prompt, after those that
+// it reads already.
+func (m *member) read(now time.Time, expected time.Duration) {
+	if m.readingUntil.Before(now) {
+		m.readingUntil = now
+	}
+	m.readingUntil = m.readingUntil.Add(expected)
+}
+
+// leastReading returns the endpoint that is through with its long prompts
+// first.
+func leastReading(now time.Time, candidates []*member) *member {
+	return slices.MinFunc(candidates, func(a, b *member) int {
+		waitA, waitB := max(0, a.readingUntil.Sub(now)), max(0, b.readingUntil.Sub(now))
+		if waitA != waitB {
+			return cmp.Compare(waitA, waitB)
+		}
+		return cmp.Compare(a.cost(), b.cost())
+	})
+}
+
+// LongRead takes in that an endpoint reads a long prompt of a peer.
+func (p *Pool) LongRead(now time.Time, id platform.EndpointID, expected time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[id]; m != nil {
+		m.read(now, expected)
+	}
+}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -271,6 +271,7 @@
 func (a *attempt) event() *AttemptEvent {
 	event := &AttemptEvent{
 		RequestID:  a.run.request.ID,
+		Session:    a.run.request.Session,
 		Number:     a.run.arrivals,
 		Service:    a.run.service,
 		Endpoint:   string(a.lease.Endpoint.ID),
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -50,8 +50,8 @@
 
 type anyVersion struct{}
 
-func (anyVersion) Choose(route.ServiceName, string, string) Choice   { return Choice{} }
-func (anyVersion) Observe(route.ServiceName, string, VersionOutcome) {}
+func (anyVersion) Choose(context.Context, route.ServiceName, string, string) Choice { return Choice{} }
+func (anyVersion) Observe(route.ServiceName, string, VersionOutcome)                {}
 
 // dark endpoints cannot be reached.
 type dark struct{ addresses map[string]bool }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -33,7 +33,7 @@
 // Versions decides which versions of a service may run a request.
 type Versions interface {
 	// Choose returns the versions for a request of a session.
-	Choose(service route.ServiceName, session, requestID string) Choice
+	Choose(ctx context.Context, service route.ServiceName, session, requestID string) Choice
 	// Observe takes in how a version answered.
 	Observe(service route.ServiceName, version string, outcome VersionOutcome)
 }
@@ -75,6 +75,7 @@
 // AttemptEvent describes one attempt at one endpoint.
 type AttemptEvent struct {
 	RequestID  string
+	Session    string
 	Number     int
 	Service    route.ServiceName
 	Endpoint   string
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -60,7 +60,7 @@
 		r.refuse(&Refusal{Reason: CrashSuspect, NotRun: true})
 		return
 	}
-	if !r.settle() {
+	if !r.settle(ctx) {
 		r.refuse(&Refusal{Reason: NoEndpoint, NotRun: true, RetryAfter: defaultRetryAfter})
 		return
 	}
@@ -70,7 +70,7 @@
 }
 
 // settle fixes what stays the same over all attempts of the request.
-func (r *run) settle() bool {
+func (r *run) settle(ctx context.Context) bool {
 	found := r.permission.route
 	r.deadline = r.request.Received.Add(found.Timeout)
 	if r.request.Patience > 0 && r.request.Patience < found.Timeout {
@@ -80,7 +80,7 @@
 	if !ok {
 		return false
 	}
-	r.enter(service)
+	r.enter(ctx, service)
 	r.lastEvent = r.request.ResumeAfter
 	if r.request.AnyModel && len(found.Models) > 0 {
 		r.model = r.firstModel(found.Models)
@@ -113,11 +113,11 @@
 }
 
 // enter makes a service the one that runs the request.
-func (r *run) enter(service route.ServiceName) {
+func (r *run) enter(ctx context.Context, service route.ServiceName) {
 	r.service = service
 	r.budget = r.relay.Budgets.Service(service)
 	r.budget.Deposit()
-	r.versions = r.relay.Versions.Choose(service, r.request.Session, r.request.ID)
+	r.versions = r.relay.Versions.Choose(ctx, service, r.request.Session, r.request.ID)
 }
 
 // attempts tries until the request has its final answer.
@@ -166,7 +166,7 @@
 	if !ok {
 		return &Refusal{Reason: NoEndpoint, RetryAfter: defaultRetryAfter}
 	}
-	r.enter(service)
+	r.enter(ctx, service)
 	return nil
 }
 
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -15,10 +15,11 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
-	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
 	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
 const (
@@ -37,14 +38,29 @@
 	Propose(ctx context.Context, at keyed.Offset, status canary.Status) error
 }
 
+// Sessions asks the peers for sessions.
+type Sessions interface {
+	// AskSession returns on which side of a roll-out a session runs, if a peer
+	// knows it.
+	AskSession(ctx context.Context, service, session string) (onTarget, known bool)
+}
+
+// Config lists the parts that roll-outs use.
+type Config struct {
+	Pools    relay.Pools
+	Writer   Writer
+	Sessions Sessions
+	Logger   *logrus.Entry
+}
+
 // Versions holds the roll-outs. Its methods may be called from several
 // goroutines.
 type Versions struct {
 	tuning Tuning
 	writer Writer
 	pools  relay.Pools
+	asked  Sessions
 	log    *logrus.Entry
-	begun  boottime.Instant
 
 	mu       sync.Mutex
 	services map[route.ServiceName]*service
@@ -71,13 +87,13 @@
 }
 
 // New returns versions without a roll-out.
-func New(tuning Tuning, pools relay.Pools, writer Writer, log *logrus.Entry) *Versions {
+func New(tuning Tuning, config Config) *Versions {
 	return &Versions{
 		tuning:   tuning,
-		writer:   writer,
-		pools:    pools,
-		log:      log,
-		begun:    boottime.Now(),
+		writer:   config.Writer,
+		pools:    config.Pools,
+		asked:    config.Sessions,
+		log:      config.Logger,
 		services: make(map[route.ServiceName]*service),
 		statuses: make(map[route.ServiceName]canary.Status),
 	}
@@ -129,23 +145,23 @@
 		before := s.rollout.Phase
 		s.rollout.Agreed(status)
 		if before != s.rollout.Phase {
-			answers, bad := s.rollout.Evidence()
+			all := s.rollout.All()
 			v.log.WithFields(logrus.Fields{
 				"service": status.Service, "target": status.Target, "phase": s.rollout.Phase.String(),
-				"answers": answers, "bad": bad,
+				"answers": all.Candidate(), "bad": all.CandidateBad, "incumbent_answers": all.Incumbent(), "incumbent_bad": all.IncumbentBad,
 			}).Info("roll-out phase agreed")
 		}
 	}
 }
 
 // Choose implements [relay.Versions].
-func (v *Versions) Choose(name route.ServiceName, session, requestID string) relay.Choice {
+func (v *Versions) Choose(ctx context.Context, name route.ServiceName, session, requestID string) relay.Choice {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
 	onTarget := false
 	if s.rollout != nil {
-		onTarget = v.onTarget(s, session, requestID)
+		onTarget = v.onTarget(ctx, s, session, requestID)
 	}
 	if session != "" {
 		s.sessions.Add(session, sessionState{onTarget: onTarget, lastSeen: now()})
@@ -161,7 +177,9 @@
 	return choice
 }
 
-func (v *Versions) onTarget(s *service, session, requestID string) bool {
+// onTarget reports whether a request runs on the new version. It gives up the
+// lock while it asks the peers.
+func (v *Versions) onTarget(ctx context.Context, s *service, session, requestID string) bool {
 	switch s.rollout.Phase {
 	case canary.Full, canary.Completed:
 		return true
@@ -172,15 +190,77 @@
 	if session == "" {
 		return s.rollout.Chosen(requestID)
 	}
-	if known, ok := s.sessions.Get(session); ok && now()-known.lastSeen < v.tuning.SessionGap {
-		return known.onTarget
+	if onTarget, known := v.running(s, session); known {
+		return onTarget
 	}
-	if boottime.Since(v.begun) < v.tuning.SessionGap {
-		// Sessions that began on the old version before this instance are not
-		// known yet.
+	if !s.rollout.Chosen(session) {
 		return false
 	}
-	return s.rollout.Chosen(session)
+	// It may have begun on the old version at another instance.
+	order := s.rollout.Order
+	v.mu.Unlock()
+	onTarget, known := v.asked.AskSession(ctx, string(order.Service), session)
+	v.mu.Lock()
+	return onTarget || !known
+}
+
+// running returns on which side a session runs that this instance has seen
+// lately.
+func (v *Versions) running(s *service, session string) (onTarget, known bool) {
+	state, ok := s.sessions.Get(session)
+	if !ok || now()-state.lastSeen >= v.tuning.SessionGap {
+		return false, false
+	}
+	return state.onTarget, true
+}
+
+// SessionVersion tells a peer on which side a session runs.
+func (v *Versions) SessionVersion(name route.ServiceName, session string) (onTarget, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[name]
+	if s == nil {
+		return false, false
+	}
+	return v.running(s, session)
+}
+
+// OwnEvidence returns what this instance saw of the roll-outs under way.
+func (v *Versions) OwnEvidence() []*peerpb.VersionEvidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var evidence []*peerpb.VersionEvidence
+	for name, s := range v.services {
+		if s.rollout == nil || s.rollout.Phase.Over() {
+			continue
+		}
+		own := s.rollout.Own()
+		evidence = append(evidence, &peerpb.VersionEvidence{
+			Service:       string(name),
+			Target:        s.rollout.Order.Target,
+			CandidateGood: uint32(own.CandidateGood),
+			CandidateBad:  uint32(own.CandidateBad),
+			IncumbentGood: uint32(own.IncumbentGood),
+			IncumbentBad:  uint32(own.IncumbentBad),
+		})
+	}
+	return evidence
+}
+
+// PeerEvidence takes in what a peer saw of a roll-out.
+func (v *Versions) PeerEvidence(instance string, evidence *peerpb.VersionEvidence) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[route.ServiceName(evidence.Service)]
+	if s == nil || s.rollout == nil || s.rollout.Order.Target != evidence.Target {
+		return
+	}
+	s.rollout.Peer(instance, rollout.Evidence{
+		CandidateGood: int(evidence.CandidateGood),
+		CandidateBad:  int(evidence.CandidateBad),
+		IncumbentGood: int(evidence.IncumbentGood),
+		IncumbentBad:  int(evidence.IncumbentBad),
+	})
 }
 
 // Observe implements [relay.Versions].
@@ -268,5 +348,3 @@
 	}
 	entry.Info("roll-out phase proposed")
 }
-
-var _ relay.Pools = (*pool.Pools)(nil)
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -99,17 +99,18 @@
 	// seen is when this instance first saw the order.
 	seen time.Duration
 
-	test       *rollout.Test
-	block      rollout.Evidence
-	bad        int
-	candidates int
+	test  *rollout.Test
+	block rollout.Evidence
+	// own is what this instance saw, peers what each peer told, all the sum.
+	own, all   rollout.Evidence
+	peers      map[string]rollout.Evidence
 	verdictBad bool
 }
 
 // New returns a roll-out whose order was seen at a moment of the caller's
 // clock.
 func New(order Order, tuning Tuning, seen time.Duration) *Rollout {
-	return &Rollout{Order: order, tuning: tuning, seen: seen, test: rollout.NewTest()}
+	return &Rollout{Order: order, tuning: tuning, seen: seen, test: rollout.NewTest(), peers: make(map[string]rollout.Evidence)}
 }
 
 // Agreed takes in the phase that the log holds.
@@ -143,36 +144,64 @@
 	return a.Usual > 0 && a.FirstEvent > slowFloor && a.FirstEvent > slowFactor*a.Usual
 }
 
-// Observe takes in an answer.
+// Observe takes in an answer that this instance saw.
 func (r *Rollout) Observe(answer Answer) {
+	var seen rollout.Evidence
 	candidate := answer.Version == r.Order.Target
 	switch bad := answer.bad(); {
 	case candidate && bad:
-		r.block.CandidateBad++
-		r.bad++
+		seen.CandidateBad++
 	case candidate:
-		r.block.CandidateGood++
+		seen.CandidateGood++
 	case bad:
-		r.block.IncumbentBad++
+		seen.IncumbentBad++
 	default:
-		r.block.IncumbentGood++
+		seen.IncumbentGood++
 	}
-	if candidate {
-		r.candidates++
+	r.own = add(r.own, seen)
+	r.take(seen)
+}
+
+// Peer takes in the counts of another instance, which only grow.
+func (r *Rollout) Peer(instance string, counts rollout.Evidence) {
+	known := r.peers[instance]
+	news := rollout.Evidence{
+		CandidateGood: max(0, counts.CandidateGood-known.CandidateGood),
+		CandidateBad:  max(0, counts.CandidateBad-known.CandidateBad),
+		IncumbentGood: max(0, counts.IncumbentGood-known.IncumbentGood),
+		IncumbentBad:  max(0, counts.IncumbentBad-known.IncumbentBad),
 	}
+	r.peers[instance] = add(known, news)
+	r.take(news)
+}
+
+func add(a, b rollout.Evidence) rollout.Evidence {
+	a.CandidateGood += b.CandidateGood
+	a.CandidateBad += b.CandidateBad
+	a.IncumbentGood += b.IncumbentGood
+	a.IncumbentBad += b.IncumbentBad
+	return a
+}
+
+// take gathers evidence until both versions have answers, and judges it.
+func (r *Rollout) take(news rollout.Evidence) {
+	r.block = add(r.block, news)
+	r.all = add(r.all, news)
 	if r.block.Candidate() == 0 || r.block.Incumbent() == 0 {
 		return
 	}
 	r.test.Observe(r.block)
 	r.block = rollout.Evidence{}
-	if r.bad >= leastBad && r.test.LogE() > badLogE {
+	if r.all.CandidateBad >= leastBad && r.test.LogE() > badLogE {
 		r.verdictBad = true
 	}
 }
 
-// Evidence returns the answers of the new version that this instance saw, and
-// how many of them were bad.
-func (r *Rollout) Evidence() (answers, bad int) { return r.candidates, r.bad }
+// Own returns the answers that this instance saw.
+func (r *Rollout) Own() rollout.Evidence { return r.own }
+
+// All returns the answers that this instance and its peers saw.
+func (r *Rollout) All() rollout.Evidence { return r.all }
 
 // Next returns the phase that this instance proposes now. available tells
 // whether endpoints of the new version take requests.
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -103,6 +103,21 @@
 	})
 }
 
+// Tell passes on what this instance saw.
+func (c *Client) Tell(ctx context.Context, address string, notice *peerpb.Notice) error {
+	_, err := call(ctx, c, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.NoticeReply, error) {
+		return peer.Tell(ctx, notice)
+	})
+	return err
+}
+
+// SessionVersion asks the peer on which side of a roll-out a session runs.
+func (c *Client) SessionVersion(ctx context.Context, address string, request *peerpb.SessionVersionRequest) (*peerpb.SessionVersionReply, error) {
+	return call(ctx, c, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.SessionVersionReply, error) {
+		return peer.SessionVersion(ctx, request)
+	})
+}
+
 // call runs one call on a pooled connection under the call timeout. A
 // cancelled call closes its connection.
 func call[T any](ctx context.Context, c *Client, address string, run func(context.Context, peerpb.DRPCPeerClient) (T, error)) (T, error) {
