--- a/node/pool/separate.go
+++ b/node/pool/separate.go
@@ -19,7 +19,7 @@
 	// longReserve is how much more than their part of the work the endpoints
 	// for long prompts may take, and mostForLong the greatest part of all
 	// endpoints.
-	longReserve = 1.4
+	longReserve = 2.0
 	mostForLong = 0.5
 	// otherWork stands for the work on a request besides reading its prompt.
 	otherWork = 200 * time.Millisecond
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -28,6 +28,8 @@
 	service     route.ServiceName
 	budget      *retry.Budget
 	versions    Choice
+	// version is the one that the first attempt ran on.
+	version string
 	// model is the model planned for the next attempt.
 	model route.ModelName
 
@@ -144,6 +146,9 @@
 }
 
 func (r *run) newAttempt(lease *pool.Lease) *attempt {
+	if r.version == "" {
+		r.version = lease.Endpoint.Version
+	}
 	a := &attempt{run: r, lease: lease, model: r.model, started: time.Now()}
 	a.heard.Store(a.started.UnixNano())
 	return a
@@ -160,6 +165,10 @@
 	}
 	r.permission = permission
 	if permission.route.Allows(r.service) {
+		if r.version != "" {
+			// A roll-out may have gone on since the last attempt.
+			r.versions = r.relay.Versions.Choose(ctx, r.service, r.request.Session, r.request.ID)
+		}
 		return nil
 	}
 	service, ok := permission.route.Pick(r.draw)
@@ -182,8 +191,12 @@
 	}
 	endpoints := r.relay.Pools.Service(r.service)
 	now := time.Now()
+	versions := []func(string) bool{r.versions.Meant, r.versions.Allowed}
+	if r.version != "" {
+		versions = append([]func(string) bool{r.sameVersion}, versions...)
+	}
 	for _, avoid := range [][]platform.EndpointID{r.avoid, nil} {
-		for _, allowed := range []func(string) bool{r.versions.Meant, r.versions.Allowed} {
+		for _, allowed := range versions {
 			query.Avoid, query.Version = avoid, allowed
 			if lease, ok := endpoints.Choose(now, query); ok {
 				return lease, true
@@ -193,6 +206,12 @@
 	return nil, false
 }
 
+// sameVersion reports whether a version is the one that the request began on,
+// if that may still run it.
+func (r *run) sameVersion(version string) bool {
+	return version == r.version && (r.versions.Allowed == nil || r.versions.Allowed(version))
+}
+
 // pay takes what another arrival costs from the retry budget.
 func (r *run) pay() bool {
 	return r.arrivals < maxArrivals && r.budget.Withdraw(time.Now())
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -23,6 +23,9 @@
 )
 
 const (
+	// longestRequest is how long a request of a session may run: the pause
+	// between two of them begins at its end.
+	longestRequest = time.Minute
 	// maxSessions bounds the sessions remembered of one service.
 	maxSessions = 20_000
 	// proposeSpread is the time over which the instances spread a proposal, so
@@ -205,10 +208,10 @@
 }
 
 // running returns on which side a session runs that this instance has seen
-// lately.
+// lately, so that one of its requests may still run.
 func (v *Versions) running(s *service, session string) (onTarget, known bool) {
 	state, ok := s.sessions.Get(session)
-	if !ok || now()-state.lastSeen >= v.tuning.SessionGap {
+	if !ok || now()-state.lastSeen >= v.tuning.SessionGap+longestRequest {
 		return false, false
 	}
 	return state.onTarget, true
