--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -21,8 +21,11 @@
 	retryPart = 0.95
 	// slackInstances is among how many instances the fleet's slack is divided.
 	slackInstances = 12
-	// leastSlack lets an instance save up for three retries.
-	leastSlack = 3
+	// leastSlack lets an instance save up for two retries.
+	leastSlack = 2
+	// overdraftPart is the part of an instance's slack that is kept for streams
+	// that broke off midway.
+	overdraftPart = 0.5
 )
 
 // budgets holds the retry budget of each service. A retry ratio of its own
@@ -36,11 +39,13 @@
 }
 
 func newBudgets(bounds Bounds) *budgets {
+	slack := bounds.RetrySlack / slackInstances
 	return &budgets{
 		config: retry.BudgetConfig{
 			Ratio:          retryPart * bounds.RetryRatio,
 			FloorPerSecond: -1,
-			Cap:            max(leastSlack, bounds.RetrySlack/slackInstances),
+			Cap:            max(leastSlack, (1-overdraftPart)*slack),
+			Overdraft:      overdraftPart * slack,
 		},
 		services: make(map[route.ServiceName]*retry.Budget),
 	}
--- a/node/entry/reach.go
+++ b/node/entry/reach.go
@@ -14,7 +14,7 @@
 	// reached: much more than a way through the farthest zone.
 	reachTimeout = 150 * time.Millisecond
 	// reachMemory is how long an outcome serves further questions.
-	reachMemory = 200 * time.Millisecond
+	reachMemory = 50 * time.Millisecond
 )
 
 // reach finds out whether endpoints accept connections.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -212,9 +212,16 @@
 	return version == r.version && (r.versions.Allowed == nil || r.versions.Allowed(version))
 }
 
-// pay takes what another arrival costs from the retry budget.
+// pay takes what another arrival costs from the retry budget. A stream that
+// the client has a part of may overdraw it.
 func (r *run) pay() bool {
-	return r.arrivals < maxArrivals && r.budget.Withdraw(time.Now())
+	if r.arrivals >= maxArrivals {
+		return false
+	}
+	if r.begun {
+		return r.budget.WithdrawUrgent(time.Now())
+	}
+	return r.budget.Withdraw(time.Now())
 }
 
 // next decides what follows an attempt. It reports false if the request has
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
 // Reach tells whether endpoints can be reached.
@@ -31,6 +34,10 @@
 	stuckGaps    = 3
 	// stuckUsual is how many times the usual time a first event may take.
 	stuckUsual = 6
+	// missedProbes is how many probes in a row must miss an endpoint: one may be
+	// lost on the way. probePause lies between them.
+	missedProbes = 2
+	probePause   = 60 * time.Millisecond
 	// lifeless is the time without any answer to this instance from which on an
 	// endpoint is given up at the half of these times.
 	lifeless = time.Second
@@ -42,18 +49,33 @@
 type watchdog struct {
 	attempt *attempt
 	cancel  context.CancelCauseFunc
-	quiet   time.Duration
-	timer   *time.Timer
+	// What follows is as it was when the attempt began: the request goes on
+	// beside the watchdog's last look.
+	reach  Reach
+	route  *route.Route
+	budget *retry.Budget
+	// usual is the usual time to the first event.
+	usual time.Duration
+	quiet time.Duration
+	timer *time.Timer
+	// missed counts the probes in a row that did not reach the endpoint.
+	missed int
 }
 
 // watch begins to watch the attempt. The caller stops it.
 func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
-	quiet := quietBeforeProbe
-	if target := a.run.permission.route.TargetLatency; target > 0 {
-		quiet = min(quiet, time.Duration(quietPart*float64(target)))
+	r := a.run
+	w := &watchdog{
+		attempt: a, cancel: cancel, reach: r.relay.Reach, route: r.permission.route, budget: r.budget,
+		usual: r.relay.Pools.Service(r.service).FirstEvent(a.model, r.request.PromptTokens),
+		quiet: quietBeforeProbe,
+	}
+	if target := w.route.TargetLatency; target > 0 {
+		w.quiet = min(w.quiet, time.Duration(quietPart*float64(target)))
 	}
-	w := &watchdog{attempt: a, cancel: cancel, quiet: quiet}
-	w.timer = time.AfterFunc(quiet, func() { w.look(ctx) })
+	// The timer is in its place before it can fire.
+	w.timer = time.AfterFunc(time.Hour, func() { w.look(ctx) })
+	w.timer.Reset(w.quiet)
 	return w
 }
 
@@ -64,35 +86,50 @@
 	if ctx.Err() != nil {
 		return
 	}
-	silence := time.Since(w.attempt.heardAt())
+	heard := w.attempt.heardAt()
+	silence := time.Since(heard)
 	if silence < w.quiet {
 		w.timer.Reset(w.quiet - silence)
 		return
 	}
+	if !w.affordable() {
+		// Nothing could follow: a silent endpoint is the better hope.
+		w.timer.Reset(w.quiet)
+		return
+	}
 	if silence > w.patience() {
 		w.cancel(errStuck)
 		return
 	}
-	before := w.attempt.heardAt()
-	if !w.attempt.run.relay.Reach.Reachable(ctx, w.attempt.lease.Endpoint.Address) && before.Equal(w.attempt.heardAt()) {
+	reached := w.reach.Reachable(ctx, w.attempt.lease.Endpoint.Address)
+	if reached || !heard.Equal(w.attempt.heardAt()) {
+		w.missed = 0
+		w.timer.Reset(w.quiet)
+		return
+	}
+	w.missed++
+	if w.missed >= missedProbes {
 		w.cancel(errUnreachable)
 		return
 	}
-	w.timer.Reset(w.quiet)
+	w.timer.Reset(probePause)
+}
+
+// affordable reports whether the retry budget lets another attempt follow.
+func (w *watchdog) affordable() bool {
+	if w.attempt.streaming.Load() {
+		return w.budget.Urgent(time.Now())
+	}
+	return w.budget.Available(time.Now()) >= 1
 }
 
 // patience is the longest silence of an endpoint that can be reached.
 func (w *watchdog) patience() time.Duration {
-	a := w.attempt
-	found := a.run.permission.route
-	patience := stuckTargets * found.TargetLatency
-	if a.streaming.Load() {
-		patience = stuckGaps * found.TargetGap
-	} else {
-		usual := a.run.relay.Pools.Service(a.run.service).FirstEvent(a.model, a.run.request.PromptTokens)
-		patience = max(patience, stuckUsual*usual)
+	patience := max(stuckTargets*w.route.TargetLatency, stuckUsual*w.usual)
+	if w.attempt.streaming.Load() {
+		patience = stuckGaps * w.route.TargetGap
 	}
-	if time.Since(a.lease.LastSign()) > max(lifeless, patience/2) {
+	if time.Since(w.attempt.lease.LastSign()) > max(lifeless, patience/2) {
 		patience /= 2
 	}
 	return max(patience, leastPatience)
