--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -23,8 +23,8 @@
 	slackInstances = 12
 	// leastSlack lets an instance save up for two retries.
 	leastSlack = 2
-	// overdraftPart is the part of an instance's slack that is kept for streams
-	// that broke off midway.
+	// overdraftPart is what streams that broke off midway may take beyond an
+	// instance's slack, as a part of it.
 	overdraftPart = 0.5
 )
 
@@ -44,7 +44,7 @@
 		config: retry.BudgetConfig{
 			Ratio:          retryPart * bounds.RetryRatio,
 			FloorPerSecond: -1,
-			Cap:            max(leastSlack, (1-overdraftPart)*slack),
+			Cap:            max(leastSlack, slack),
 			Overdraft:      overdraftPart * slack,
 		},
 		services: make(map[route.ServiceName]*retry.Budget),
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -96,7 +96,7 @@
 			ExposureShare:       0.1,
 			SessionGapMillis:    5000,
 		},
-		Routing: RoutingSettings{AcceptConfidence: []float64{0.65, 0.6, 0.5}, DialMillis: 150},
+		Routing: RoutingSettings{AcceptConfidence: []float64{0.55, 0.5, 0.4}, DialMillis: 150},
 	}
 }
 
