--- a/cmd/wigeonusherd/entry.go
+++ b/cmd/wigeonusherd/entry.go
@@ -43,7 +43,10 @@
 		_ = sink.Run(logging) // it only ends with its context
 	}()
 	go c.watchReload(ctx, logger)
-	err = entry.New(loaded, platform.New(loaded.StoreAddress), logger).Run(ctx)
+	instance, err := entry.New(loaded, platform.New(loaded.StoreAddress), logger)
+	if err == nil {
+		err = instance.Run(ctx)
+	}
 	if err != nil {
 		logger.WithError(err).Error("instance failed")
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -72,10 +72,6 @@
 	// revocationMargin is what remains of the revocation bound for the way of a
 	// request to its endpoint.
 	revocationMargin = 700 * time.Millisecond
-	// balancerLag is how long a stopping instance goes on serving as before,
-	// until the balancer has taken it out: it asks each second and acts on the
-	// second miss.
-	balancerLag = 2600 * time.Millisecond
 	// graceReserve is what a stop leaves unused of its grace.
 	graceReserve = 500 * time.Millisecond
 	// upkeepInterval is the time between looks for endpoints that did not
@@ -112,12 +108,18 @@
 	relay    *relay.Relay
 	stopping atomic.Bool
 	clients  *http.Server
+
+	healthListener, clientListener, peerListener net.Listener
 }
 
-// New assembles an instance.
-func New(settings Settings, platform Platform, logger *logrus.Logger) *Entry {
+// New assembles an instance. It accepts connections from now on and serves
+// them once it runs.
+func New(settings Settings, platform Platform, logger *logrus.Logger) (*Entry, error) {
 	log := logger.WithField("instance", settings.Name)
 	e := &Entry{settings: settings, platform: platform, log: log}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
 	e.pools = pool.New(settings.Zone, log)
 	e.reach = newReach()
 	e.observer = newObserver(log)
@@ -144,9 +146,40 @@
 		},
 	})
 	e.observer.gauges(e)
-	return e
+	return e, nil
+}
+
+// listen opens the listeners. A port of 0 in the settings takes a free one.
+func (e *Entry) listen() error {
+	for _, one := range []struct {
+		address *string
+		bound   *net.Listener
+	}{
+		{&e.settings.HealthAddress, &e.healthListener},
+		{&e.settings.ClientAddress, &e.clientListener},
+		{&e.settings.PeerAddress, &e.peerListener},
+	} {
+		bound, err := net.Listen("tcp", *one.address)
+		if err != nil {
+			e.closeListeners()
+			return eris.Wrap(err, "entry: listen")
+		}
+		*one.bound, *one.address = bound, bound.Addr().String()
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, bound := range []net.Listener{e.healthListener, e.clientListener, e.peerListener} {
+		if bound != nil {
+			bound.Close()
+		}
+	}
 }
 
+// Settings returns the settings, with the ports that were taken.
+func (e *Entry) Settings() Settings { return e.settings }
+
 // canaryPart is the part of the allowed exposure that the first phase of a
 // roll-out uses.
 const canaryPart = 0.6
@@ -196,38 +229,24 @@
 // Run serves until the context ends, then drains and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	e.bound()
-	health, err := net.Listen("tcp", e.settings.HealthAddress)
-	if err != nil {
-		return eris.Wrap(err, "entry: listen for health checks")
-	}
-	clients, err := net.Listen("tcp", e.settings.ClientAddress)
-	if err != nil {
-		health.Close()
-		return eris.Wrap(err, "entry: listen for clients")
-	}
-	peers, err := net.Listen("tcp", e.settings.PeerAddress)
-	if err != nil {
-		health.Close()
-		clients.Close()
-		return eris.Wrap(err, "entry: listen for peers")
-	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group run.Group
 	for _, act := range []func(context.Context) error{
 		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.upkeep,
 		e.cluster.Run, e.notices.Run,
-		func(ctx context.Context) error { return e.servePeers(ctx, peers) },
+		e.servePeers,
 	} {
 		group.Add(func() error { return act(work) }, func(error) { stop() })
 	}
 	e.clients = e.clientServer()
 	healthServer := &http.Server{Handler: e.healthHandler(), ReadHeaderTimeout: headerTimeout}
-	group.Add(func() error { return serveUntil(work, healthServer, health) }, func(error) { healthServer.Close() })
-	group.Add(func() error { return serveUntil(work, e.clients, clients) }, func(error) { e.clients.Close() })
+	group.Add(func() error { return serveUntil(work, healthServer, e.healthListener) }, func(error) { healthServer.Close() })
+	group.Add(func() error { return serveUntil(work, e.clients, e.clientListener) }, func(error) { e.clients.Close() })
 	group.Add(func() error { return e.awaitStop(ctx, work) }, func(error) { stop() })
 	e.log.WithFields(logrus.Fields{"clients": e.settings.ClientAddress, "health": e.settings.HealthAddress, "zone": e.settings.Zone}).Info("instance starts")
-	err = group.Run()
+	err := group.Run()
+	e.closeListeners()
 	if closed := e.peerClient.Close(); closed != nil {
 		e.log.WithError(closed).Debug("connections to peers not closed")
 	}
@@ -278,7 +297,7 @@
 	e.log.Info("instance drains")
 	grace := millis(e.settings.Bounds.StopGraceMillis) - graceReserve
 	select {
-	case <-time.After(min(balancerLag, grace/2)):
+	case <-time.After(min(millis(e.settings.Bounds.BalancerLagMillis), grace/2)):
 	case <-work.Done():
 		return
 	}
@@ -326,7 +345,17 @@
 	})
 }
 
+// storeDisturbed reports whether the store has not answered lately. A read of
+// the registry may wait through a short outage without noticing it, while
+// entries run out.
+func (e *Entry) storeDisturbed() bool {
+	return boottime.Since(boottime.Instant(e.provenAt.Load())) > 2*operatorWait
+}
+
 func (e *Entry) applyOperator(batch tailer.Batch) {
+	if batch.Regained {
+		e.pools.Regained(time.Now())
+	}
 	for _, change := range batch.Changes {
 		table, err := e.platform.DecodeTable(change)
 		if err != nil {
@@ -362,7 +391,7 @@
 
 func (e *Entry) applyRegistry(batch tailer.Batch) {
 	now := time.Now()
-	if batch.Regained {
+	if batch.Regained || e.storeDisturbed() {
 		e.pools.Regained(now)
 	}
 	for _, change := range batch.Changes {
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"time"
 
@@ -52,8 +51,8 @@
 	return seeds
 }
 
-func (e *Entry) servePeers(ctx context.Context, bound net.Listener) error {
-	return peer.Serve(ctx, bound, e.notices)
+func (e *Entry) servePeers(ctx context.Context) error {
+	return peer.Serve(ctx, e.peerListener, e.notices)
 }
 
 // listener takes in what peers told.
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -55,6 +55,10 @@
 	EndpointDrainMillis float64 `json:"endpoint_drain_ms"`
 	// StopGraceMillis is the time from the stop signal to the kill.
 	StopGraceMillis float64 `json:"stop_grace_ms"`
+	// BalancerLagMillis is how long a stopping instance goes on serving as
+	// before, until the balancer has taken it out: it asks each second and acts
+	// on the second miss.
+	BalancerLagMillis float64 `json:"balancer_lag_ms"`
 	// RevocationMillis is the time after which a revoked key runs nothing, and
 	// StrictRevocation tells that it holds for instances out of touch too.
 	RevocationMillis float64 `json:"revocation_ms"`
@@ -89,6 +93,7 @@
 		Bounds: Bounds{
 			EndpointDrainMillis: 2000,
 			StopGraceMillis:     8000,
+			BalancerLagMillis:   2600,
 			RevocationMillis:    5000,
 			RetryRatio:          0.1,
 			RetrySlack:          10,
@@ -186,6 +191,7 @@
 		"/limits/processors":        float64(s.Limits.Processors),
 		"/bounds/endpoint_drain_ms": s.Bounds.EndpointDrainMillis,
 		"/bounds/stop_grace_ms":     s.Bounds.StopGraceMillis,
+		"/bounds/balancer_lag_ms":   s.Bounds.BalancerLagMillis,
 		"/bounds/revocation_ms":     s.Bounds.RevocationMillis,
 		"/bounds/retry_window_ms":   s.Bounds.RetryWindowMillis,
 		"/bounds/session_gap_ms":    s.Bounds.SessionGapMillis,
