--- /dev/null
+++ b/coord/keyed/state_test.go
@@ -0,0 +1,110 @@
+package keyed_test
+
+import (
+	"maps"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/coord/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "20261204") }
+
+// topic is a keyed topic whose history is dropped at any moment.
+type topic struct {
+	first   keyed.Offset
+	records []keyed.Record
+	newest  map[string]keyed.Record
+}
+
+func (p *topic) end() keyed.Offset { return p.first + keyed.Offset(len(p.records)) }
+
+func (p *topic) write(key, value string) {
+	record := keyed.Record{Key: key, Value: []byte(value), Offset: p.end()}
+	p.records = append(p.records, record)
+	if value == "" {
+		delete(p.newest, key)
+		return
+	}
+	p.newest[key] = record
+}
+
+func (p *topic) snapshot() keyed.Page {
+	page := keyed.Page{Next: p.end()}
+	for _, record := range p.newest {
+		page.Records = append(page.Records, record)
+	}
+	return page
+}
+
+func (p *topic) read(from keyed.Offset) (keyed.Page, bool) {
+	if from < p.first {
+		return keyed.Page{}, false
+	}
+	return keyed.Page{Records: p.records[from-p.first:], Next: p.end()}, true
+}
+
+// TestFollowerHoldsWhatTheTopicHolds applies the changes of a state to a map:
+// whatever is written and dropped, the map ends as the topic's newest records.
+func TestFollowerHoldsWhatTheTopicHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := &topic{newest: make(map[string]keyed.Record)}
+		var state keyed.State
+		held := make(map[string]string)
+		follow := func() {
+			changes := readOn(source, &state)
+			for _, change := range changes {
+				if change.Value == nil {
+					delete(held, change.Key)
+					continue
+				}
+				held[change.Key] = string(change.Value)
+			}
+		}
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				follow()
+			case 1:
+				source.first, source.records = source.end(), nil
+			default:
+				key := "k" + strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "key"))
+				value := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "value")
+				source.write(key, value)
+			}
+		}
+		follow()
+		want := make(map[string]string)
+		for key, record := range source.newest {
+			want[key] = string(record.Value)
+		}
+		if !maps.Equal(held, want) {
+			t.Fatalf("held %v, want %v", held, want)
+		}
+	})
+}
+
+func readOn(source *topic, state *keyed.State) []keyed.Change {
+	if state.Loaded() {
+		if page, ok := source.read(state.Next()); ok {
+			return state.Apply(page)
+		}
+	}
+	return state.Load(source.snapshot())
+}
+
+func TestRecordsAreAppliedOnce(t *testing.T) {
+	var state keyed.State
+	state.Load(keyed.Page{Records: []keyed.Record{{Key: "a", Value: []byte("1"), Offset: 4}}, Next: 5})
+	changes := state.Apply(keyed.Page{Records: []keyed.Record{
+		{Key: "a", Value: []byte("0"), Offset: 3}, {Key: "b", Value: []byte("2"), Offset: 5},
+	}, Next: 6})
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Key, "b")
+	assert.Equal(t, state.Next(), keyed.Offset(6))
+}
--- /dev/null
+++ b/node/pool/pool_test.go
@@ -0,0 +1,203 @@
+package pool_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+)
+
+var start = time.Unix(1000, 0)
+
+func newPools() *pool.Pools {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return pool.New("z", logrus.NewEntry(logger))
+}
+
+func record(id string) pool.Record {
+	return pool.Record{ID: platform.EndpointID(id), Service: "s", Address: "127.0.0.1:1", Zone: "z", Version: "v1", Slots: 8, Born: 10, Sequence: 5}
+}
+
+func fill(pools *pool.Pools, n int) {
+	for i := range n {
+		pools.Put(record("e" + strconv.Itoa(i)))
+	}
+}
+
+func TestOlderWordsOfAnEndpointChangeNothing(t *testing.T) {
+	pools := newPools()
+	pools.Put(record("e"))
+	leaving := record("e")
+	leaving.Leaving, leaving.Sequence = true, 6
+	pools.Put(leaving)
+	assert.Equal(t, pools.Count(), 0)
+	pools.Put(record("e"))
+	assert.Equal(t, pools.Count(), 0, "an older word")
+	later := record("e")
+	later.Sequence = 7
+	pools.Put(later)
+	assert.Equal(t, pools.Count(), 0, "leaving is not undone within a lifetime")
+	reborn := record("e")
+	reborn.Born, reborn.Sequence = 11, 1
+	pools.Put(reborn)
+	assert.Equal(t, pools.Count(), 1, "a new lifetime counts anew")
+}
+
+func TestMissingEndpointIsKeptForAWhileAfterAnOutage(t *testing.T) {
+	pools := newPools()
+	fill(pools, 2)
+	pools.Remove(start, "e0")
+	assert.Equal(t, pools.Count(), 1, "removed at once while the registry is in reach")
+	pools.Regained(start)
+	pools.Remove(start.Add(time.Second), "e1")
+	pools.Expire(start.Add(1900 * time.Millisecond))
+	assert.Equal(t, pools.Count(), 1)
+	pools.Expire(start.Add(2100 * time.Millisecond))
+	assert.Equal(t, pools.Count(), 0)
+}
+
+func TestBrokenEndpointComesBackByAProbe(t *testing.T) {
+	pools := newPools()
+	fill(pools, 2)
+	service := pools.Service("s")
+	lease, ok := service.Choose(start, pool.Query{})
+	assert.Assert(t, ok)
+	broken := lease.Endpoint.ID
+	lease.End(start, pool.Broken)
+	now := start.Add(time.Hour)
+	for range 10 {
+		other, ok := service.Choose(now, pool.Query{})
+		assert.Assert(t, ok)
+		assert.Assert(t, other.Endpoint.ID != broken, "no request before a probe")
+		other.End(now, pool.Succeeded)
+	}
+	probes := service.Probes(now)
+	assert.Equal(t, len(probes), 1)
+	probes[0].Done(now, false)
+	assert.Equal(t, len(service.Probes(now)), 0, "the next pause has begun")
+	now = now.Add(time.Hour)
+	service.Probes(now)[0].Done(now, true)
+	assert.Equal(t, len(service.Probes(now)), 0)
+}
+
+func TestOnlyEndpointIsUsedEvenIfPaused(t *testing.T) {
+	pools := newPools()
+	fill(pools, 1)
+	service := pools.Service("s")
+	lease, _ := service.Choose(start, pool.Query{})
+	lease.End(start, pool.Broken)
+	_, ok := service.Choose(start, pool.Query{})
+	assert.Assert(t, ok)
+}
+
+func TestLeaseEndsOnce(t *testing.T) {
+	pools := newPools()
+	fill(pools, 1)
+	service := pools.Service("s")
+	first, _ := service.Choose(start, pool.Query{})
+	_, _ = service.Choose(start, pool.Query{})
+	first.End(start, pool.Succeeded)
+	first.End(start, pool.Succeeded)
+	load, _ := service.Occupancy()
+	assert.Equal(t, load, 1.0)
+}
+
+func TestPromptPartStaysOnOneEndpointUntilItIsBusy(t *testing.T) {
+	pools := newPools()
+	fill(pools, 6)
+	service := pools.Service("s")
+	query := pool.Query{Affinity: "part"}
+	first, _ := service.Choose(start, query)
+	used := map[platform.EndpointID]int{first.Endpoint.ID: 1}
+	for range 3 {
+		lease, _ := service.Choose(start, query)
+		used[lease.Endpoint.ID]++
+	}
+	assert.Equal(t, len(used), 1)
+	for range 60 {
+		lease, _ := service.Choose(start, query)
+		used[lease.Endpoint.ID]++
+	}
+	const mean = 64.0 / 6
+	for id, count := range used {
+		assert.Assert(t, float64(count) <= 1.25*(mean+1)+3, "%s has %d of 64: a hot part spreads", id, count)
+	}
+}
+
+// TestLongPromptsAreKeptApart replays a mix in which one prompt in ten takes
+// longer to read than half of the allowed pause: none shares an endpoint with
+// the others. The plain baseline, the least loaded endpoint, mixes them.
+func TestLongPromptsAreKeptApart(t *testing.T) {
+	const long, short = 40_000, 1_000
+	mixed := func(gap time.Duration) int {
+		pools := newPools()
+		fill(pools, 12)
+		service := pools.Service("s")
+		random := rand.New(rand.NewPCG(3, 4))
+		var held []*pool.Lease
+		tokens := map[*pool.Lease]int{}
+		shared := 0
+		for i := range 3000 {
+			n := short
+			if random.IntN(10) == 0 {
+				n = long
+			}
+			lease, ok := service.Choose(start, pool.Query{Model: "m", Tokens: n, GapTarget: gap})
+			assert.Assert(t, ok)
+			lease.FirstEvent(50*time.Millisecond + time.Duration(n)*20*time.Microsecond)
+			if n == long && i > 500 {
+				for _, other := range held {
+					if tokens[other] == short && other.Endpoint.ID == lease.Endpoint.ID {
+						shared++
+						break
+					}
+				}
+			}
+			held, tokens[lease] = append(held, lease), n
+			if len(held) > 20 {
+				held[0].End(start, pool.Succeeded)
+				held = held[1:]
+			}
+		}
+		return shared
+	}
+	apart, baseline := mixed(time.Second), mixed(0)
+	assert.Assert(t, baseline > 100, "%d", baseline)
+	assert.Assert(t, apart < baseline/10, "%d of %d", apart, baseline)
+}
+
+func TestLongPromptsOfPeersCount(t *testing.T) {
+	pools := newPools()
+	fill(pools, 12)
+	service := pools.Service("s")
+	for n := range 200 {
+		tokens := 500 + n*200
+		lease, _ := service.Choose(start, pool.Query{Model: "m", Tokens: tokens})
+		lease.FirstEvent(time.Duration(tokens) * 20 * time.Microsecond)
+		lease.End(start, pool.Succeeded)
+	}
+	query := pool.Query{Model: "m", Tokens: 40_000, GapTarget: 100 * time.Millisecond}
+	for range 50 {
+		lease, _ := service.Choose(start, query)
+		lease.FirstEvent(time.Second)
+		lease.End(start, pool.Succeeded)
+	}
+	now := start.Add(time.Hour)
+	first, _ := service.Choose(now, query)
+	second, _ := service.Choose(now, query)
+	assert.Assert(t, first.Endpoint.ID != second.Endpoint.ID)
+	first.End(now, pool.Succeeded)
+	second.End(now, pool.Succeeded)
+	now = now.Add(time.Hour)
+	service.LongRead(now, first.Endpoint.ID, time.Minute)
+	third, _ := service.Choose(now, query)
+	assert.Assert(t, third.Endpoint.ID != first.Endpoint.ID, "a peer's long prompt is being read there")
+}
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -84,6 +84,9 @@
 	badLogE = 5.0
 	// leastBad is the least number of bad answers that a verdict rests on.
 	leastBad = 3
+	// aloneBlock is how many answers of the new version are judged together
+	// when the old one answers no more.
+	aloneBlock = 5
 	// slowFactor and slowFloor tell a very slow answer: so many times the
 	// usual time, and at least so long.
 	slowFactor = 4
@@ -183,10 +186,15 @@
 	return a
 }
 
-// take gathers evidence until both versions have answers, and judges it.
+// take gathers evidence until both versions have answers, and judges it. When
+// all requests have moved, the old version answers no more: what it showed
+// before takes its place.
 func (r *Rollout) take(news rollout.Evidence) {
 	r.block = add(r.block, news)
 	r.all = add(r.all, news)
+	if r.block.Incumbent() == 0 && r.block.Candidate() >= aloneBlock {
+		r.block = withHistory(r.block, r.all)
+	}
 	if r.block.Candidate() == 0 || r.block.Incumbent() == 0 {
 		return
 	}
@@ -197,6 +205,18 @@
 	}
 }
 
+// withHistory gives a block as many answers of the old version as it has of
+// the new one, at the rate of all that were seen.
+func withHistory(block, all rollout.Evidence) rollout.Evidence {
+	if all.Incumbent() == 0 {
+		return block
+	}
+	bad := float64(block.Candidate()) * float64(all.IncumbentBad) / float64(all.Incumbent())
+	block.IncumbentBad = int(math.Round(bad))
+	block.IncumbentGood = block.Candidate() - block.IncumbentBad
+	return block
+}
+
 // Own returns the answers that this instance saw.
 func (r *Rollout) Own() rollout.Evidence { return r.own }
 
--- /dev/null
+++ b/policy/canary/canary_test.go
@@ -0,0 +1,175 @@
+package canary_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/coord/proptest"
+	"github.com/wigeonusher/wigeonusher/policy/canary"
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "20261205") }
+
+var (
+	order  = canary.Order{Service: "s", Target: "v2", Duration: 24 * time.Second}
+	tuning = canary.Tuning{Share: 0.09, SessionGap: 5 * time.Second}
+)
+
+func TestPhasesOfAGoodVersion(t *testing.T) {
+	r := canary.New(order, tuning, 0)
+	assert.Equal(t, r.Next(0, true), canary.Canary)
+	r.Agreed(canary.Status{Service: "s", Target: "v2", Phase: canary.Canary})
+	for second := range 12 {
+		assert.Equal(t, r.Next(time.Duration(second)*time.Second, true), canary.Canary, "no session moves in the first half")
+	}
+	assert.Equal(t, r.Next(13*time.Second, false), canary.Canary, "not without endpoints of the new version")
+	assert.Equal(t, r.Next(13*time.Second, true), canary.Full)
+	r.Agreed(canary.Status{Service: "s", Target: "v2", Phase: canary.Full})
+	assert.Equal(t, r.Next(14*time.Second, true), canary.Full)
+	assert.Equal(t, r.Next(22*time.Second, true), canary.Completed, "before the duration is over")
+}
+
+func TestStatusOfAnotherTargetChangesNothing(t *testing.T) {
+	r := canary.New(order, tuning, 0)
+	r.Agreed(canary.Status{Service: "s", Target: "v1", Phase: canary.Completed})
+	assert.Equal(t, r.Phase, canary.Ordered)
+}
+
+// TestBadVersionIsFoundInTime plays nine instances that share the evidence.
+// The bound is the users': the fiftieth bad answer must not be far exceeded.
+func TestBadVersionIsFoundInTime(t *testing.T) {
+	for _, share := range []float64{0.3, 0.5, 0.8} {
+		for seed := range uint64(50) {
+			bad := badAnswersUntilVerdict(share, 0.004, seed)
+			assert.Assert(t, bad <= 50, "failing %v, seed %d: %d bad answers", share, seed, bad)
+		}
+	}
+}
+
+func badAnswersUntilVerdict(share, usual float64, seed uint64) int {
+	random := rand.New(rand.NewPCG(seed, 9))
+	r := canary.New(order, tuning, 0)
+	r.Agreed(canary.Status{Service: "s", Target: "v2", Phase: canary.Canary})
+	bad := 0
+	for range 5000 {
+		answer := canary.Answer{Version: "v1", Failed: random.Float64() < usual}
+		if random.Float64() < tuning.Share {
+			answer = canary.Answer{Version: "v2", Failed: random.Float64() < share}
+			if answer.Failed {
+				bad++
+			}
+		}
+		r.Observe(answer)
+		if r.Next(time.Second, true) == canary.RolledBack {
+			return bad
+		}
+	}
+	return bad + 1000
+}
+
+// TestGoodVersionIsKept counts verdicts against a version that is no worse,
+// also where one answer in seven fails. The test's bound is e^-5 each.
+func TestGoodVersionIsKept(t *testing.T) {
+	for _, usual := range []float64{0.004, 0.14} {
+		wrong := 0
+		const trials = 200
+		for seed := range uint64(trials) {
+			if badAnswersUntilVerdict(usual, usual, seed) < 1000 {
+				wrong++
+			}
+		}
+		assert.Assert(t, wrong <= 6, "failing %v: %d of %d stopped", usual, wrong, trials)
+	}
+}
+
+func TestSlowAnswersCountAsBad(t *testing.T) {
+	r := canary.New(order, tuning, 0)
+	r.Agreed(canary.Status{Service: "s", Target: "v2", Phase: canary.Canary})
+	for range 200 {
+		r.Observe(canary.Answer{Version: "v1", FirstEvent: 100 * time.Millisecond, Usual: 100 * time.Millisecond})
+	}
+	for range 20 {
+		r.Observe(canary.Answer{Version: "v2", FirstEvent: 800 * time.Millisecond, Usual: 100 * time.Millisecond})
+	}
+	assert.Equal(t, r.Next(time.Second, true), canary.RolledBack)
+}
+
+// TestVersionThatTurnsBadAfterTheMoveIsFound has no more answers of the old
+// version to compare with.
+func TestVersionThatTurnsBadAfterTheMoveIsFound(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	r := canary.New(order, tuning, 0)
+	for range 1000 {
+		r.Observe(canary.Answer{Version: "v1", Failed: random.Float64() < 0.004})
+	}
+	for range 100 {
+		r.Observe(canary.Answer{Version: "v2", Failed: random.Float64() < 0.004})
+	}
+	r.Agreed(canary.Status{Service: "s", Target: "v2", Phase: canary.Full})
+	bad := 0
+	for range 200 {
+		failed := random.Float64() < 0.4
+		if failed {
+			bad++
+		}
+		r.Observe(canary.Answer{Version: "v2", Failed: failed})
+		if r.Next(time.Second, true) == canary.RolledBack {
+			break
+		}
+	}
+	assert.Equal(t, r.Next(time.Second, true), canary.RolledBack)
+	assert.Assert(t, bad <= 50, "%d bad answers", bad)
+}
+
+// TestPeersCountOnce feeds counters that come late, twice and out of order:
+// each answer counts once.
+func TestPeersCountOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := canary.New(order, tuning, 0)
+		final := map[string]rollout.Evidence{}
+		for i := range 3 {
+			final["peer-"+strconv.Itoa(i)] = rollout.Evidence{}
+		}
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		var sent []func()
+		for range steps {
+			name := fmt.Sprintf("peer-%d", rapid.IntRange(0, 2).Draw(t, "peer"))
+			counts := final[name]
+			counts.CandidateGood += rapid.IntRange(0, 3).Draw(t, "good")
+			counts.IncumbentGood += rapid.IntRange(0, 3).Draw(t, "old good")
+			final[name] = counts
+			sent = append(sent, func() { r.Peer(name, counts) })
+			sent[rapid.IntRange(0, len(sent)-1).Draw(t, "delivered")]()
+		}
+		want := 0
+		for name, counts := range final {
+			r.Peer(name, counts)
+			want += counts.Candidate() + counts.Incumbent()
+		}
+		all := r.All()
+		if got := all.Candidate() + all.Incumbent(); got != want {
+			t.Fatalf("%d answers, want %d", got, want)
+		}
+	})
+}
+
+func TestChosenShareAndAgreement(t *testing.T) {
+	a, b := canary.New(order, tuning, 0), canary.New(order, tuning, time.Hour)
+	chosen := 0
+	const sessions = 10_000
+	for i := range sessions {
+		session := strconv.Itoa(i)
+		assert.Equal(t, a.Chosen(session), b.Chosen(session))
+		if a.Chosen(session) {
+			chosen++
+		}
+	}
+	assert.Assert(t, chosen > sessions*7/100 && chosen < sessions*11/100, "%d", chosen)
+}
