--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -62,6 +62,9 @@
 	// the configuration current, so it has to be well below the time in which
 	// revoked keys must stop.
 	operatorWait = 1500 * time.Millisecond
+	// answerSlack is how late an answer to such a read may be before the store
+	// counts as disturbed.
+	answerSlack = 700 * time.Millisecond
 	// registryWait and statusWait bound reads of topics whose silence needs no
 	// proof.
 	registryWait = 10 * time.Second
@@ -95,9 +98,11 @@
 
 	table    atomic.Pointer[route.Table]
 	provenAt atomic.Int64
-	pools    *pool.Pools
-	reach    *reach
-	suspects *suspects
+	// answeredAt is when the store last answered a read of the operator's topic.
+	answeredAt atomic.Int64
+	pools      *pool.Pools
+	reach      *reach
+	suspects   *suspects
 
 	cluster    *cluster.Cluster
 	peerClient *peer.Client
@@ -349,7 +354,7 @@
 // the registry may wait through a short outage without noticing it, while
 // entries run out.
 func (e *Entry) storeDisturbed() bool {
-	return boottime.Since(boottime.Instant(e.provenAt.Load())) > 2*operatorWait
+	return boottime.Since(boottime.Instant(e.answeredAt.Load())) > operatorWait+answerSlack
 }
 
 func (e *Entry) applyOperator(batch tailer.Batch) {
@@ -373,6 +378,7 @@
 		}
 	}
 	e.provenAt.Store(int64(batch.Sent))
+	e.answeredAt.Store(int64(boottime.Now()))
 }
 
 // adopt puts a table in force. Revisions only go forward.
--- /dev/null
+++ b/node/entry/entry_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/finding"
+	"github.com/wigeonusher/wigeonusher/node/boottime"
+)
+
+// A read that waits its whole time is no disturbance: an endpoint that is
+// removed then is gone, and must not be kept for the time that entries take to
+// come back after an outage.
+func TestWaitingReadIsNoDisturbance(t *testing.T) {
+	for _, c := range []struct {
+		answered, proven time.Duration
+		disturbed        bool
+	}{
+		{answered: 0, proven: operatorWait, disturbed: false},
+		{answered: operatorWait, proven: 2 * operatorWait, disturbed: false},
+		{answered: operatorWait + 100*time.Millisecond, proven: 2*operatorWait + 100*time.Millisecond, disturbed: false},
+		{answered: 3 * time.Second, proven: 3 * time.Second, disturbed: true},
+	} {
+		e := &Entry{}
+		now := boottime.Now()
+		e.answeredAt.Store(int64(now) - int64(c.answered))
+		e.provenAt.Store(int64(now) - int64(c.proven))
+		assert.Equal(t, e.storeDisturbed(), c.disturbed, "%v", c.answered)
+	}
+}
+
+func TestAllFindingsOfSettingsAreReported(t *testing.T) {
+	_, err := ParseSettings("file", []byte(`{
+		"name": "", "zone": 7, "client_address": "nowhere", "odd": 1,
+		"limits": {"memory_mb": "much", "more": 1}, "bounds": {"retry_ratio": 2}
+	}`))
+	list, ok := err.(finding.List)
+	assert.Assert(t, ok, "%v", err)
+	for _, place := range []string{"file/zone", "file/odd", "file/limits/memory_mb", "file/limits/more"} {
+		assert.Assert(t, strings.Contains(list.Error(), place), "%s in\n%s", place, list)
+	}
+	_, err = ParseSettings("file", []byte(`{"bounds": {"retry_ratio": 2}, "routing": {"accept_confidence": [0.5, 3]}}`))
+	list, ok = err.(finding.List)
+	assert.Assert(t, ok, "%v", err)
+	for _, place := range []string{"/name", "/zone", "/client_address", "/bounds/retry_ratio", "/routing/accept_confidence/1"} {
+		if place == "/name" {
+			continue // it has a default
+		}
+		assert.Assert(t, strings.Contains(list.Error(), place), "%s in\n%s", place, list)
+	}
+}
+
+func TestBrokenSettings(t *testing.T) {
+	for _, body := range []string{"", "[]", "{", `{"limits": 3}`} {
+		_, err := ParseSettings("file", []byte(body))
+		assert.Assert(t, err != nil, "%q", body)
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(`{"name":"a","limits":{"memory_mb":1}}`))
+	f.Add([]byte(`{"seeds":[1]}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		_, _ = ParseSettings("file", body) // any input gets settings or findings
+	})
+}
+
+func TestRetryBudgetsStayBelowTheFleetsBound(t *testing.T) {
+	bounds := Bounds{RetryRatio: 0.9, RetrySlack: 58, RetryWindowMillis: 10_000}
+	now := time.Now()
+	for _, instances := range []int{1, 3, 9, 12} {
+		total, requests := 0, 0
+		for range instances {
+			budget := newBudgets(bounds).Service("s")
+			for range 400 / instances {
+				requests++
+				budget.Deposit()
+				for budget.WithdrawUrgent(now) {
+					total++
+				}
+			}
+		}
+		bound := int(bounds.RetryRatio*float64(requests) + bounds.RetrySlack)
+		assert.Assert(t, total <= bound, "%d instances: %d retries of %d requests, bound %d", instances, total, requests, bound)
+	}
+}
