--- a/cmd/wigeonusherd/entry.go
+++ b/cmd/wigeonusherd/entry.go
@@ -42,7 +42,11 @@
 		defer close(written)
 		_ = sink.Run(logging) // it only ends with its context
 	}()
-	go c.watchReload(ctx, logger)
+	hangups := make(chan os.Signal, 1)
+	// Hangups are taken until the process ends: one that comes while it stops
+	// must not kill it.
+	signal.Notify(hangups, syscall.SIGHUP)
+	go c.watchReload(hangups, logger)
 	instance, err := entry.New(loaded, platform.New(loaded.StoreAddress), logger)
 	if err == nil {
 		err = instance.Run(ctx)
@@ -57,16 +61,8 @@
 
 // watchReload checks the settings at each SIGHUP. What an instance listens on
 // and where its platform is stay as they were at the start.
-func (c *entryCommand) watchReload(ctx context.Context, logger *logrus.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
+func (c *entryCommand) watchReload(hangups <-chan os.Signal, logger *logrus.Logger) {
+	for range hangups {
 		loaded, err := entry.LoadSettings(c.Settings)
 		if err != nil {
 			logger.WithError(err).Error("settings not in order; the former stay in force")
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -27,7 +27,9 @@
 	members map[platform.EndpointID]*member
 	// firstEvents tells how long first events take, by model.
 	firstEvents map[route.ModelName]*latency.Line
-	work        workShares
+	// paces is the smoothed mean time from event to event, by model.
+	paces map[route.ModelName]time.Duration
+	work  workShares
 	// onLongRead is told of each long prompt that is sent to an endpoint.
 	onLongRead func(endpoint platform.EndpointID, expected time.Duration)
 }
@@ -37,6 +39,7 @@
 		zone:        zone,
 		members:     make(map[platform.EndpointID]*member),
 		firstEvents: make(map[route.ModelName]*latency.Line),
+		paces:       make(map[route.ModelName]time.Duration),
 	}
 }
 
@@ -255,6 +258,27 @@
 	line.Add(tokens, took)
 }
 
+// Pace returns the usual mean time from event to event of a model's streams,
+// 0 if unknown.
+func (p *Pool) Pace(model route.ModelName) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paces[model]
+}
+
+// LearnPace takes in the mean time from event to event of a stream.
+func (p *Pool) LearnPace(model route.ModelName, pace time.Duration) {
+	const weight = 0.02 // of the newest stream: the mean outlives a short burst
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usual, ok := p.paces[model]
+	if !ok {
+		p.paces[model] = pace
+		return
+	}
+	p.paces[model] = usual + time.Duration(weight*float64(pace-usual))
+}
+
 // Probe is an endpoint that has to accept a connection before it gets requests
 // again.
 type Probe struct {
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -242,11 +242,18 @@
 }
 
 func (a *attempt) observe(failed bool) {
-	a.run.relay.Versions.Observe(a.run.service, a.lease.Endpoint.Version, VersionOutcome{
+	endpoints := a.run.relay.Pools.Service(a.run.service)
+	outcome := VersionOutcome{
 		Failed:     failed,
 		FirstEvent: a.firstEvent,
-		Usual:      a.run.relay.Pools.Service(a.run.service).FirstEvent(a.model, a.run.request.PromptTokens),
-	})
+		UsualFirst: endpoints.FirstEvent(a.model, a.run.request.PromptTokens),
+		UsualPace:  endpoints.Pace(a.model),
+	}
+	if a.events >= leastPaceEvents {
+		outcome.Pace = (time.Since(a.started) - a.firstEvent) / time.Duration(a.events-1)
+		endpoints.LearnPace(a.model, outcome.Pace)
+	}
+	a.run.relay.Versions.Observe(a.run.service, a.lease.Endpoint.Version, outcome)
 }
 
 // result is what the attempt tells of its endpoint.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -53,8 +53,11 @@
 	Failed bool
 	// FirstEvent is the time to the first event, 0 if there was none.
 	FirstEvent time.Duration
-	// Usual is the usual time to the first event of such requests.
-	Usual time.Duration
+	// UsualFirst is the usual time to the first event of such requests.
+	UsualFirst time.Duration
+	// Pace is the mean time from event to event, 0 if there were too few, and
+	// UsualPace that of such requests.
+	Pace, UsualPace time.Duration
 }
 
 // Suspects judges requests that may crash endpoints.
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -35,6 +35,9 @@
 	// maxArrivals bounds the endpoints that one request may arrive at,
 	// refusals included.
 	maxArrivals = 6
+	// leastPaceEvents is the number of events from which on a stream's pace is
+	// told.
+	leastPaceEvents = 5
 	// maxAnswerBytes bounds an answer that is not a stream, which is kept until
 	// it is whole.
 	maxAnswerBytes = 8 << 20
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -275,7 +275,8 @@
 		return
 	}
 	s.rollout.Observe(canary.Answer{
-		Version: version, Failed: outcome.Failed, FirstEvent: outcome.FirstEvent, Usual: outcome.Usual,
+		Version: version, Failed: outcome.Failed, FirstEvent: outcome.FirstEvent, UsualFirst: outcome.UsualFirst,
+		Pace: outcome.Pace, UsualPace: outcome.UsualPace,
 	})
 }
 
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -77,8 +77,8 @@
 	// fullAfter and completeAfter are the parts of the order's duration after
 	// which all requests move, and after which the old endpoints may stop: in
 	// between, what runs on them comes to its end.
-	fullAfter     = 0.53
-	completeAfter = 0.88
+	fullAfter     = 0.7
+	completeAfter = 0.93
 	// badLogE is the evidence that makes a version bad: a good one is
 	// taken for bad once in e^5, about 150 roll-outs.
 	badLogE = 5.0
@@ -87,10 +87,15 @@
 	// aloneBlock is how many answers of the new version are judged together
 	// when the old one answers no more.
 	aloneBlock = 5
-	// slowFactor and slowFloor tell a very slow answer: so many times the
-	// usual time, and at least so long.
-	slowFactor = 4
-	slowFloor  = 150 * time.Millisecond
+	// slowFirst and slowFloor tell a late first event: so many times the usual
+	// time, and at least so long. slowPace tells a slow stream: so many times
+	// the usual time from event to event.
+	slowFirst = 4
+	slowFloor = 150 * time.Millisecond
+	slowPace  = 2
+	// slowAlone is by how much more an answer must be slow once all requests
+	// have moved: a burst then slows the new version alone.
+	slowAlone = 2
 )
 
 // Rollout is one roll-out as one instance sees it. It is not safe for
@@ -135,23 +140,36 @@
 	Version string
 	// Failed tells of a failure that the endpoint itself reported.
 	Failed bool
-	// FirstEvent is the time to the first event, and Usual that of such
+	// FirstEvent is the time to the first event, and UsualFirst that of such
 	// requests; 0 if unknown.
-	FirstEvent, Usual time.Duration
+	FirstEvent, UsualFirst time.Duration
+	// Pace is the mean time from event to event, and UsualPace that of such
+	// requests; 0 if unknown.
+	Pace, UsualPace time.Duration
 }
 
-func (a Answer) bad() bool {
-	if a.Failed {
+// bad reports whether the answer speaks against its version. strictness is by
+// how much more than usual a slow one must be.
+func (a Answer) bad(strictness time.Duration) bool {
+	switch {
+	case a.Failed:
+		return true
+	case a.UsualFirst > 0 && a.FirstEvent > slowFloor && a.FirstEvent > slowFirst*strictness*a.UsualFirst:
 		return true
+	default:
+		return a.UsualPace > 0 && a.Pace > slowPace*strictness*a.UsualPace
 	}
-	return a.Usual > 0 && a.FirstEvent > slowFloor && a.FirstEvent > slowFactor*a.Usual
 }
 
 // Observe takes in an answer that this instance saw.
 func (r *Rollout) Observe(answer Answer) {
 	var seen rollout.Evidence
+	strictness := time.Duration(1)
+	if r.Phase == Full {
+		strictness = slowAlone
+	}
 	candidate := answer.Version == r.Order.Target
-	switch bad := answer.bad(); {
+	switch bad := answer.bad(strictness); {
 	case candidate && bad:
 		seen.CandidateBad++
 	case candidate:
