--- a/cmd/internal/tool/tool.go
+++ b/cmd/internal/tool/tool.go
@@ -24,6 +24,7 @@
 	Demo       demoCommand       `cmd:"" help:"Run a whole fleet in one process, with faults, and check every invariant."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure what each role of an instance costs."`
 	Experiment experimentCommand `cmd:"" help:"Measure decisions against their baselines."`
+	Explain    explainCommand    `cmd:"" help:"Find out from logs what became of a request."`
 	Load       loadCommand       `cmd:"" help:"Drive a running fleet on this machine and verify every answer."`
 	Standin    standinCommands   `cmd:"" help:"Serve a stand-in of an outside system until interrupted."`
 }
--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -218,3 +218,29 @@
 	code, _ = o.runWith("", "config", "hash-key")
 	assert.Equal(t, code, tool.ExitUsage)
 }
+
+func TestExplainTellsARequestsWay(t *testing.T) {
+	log := `
+   4.9 entry-1 {"msg":"endpoint listed","instance":"entry-1","endpoint":"i-1","time":"T0"}
+{"msg":"endpoint listed","instance":"entry-2","endpoint":"i-1","time":"T0"}
+not a line of JSON
+{"msg":"attempt","instance":"entry-1","request":"id-1","arrival":1,"endpoint":"i-1","service":"s","version":"v1","model":"m","verdict":"broken","error":"connection reset","events":3,"time":"T1"}
+{"msg":"attempt","instance":"entry-1","request":"id-2","arrival":1,"endpoint":"i-2","verdict":"delivered","time":"T1"}
+{"msg":"attempt","instance":"entry-1","request":"id-1","arrival":2,"after_ms":40,"endpoint":"i-3","verdict":"delivered","status":200,"time":"T2"}
+{"msg":"request","instance":"entry-1","request":"id-1","outcome":"answered","status":200,"revision":7,"config_age_ms":120,"time":"T3"}
+{"msg":"endpoint removed","instance":"entry-1","endpoint":"i-1","reason":"not listed any more","time":"T4"}
+`
+	o := &operator{t: t}
+	code, out := o.runWith(log, "explain", "id-1")
+	assert.Equal(t, code, tool.ExitOK)
+	for _, want := range []string{
+		"arrival 1 after 0 ms at i-1 (s v1, model m): broken", "connection reset", "arrival 2 after 40 ms at i-3",
+		"answered, status 200, under revision 7, 120 ms old", "endpoint removed i-1 not listed any more",
+	} {
+		assert.Assert(t, strings.Contains(out, want), "%s in\n%s", want, out)
+	}
+	assert.Assert(t, !strings.Contains(out, "i-2"), out)
+	assert.Assert(t, !strings.Contains(out, "entry-2"), out)
+	code, _ = o.runWith(log, "explain", "id-9")
+	assert.Assert(t, code != tool.ExitOK)
+}
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -26,7 +26,7 @@
 	if table == nil {
 		return permission{}, &Refusal{Reason: NoConfig, NotRun: true, RetryAfter: defaultRetryAfter}
 	}
-	p := permission{table: table, age: time.Duration(request.ReceivedBoot - provenAt)}
+	p := permission{table: table, age: max(0, time.Duration(request.ReceivedBoot-provenAt))}
 	current := r.Tuning.ConfigMaxAge == 0 || p.age < r.Tuning.ConfigMaxAge
 	found, ok := table.Match(request.Host, request.Path)
 	if !ok {
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -60,6 +60,9 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		if err := t.step(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			t.lost(err)
 			t.sleep(ctx, t.pause())
 			continue
