--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -11,7 +11,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -104,6 +106,45 @@
 	return request
 }
 
+// A roll-out that is ordered while a request runs does not move it: its larger
+// model is asked on the version that its first one ran on.
+func TestRequestStaysOnItsVersion(t *testing.T) {
+	found := testRoute(route.Stream)
+	found.Models = []route.ModelName{"small", "large"}
+	h := newHarness(testTable(found), 1, func(call *Call, _ int) act {
+		if call.Model == "small" {
+			return act{confidence: 0.1, events: -1}
+		}
+		return act{confidence: 1, events: -1}
+	})
+	for i := range 8 {
+		h.pools.Put(pool.Record{
+			ID: platform.EndpointID("new" + strconv.Itoa(i)), Service: testService, Zone: "zone",
+			Address: "127.0.0.1:1", Version: "v2", Slots: 8,
+		})
+	}
+	h.relay.Versions = firstOnly{version: "v1", calls: new(int)}
+	h.serve(testRequestOfAnyModel())
+	assert.Equal(t, len(h.endpoints.arrivals), 2)
+	assert.Equal(t, h.endpoints.arrivals[1].call.Endpoint, h.endpoints.arrivals[0].call.Endpoint)
+}
+
+// firstOnly means a version at the first choice and any at the later ones.
+type firstOnly struct {
+	version string
+	calls   *int
+}
+
+func (f firstOnly) Choose(context.Context, route.ServiceName, string, string) Choice {
+	*f.calls++
+	if *f.calls > 1 {
+		return Choice{}
+	}
+	return Choice{Meant: func(version string) bool { return version == f.version }}
+}
+
+func (firstOnly) Observe(route.ServiceName, string, VersionOutcome) {}
+
 func TestGate(t *testing.T) {
 	public := testRoute(route.Idempotent)
 	public.Prefix, public.Public = "/open/", true
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -54,6 +54,8 @@
 	Writer   Writer
 	Sessions Sessions
 	Logger   *logrus.Entry
+	// Now reads a clock that counts suspensions; nil takes the system's.
+	Now func() time.Duration
 }
 
 // Versions holds the roll-outs. Its methods may be called from several
@@ -63,6 +65,7 @@
 	writer Writer
 	pools  relay.Pools
 	asked  Sessions
+	now    func() time.Duration
 	log    *logrus.Entry
 
 	mu       sync.Mutex
@@ -91,7 +94,11 @@
 
 // New returns versions without a roll-out.
 func New(tuning Tuning, config Config) *Versions {
+	if config.Now == nil {
+		config.Now = func() time.Duration { return time.Duration(boottime.Now()) }
+	}
 	return &Versions{
+		now:      config.Now,
 		tuning:   tuning,
 		writer:   config.Writer,
 		pools:    config.Pools,
@@ -102,8 +109,6 @@
 	}
 }
 
-func now() time.Duration { return time.Duration(boottime.Now()) }
-
 func (v *Versions) service(name route.ServiceName) *service {
 	found := v.services[name]
 	if found == nil {
@@ -125,7 +130,7 @@
 	if s.rollout != nil && s.rollout.Order == order {
 		return
 	}
-	s.rollout = canary.New(order, v.tuning, now())
+	s.rollout = canary.New(order, v.tuning, v.now())
 	if status, ok := v.statuses[order.Service]; ok {
 		s.rollout.Agreed(status)
 	}
@@ -167,7 +172,7 @@
 		onTarget = v.onTarget(ctx, s, session, requestID)
 	}
 	if session != "" {
-		s.sessions.Add(session, sessionState{onTarget: onTarget, lastSeen: now()})
+		s.sessions.Add(session, sessionState{onTarget: onTarget, lastSeen: v.now()})
 	}
 	if s.rollout == nil {
 		return relay.Choice{}
@@ -211,7 +216,7 @@
 // lately, so that one of its requests may still run.
 func (v *Versions) running(s *service, session string) (onTarget, known bool) {
 	state, ok := s.sessions.Get(session)
-	if !ok || now()-state.lastSeen >= v.tuning.SessionGap+longestRequest {
+	if !ok || v.now()-state.lastSeen >= v.tuning.SessionGap+longestRequest {
 		return false, false
 	}
 	return state.onTarget, true
@@ -311,19 +316,19 @@
 		if s.rollout == nil || s.rollout.Phase.Over() {
 			continue
 		}
-		next := s.rollout.Next(now(), v.available(name, s.rollout.Order.Target))
+		next := s.rollout.Next(v.now(), v.available(name, s.rollout.Order.Target))
 		if next == s.rollout.Phase {
 			s.proposes = next
 			continue
 		}
 		if s.proposes != next {
 			s.proposes = next
-			s.proposeAt = now() + v.hesitation(next)
+			s.proposeAt = v.now() + v.hesitation(next)
 		}
-		if now() < s.proposeAt {
+		if v.now() < s.proposeAt {
 			continue
 		}
-		s.proposeAt = now() + proposeSpread + rand.N(proposeSpread)
+		s.proposeAt = v.now() + proposeSpread + rand.N(proposeSpread)
 		due = append(due, proposal{at: v.end, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next}})
 	}
 	return due
--- /dev/null
+++ b/node/versions/versions_test.go
@@ -0,0 +1,160 @@
+package versions_test
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/versions"
+	"github.com/wigeonusher/wigeonusher/policy/canary"
+)
+
+var order = canary.Order{Service: "s", Target: "v2", Duration: 20 * time.Second}
+
+// fixture is the roll-outs of one instance under a clock of the test's.
+type fixture struct {
+	versions *versions.Versions
+	now      time.Duration
+	// peers holds the sessions that peers run, and on which side.
+	peers map[string]bool
+	asked int
+}
+
+func (f *fixture) AskSession(_ context.Context, _, session string) (onTarget, known bool) {
+	f.asked++
+	onTarget, known = f.peers[session]
+	return onTarget, known
+}
+
+func (f *fixture) Propose(context.Context, keyed.Offset, canary.Status) error { return nil }
+
+func newFixture() *fixture {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+	f := &fixture{now: time.Hour, peers: make(map[string]bool)}
+	f.versions = versions.New(versions.Tuning{Share: 0.2, SessionGap: 5 * time.Second}, versions.Config{
+		Pools: pool.New("z", log), Writer: f, Sessions: f, Logger: log, Now: func() time.Duration { return f.now },
+	})
+	return f
+}
+
+func (f *fixture) agree(phase canary.Phase) {
+	f.versions.Agreed(1, canary.Status{Service: order.Service, Target: order.Target, Phase: phase})
+}
+
+// onTarget tells whether a request of the session may run on the new version,
+// and whether it may on the old one.
+func (f *fixture) choose(session, id string) (target, former bool) {
+	choice := f.versions.Choose(context.Background(), order.Service, session, id)
+	if choice.Meant == nil {
+		return true, true
+	}
+	return choice.Meant("v2"), choice.Meant("v1")
+}
+
+// chosenSession returns a session that the hash puts on the new version.
+func chosenSession(t *testing.T) string {
+	t.Helper()
+	r := canary.New(order, canary.Tuning{Share: 0.2}, 0)
+	for i := range 1000 {
+		if session := "session-" + strconv.Itoa(i); r.Chosen(session) {
+			return session
+		}
+	}
+	t.Fatal("no session is chosen")
+	return ""
+}
+
+func TestSessionBegunOnTheOldVersionStaysThere(t *testing.T) {
+	f := newFixture()
+	session := chosenSession(t)
+	f.choose(session, "1") // before the order
+	f.versions.Order(order)
+	f.agree(canary.Canary)
+	target, former := f.choose(session, "2")
+	assert.Assert(t, former && !target)
+}
+
+func TestSessionThatAPeerRunsStaysOnItsSide(t *testing.T) {
+	f := newFixture()
+	session := chosenSession(t)
+	f.versions.Order(order)
+	f.agree(canary.Canary)
+	f.peers[session] = false
+	target, former := f.choose(session, "1")
+	assert.Assert(t, former && !target)
+	assert.Equal(t, f.asked, 1)
+	f.choose(session, "2")
+	assert.Equal(t, f.asked, 1, "known from now on")
+}
+
+func TestUnknownSessionGoesWhereTheHashPutsIt(t *testing.T) {
+	f := newFixture()
+	session := chosenSession(t)
+	f.versions.Order(order)
+	f.agree(canary.Canary)
+	target, _ := f.choose(session, "1")
+	assert.Assert(t, target)
+	onTarget, known := f.versions.SessionVersion(order.Service, session)
+	assert.Assert(t, onTarget && known, "a peer is told")
+}
+
+// The pause between two requests of a session begins at the end of the first,
+// which may be long after its start.
+func TestSessionIsRememberedWhileARequestMayRun(t *testing.T) {
+	f := newFixture()
+	session := chosenSession(t)
+	f.choose(session, "1")
+	f.versions.Order(order)
+	f.agree(canary.Canary)
+	f.now += 20 * time.Second
+	target, _ := f.choose(session, "2")
+	assert.Assert(t, !target)
+	f.now += 10 * time.Minute
+	target, _ = f.choose(session, "3")
+	assert.Assert(t, target, "another session of that name")
+}
+
+func TestPhasesDecide(t *testing.T) {
+	for _, c := range []struct {
+		phase          canary.Phase
+		target, former bool
+	}{
+		{canary.Ordered, false, true},
+		{canary.Full, true, false},
+		{canary.Completed, true, false},
+		{canary.RolledBack, false, true},
+	} {
+		f := newFixture()
+		f.versions.Order(order)
+		f.agree(c.phase)
+		target, former := f.choose("x", "1")
+		assert.Equal(t, target, c.target, "%s", c.phase)
+		assert.Equal(t, former, c.former, "%s", c.phase)
+	}
+}
+
+func TestBadVersionIsNeverFallenBackTo(t *testing.T) {
+	f := newFixture()
+	f.versions.Order(order)
+	f.agree(canary.RolledBack)
+	choice := f.versions.Choose(context.Background(), order.Service, "x", "1")
+	assert.Assert(t, !choice.Allowed("v2"))
+	assert.Assert(t, choice.Allowed("v1"))
+}
+
+func TestOrderSeenAfterItsStatusFollowsIt(t *testing.T) {
+	f := newFixture()
+	f.agree(canary.RolledBack)
+	f.versions.Order(order)
+	target, _ := f.choose("x", "1")
+	assert.Assert(t, !target)
+}
