--- a/cmd/wigeonusherd/entry_test.go
+++ b/cmd/wigeonusherd/entry_test.go
@@ -31,7 +31,7 @@
 func TestHangupWhileStoppingDoesNotKill(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	store.PutJSON("keyed.op", "config", platformtest.Config(1, platformtest.Key))
+	store.PutConfig(1, platformtest.Key)
 	settings := filepath.Join(t.TempDir(), "settings.json")
 	body, err := json.Marshal(map[string]any{
 		"name": "entry", "zone": "zone-a", "client_address": "127.0.0.1:0", "health_address": "127.0.0.1:0",
