--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -14,9 +14,6 @@
 	FloorPerSecond float64
 	// Cap bounds the tokens saved.
 	Cap float64
-	// Overdraft is how many tokens urgent retries may take beyond those saved.
-	// What is deposited fills it up first.
-	Overdraft float64
 }
 
 // Defaults of [BudgetConfig].
@@ -73,35 +70,6 @@
 	return true
 }
 
-// WithdrawUrgent takes a token for a retry whose failure costs more than
-// others': it may overdraw the budget. It reports whether there was one.
-func (b *Budget) WithdrawUrgent(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	if b.tokens-1 < -b.cfg.Overdraft {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-// Urgent reports whether [Budget.WithdrawUrgent] would find a token.
-func (b *Budget) Urgent(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	return b.tokens-1 >= -b.cfg.Overdraft
-}
-
-// Available returns the number of retries that may be made now.
-func (b *Budget) Available(now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	return b.tokens
-}
-
 // refund returns a token whose retry was not made.
 func (b *Budget) refund() {
 	b.mu.Lock()
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -21,43 +21,41 @@
 	retryPart = 0.95
 	// slackInstances is among how many instances the fleet's slack is divided.
 	slackInstances = 12
-	// leastSlack lets an instance save up for two retries.
-	leastSlack = 2
-	// overdraftPart is what streams that broke off midway may take beyond an
-	// instance's slack, as a part of it.
-	overdraftPart = 0.5
+	// reservePart is the part of an instance's slack that is kept for streams
+	// that broke off midway.
+	reservePart = 0.5
 )
 
 // budgets holds the retry budget of each service. A retry ratio of its own
 // requests and a fixed part of the slack keep the sum over all instances below
-// the fleet's bound, however many there are.
+// the fleet's bound.
 type budgets struct {
-	config retry.BudgetConfig
+	config retry.WindowConfig
 
 	mu       sync.Mutex
-	services map[route.ServiceName]*retry.Budget
+	services map[route.ServiceName]*retry.Window
 }
 
 func newBudgets(bounds Bounds) *budgets {
 	slack := bounds.RetrySlack / slackInstances
 	return &budgets{
-		config: retry.BudgetConfig{
-			Ratio:          retryPart * bounds.RetryRatio,
-			FloorPerSecond: -1,
-			Cap:            max(leastSlack, slack),
-			Overdraft:      overdraftPart * slack,
+		config: retry.WindowConfig{
+			Length:  millis(bounds.RetryWindowMillis),
+			Ratio:   retryPart * bounds.RetryRatio,
+			Slack:   slack,
+			Reserve: reservePart * slack,
 		},
-		services: make(map[route.ServiceName]*retry.Budget),
+		services: make(map[route.ServiceName]*retry.Window),
 	}
 }
 
 // Service implements [relay.Budgets].
-func (b *budgets) Service(name route.ServiceName) *retry.Budget {
+func (b *budgets) Service(name route.ServiceName) *retry.Window {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	found := b.services[name]
 	if found == nil {
-		found = retry.NewBudget(b.config)
+		found = retry.NewWindow(b.config)
 		b.services[name] = found
 	}
 	return found
@@ -69,7 +67,8 @@
 	suspectMemory = 5 * time.Minute
 	maxSuspects   = 4096
 	// refusedCrashes is the number of crashes after which a request is refused.
-	refusedCrashes = 2
+	// Two endpoints may crash by themselves at about the same time.
+	refusedCrashes = 3
 	// probeAfter is how long a crashed endpoint takes to refuse connections.
 	probeAfter = 20 * time.Millisecond
 )
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -27,7 +27,7 @@
 
 // Budgets gives the retry budget of a service.
 type Budgets interface {
-	Service(name route.ServiceName) *retry.Budget
+	Service(name route.ServiceName) *retry.Window
 }
 
 // Versions decides which versions of a service may run a request.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -26,7 +26,7 @@
 	fingerprint uint64
 	deadline    time.Time
 	service     route.ServiceName
-	budget      *retry.Budget
+	budget      *retry.Window
 	versions    Choice
 	// version is the one that the first attempt ran on.
 	version string
@@ -118,7 +118,7 @@
 func (r *run) enter(ctx context.Context, service route.ServiceName) {
 	r.service = service
 	r.budget = r.relay.Budgets.Service(service)
-	r.budget.Deposit()
+	r.budget.Request(time.Now())
 	r.versions = r.relay.Versions.Choose(ctx, service, r.request.Session, r.request.ID)
 }
 
@@ -213,7 +213,7 @@
 }
 
 // pay takes what another arrival costs from the retry budget. A stream that
-// the client has a part of may overdraw it.
+// the client has a part of may use its reserve.
 func (r *run) pay() bool {
 	if r.arrivals >= maxArrivals {
 		return false
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -53,7 +53,7 @@
 	// beside the watchdog's last look.
 	reach  Reach
 	route  *route.Route
-	budget *retry.Budget
+	budget *retry.Window
 	// usual is the usual time to the first event.
 	usual time.Duration
 	quiet time.Duration
