--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -129,7 +129,7 @@
 	e.reach = newReach()
 	e.observer = newObserver(log)
 	e.newPeers()
-	e.suspects = newSuspects(e.reach, e.notices, log)
+	e.suspects = newSuspects(e.reach, e.notices.Crashed, log)
 	e.pools.OnLongRead(e.notices.LongRead)
 	e.versions = versions.New(canary.Tuning{
 		Share:      canaryPart * settings.Bounds.ExposureShare,
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -10,7 +10,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
-	"github.com/wigeonusher/wigeonusher/node/notices"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -77,14 +77,15 @@
 type suspects struct {
 	mu      sync.Mutex
 	crashes *expirable.LRU[uint64, int]
-	reach   *reach
-	notices *notices.Notices
+	reach   relay.Reach
+	tell    func(fingerprint uint64)
 	log     *logrus.Entry
 }
 
-func newSuspects(reach *reach, notices *notices.Notices, log *logrus.Entry) *suspects {
+// newSuspects returns suspects that tell the peers of each crash.
+func newSuspects(reach relay.Reach, tell func(fingerprint uint64), log *logrus.Entry) *suspects {
 	return &suspects{
-		crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), reach: reach, notices: notices, log: log,
+		crashes: expirable.NewLRU[uint64, int](maxSuspects, nil, suspectMemory), reach: reach, tell: tell, log: log,
 	}
 }
 
@@ -109,7 +110,7 @@
 
 func (s *suspects) count(fingerprint uint64, address string) {
 	crashes := s.add(fingerprint)
-	s.notices.Crashed(fingerprint)
+	s.tell(fingerprint)
 	s.log.WithFields(logrus.Fields{
 		"fingerprint": fingerprint, "address": address, "crashes": crashes, "refused": crashes >= refusedCrashes,
 	}).Warn("endpoint crashed while it ran a request")
