--- a/node/loop/loop.go
+++ b/node/loop/loop.go
@@ -21,3 +21,16 @@
 		}
 	}
 }
+
+// Sleep waits, at most until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/node/notices/notices.go
+++ b/node/notices/notices.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/node/cluster"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/wire/peer"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
@@ -101,7 +102,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-n.wake:
-			sleep(ctx, gatherTime)
+			loop.Sleep(ctx, gatherTime)
 			n.send(ctx, nil)
 		case <-ticker.C:
 			if evidence := n.listener.OwnEvidence(); len(evidence) > 0 {
@@ -111,15 +112,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (n *Notices) send(ctx context.Context, evidence []*peerpb.VersionEvidence) {
 	n.mu.Lock()
 	notice := &peerpb.Notice{
--- /dev/null
+++ b/node/pool/probe.go
@@ -0,0 +1,37 @@
+package pool
+
+import (
+	"time"
+)
+
+// Probe is an endpoint that has to accept a connection before it gets requests
+// again.
+type Probe struct {
+	pool    *Pool
+	member  *member
+	Address string
+}
+
+// Probes returns the endpoints whose pause is over.
+func (p *Pool) Probes(now time.Time) []Probe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var probes []Probe
+	for _, m := range p.members {
+		if m.probing && !m.record.Leaving && !now.Before(m.pausedUntil) {
+			probes = append(probes, Probe{pool: p, member: m, Address: m.record.Address})
+		}
+	}
+	return probes
+}
+
+// Done takes in whether the endpoint accepted a connection.
+func (p Probe) Done(now time.Time, reachable bool) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	if reachable {
+		p.member.probing = false
+		return
+	}
+	p.member.broke(now)
+}
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/loop"
 )
 
 // Pauses after a failed call: the first one, and the bound of its doubling. A
@@ -64,10 +65,10 @@
 				return nil
 			}
 			t.lost(err)
-			t.sleep(ctx, t.pause())
+			loop.Sleep(ctx, t.pause())
 			continue
 		}
-		t.sleep(ctx, t.config.Pace-time.Since(started))
+		loop.Sleep(ctx, t.config.Pace-time.Since(started))
 	}
 	return nil
 }
@@ -118,15 +119,3 @@
 	pause := min(longestPause, firstPause<<min(t.failed-1, 8))
 	return pause/2 + rand.N(pause/2)
 }
-
-func (t *Tailer) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/node/versions/peers.go
@@ -0,0 +1,56 @@
+package versions
+
+import (
+	"github.com/wigeonusher/wigeonusher/policy/rollout"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
+)
+
+// SessionVersion tells a peer on which side a session runs.
+func (v *Versions) SessionVersion(name route.ServiceName, session string) (onTarget, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[name]
+	if s == nil {
+		return false, false
+	}
+	return v.running(s, session)
+}
+
+// OwnEvidence returns what this instance saw of the roll-outs under way.
+func (v *Versions) OwnEvidence() []*peerpb.VersionEvidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var evidence []*peerpb.VersionEvidence
+	for name, s := range v.services {
+		if s.rollout == nil || s.rollout.Phase.Over() {
+			continue
+		}
+		own := s.rollout.Own()
+		evidence = append(evidence, &peerpb.VersionEvidence{
+			Service:       string(name),
+			Target:        s.rollout.Order.Target,
+			CandidateGood: uint32(own.CandidateGood),
+			CandidateBad:  uint32(own.CandidateBad),
+			IncumbentGood: uint32(own.IncumbentGood),
+			IncumbentBad:  uint32(own.IncumbentBad),
+		})
+	}
+	return evidence
+}
+
+// PeerEvidence takes in what a peer saw of a roll-out.
+func (v *Versions) PeerEvidence(instance string, evidence *peerpb.VersionEvidence) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[route.ServiceName(evidence.Service)]
+	if s == nil || s.rollout == nil || s.rollout.Order.Target != evidence.Target {
+		return
+	}
+	s.rollout.Peer(instance, rollout.Evidence{
+		CandidateGood: int(evidence.CandidateGood),
+		CandidateBad:  int(evidence.CandidateBad),
+		IncumbentGood: int(evidence.IncumbentGood),
+		IncumbentBad:  int(evidence.IncumbentBad),
+	})
+}
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,9 +15,7 @@
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
-	"github.com/wigeonusher/wigeonusher/policy/rollout"
 	"github.com/wigeonusher/wigeonusher/policy/route"
-	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
 const (
@@ -222,55 +218,6 @@
 	return state.onTarget, true
 }
 
-// SessionVersion tells a peer on which side a session runs.
-func (v *Versions) SessionVersion(name route.ServiceName, session string) (onTarget, known bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	s := v.services[name]
-	if s == nil {
-		return false, false
-	}
-	return v.running(s, session)
-}
-
-// OwnEvidence returns what this instance saw of the roll-outs under way.
-func (v *Versions) OwnEvidence() []*peerpb.VersionEvidence {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var evidence []*peerpb.VersionEvidence
-	for name, s := range v.services {
-		if s.rollout == nil || s.rollout.Phase.Over() {
-			continue
-		}
-		own := s.rollout.Own()
-		evidence = append(evidence, &peerpb.VersionEvidence{
-			Service:       string(name),
-			Target:        s.rollout.Order.Target,
-			CandidateGood: uint32(own.CandidateGood),
-			CandidateBad:  uint32(own.CandidateBad),
-			IncumbentGood: uint32(own.IncumbentGood),
-			IncumbentBad:  uint32(own.IncumbentBad),
-		})
-	}
-	return evidence
-}
-
-// PeerEvidence takes in what a peer saw of a roll-out.
-func (v *Versions) PeerEvidence(instance string, evidence *peerpb.VersionEvidence) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	s := v.services[route.ServiceName(evidence.Service)]
-	if s == nil || s.rollout == nil || s.rollout.Order.Target != evidence.Target {
-		return
-	}
-	s.rollout.Peer(instance, rollout.Evidence{
-		CandidateGood: int(evidence.CandidateGood),
-		CandidateBad:  int(evidence.CandidateBad),
-		IncumbentGood: int(evidence.IncumbentGood),
-		IncumbentBad:  int(evidence.IncumbentBad),
-	})
-}
-
 // Observe implements [relay.Versions].
 func (v *Versions) Observe(name route.ServiceName, version string, outcome relay.VersionOutcome) {
 	v.mu.Lock()
@@ -284,76 +231,3 @@
 		Pace: outcome.Pace, UsualPace: outcome.UsualPace,
 	})
 }
-
-// Run proposes phases until the context ends.
-func (v *Versions) Run(ctx context.Context) error {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		for _, due := range v.due() {
-			v.propose(ctx, due)
-		}
-	}
-}
-
-// proposal is a status that this instance wants agreed.
-type proposal struct {
-	at     keyed.Offset
-	status canary.Status
-}
-
-// due returns the proposals whose time has come.
-func (v *Versions) due() []proposal {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var due []proposal
-	for name, s := range v.services {
-		if s.rollout == nil || s.rollout.Phase.Over() {
-			continue
-		}
-		next := s.rollout.Next(v.now(), v.available(name, s.rollout.Order.Target))
-		if next == s.rollout.Phase {
-			s.proposes = next
-			continue
-		}
-		if s.proposes != next {
-			s.proposes = next
-			s.proposeAt = v.now() + v.hesitation(next)
-		}
-		if v.now() < s.proposeAt {
-			continue
-		}
-		s.proposeAt = v.now() + proposeSpread + rand.N(proposeSpread)
-		due = append(due, proposal{at: v.end, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next}})
-	}
-	return due
-}
-
-// hesitation spreads proposals that all instances come to at the same moment.
-// A bad version is not waited for.
-func (v *Versions) hesitation(phase canary.Phase) time.Duration {
-	if phase == canary.RolledBack {
-		return 0
-	}
-	return rand.N(proposeSpread)
-}
-
-func (v *Versions) available(name route.ServiceName, target string) bool {
-	return slices.Contains(v.pools.Service(name).Versions(), target)
-}
-
-func (v *Versions) propose(ctx context.Context, p proposal) {
-	entry := v.log.WithFields(logrus.Fields{
-		"service": p.status.Service, "target": p.status.Target, "phase": p.status.Phase.String(), "at": p.at,
-	})
-	if err := v.writer.Propose(ctx, p.at, p.status); err != nil {
-		entry.WithError(err).Info("roll-out phase not accepted")
-		return
-	}
-	entry.Info("roll-out phase proposed")
-}
