--- /dev/null
+++ b/policy/canary/model_test.go
@@ -0,0 +1,122 @@
+package canary_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonusher/wigeonusher/policy/canary"
+)
+
+// statusLog is the status topic: an append takes effect only if the topic ends
+// where the writer read it. An append without an answer may take effect later.
+type statusLog struct{ records []canary.Status }
+
+type pendingAppend struct {
+	at     int
+	status canary.Status
+}
+
+func (l *statusLog) append(p pendingAppend) bool {
+	if p.at != len(l.records) {
+		return false
+	}
+	l.records = append(l.records, p.status)
+	return true
+}
+
+// modelInstance is one instance with its own view of the log and of time.
+type modelInstance struct {
+	rollout *canary.Rollout
+	read    int
+}
+
+func (i *modelInstance) follow(l *statusLog, upTo int) {
+	for ; i.read < upTo; i.read++ {
+		i.rollout.Agreed(l.records[i.read])
+	}
+}
+
+// TestStepsOfARollOutAreTakenOnceAndInOrder lets instances propose at any
+// moment under lost and late answers, stale reads, pauses across any step and
+// restarts. The log never leaves an end and never goes back.
+func TestStepsOfARollOutAreTakenOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &statusLog{}
+		now := time.Duration(0)
+		var late []pendingAppend
+		instances := make([]*modelInstance, rapid.IntRange(1, 4).Draw(t, "instances"))
+		for n := range instances {
+			instances[n] = newModelInstance(now)
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			instance := instances[rapid.IntRange(0, len(instances)-1).Draw(t, "instance")]
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			case 0:
+				now += time.Duration(rapid.IntRange(0, 6000).Draw(t, "pause ms")) * time.Millisecond
+			case 1, 2:
+				// Reads may be stale: some of the records only.
+				if instance.read < len(log.records) {
+					instance.follow(log, rapid.IntRange(instance.read, len(log.records)).Draw(t, "up to"))
+				}
+			case 3:
+				bad := rapid.IntRange(0, 3).Draw(t, "bad") == 0
+				instance.rollout.Observe(canary.Answer{Version: "v1"})
+				for range 6 {
+					instance.rollout.Observe(canary.Answer{Version: "v2", Failed: bad})
+				}
+			case 4:
+				*instance = *newModelInstance(now)
+			case 5:
+				if len(late) > 0 {
+					log.append(late[0])
+					late = late[1:]
+				}
+			default:
+				next := instance.rollout.Next(now, rapid.Bool().Draw(t, "available"))
+				if next == instance.rollout.Phase {
+					continue
+				}
+				proposal := pendingAppend{at: instance.read, status: canary.Status{Service: "s", Target: "v2", Phase: next}}
+				switch rapid.IntRange(0, 3).Draw(t, "answer") {
+				case 0: // the call is on its way for a while
+					late = append(late, proposal)
+				case 1: // it takes effect and its answer is lost: it may come again
+					log.append(proposal)
+					late = append(late, proposal)
+				default:
+					log.append(proposal)
+				}
+			}
+			checkLog(t, log)
+		}
+	})
+}
+
+func newModelInstance(now time.Duration) *modelInstance {
+	return &modelInstance{rollout: canary.New(order, tuning, now)}
+}
+
+func checkLog(t *rapid.T, log *statusLog) {
+	for n, record := range log.records {
+		if n == 0 {
+			if record.Phase != canary.Canary {
+				t.Fatalf("begins with %s", record.Phase)
+			}
+			continue
+		}
+		before := log.records[n-1].Phase
+		allowed := map[canary.Phase][]canary.Phase{
+			canary.Canary: {canary.Full, canary.RolledBack},
+			canary.Full:   {canary.Completed, canary.RolledBack},
+		}[before]
+		ok := false
+		for _, phase := range allowed {
+			ok = ok || record.Phase == phase
+		}
+		if !ok {
+			t.Fatalf("%s follows %s", record.Phase, before)
+		}
+	}
+}
