Status of an entry instance; the retry slack is divided among the instances that live

With 78 instances a fixed twelfth each would have exceeded the fleet's slack six times over; the test takes 30 and 78 in. The readiness path is the platform's and has moved behind its port.

--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -29,7 +29,7 @@
 type Window struct {
 	cfg WindowConfig
 
-	mu    sync.Mutex
+	mu sync.Mutex
 	// One more part than the window has: retries of a part that has left only
 	// partly still count.
 	slots [windowSlots + 1]windowSlot
@@ -45,6 +45,13 @@
 // NewWindow returns a window without requests.
 func NewWindow(cfg WindowConfig) *Window { return &Window{cfg: cfg} }
 
+// SetSlack changes the slack and its reserve, as instances come and go.
+func (w *Window) SetSlack(slack, reserve float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cfg.Slack, w.cfg.Reserve = slack, reserve
+}
+
 // Request counts a request.
 func (w *Window) Request(now time.Time) {
 	w.mu.Lock()
@@ -53,15 +60,21 @@
 }
 
 // Withdraw takes a retry. It reports whether there was one.
-func (w *Window) Withdraw(now time.Time) bool { return w.withdraw(now, w.cfg.Reserve) }
+func (w *Window) Withdraw(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.withdraw(now, w.cfg.Reserve)
+}
 
 // WithdrawUrgent takes a retry whose failure costs more than others': it may
 // use the reserve.
-func (w *Window) WithdrawUrgent(now time.Time) bool { return w.withdraw(now, 0) }
-
-func (w *Window) withdraw(now time.Time, reserve float64) bool {
+func (w *Window) WithdrawUrgent(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.withdraw(now, 0)
+}
+
+func (w *Window) withdraw(now time.Time, reserve float64) bool {
 	if w.left(now)-reserve < 1 {
 		return false
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -39,6 +39,8 @@
 type Platform interface {
 	Log() keyed.Log
 	Topics() Topics
+	// ReadinessPath is where the balancer asks for readiness.
+	ReadinessPath() string
 	Endpoints() relay.Endpoints
 	// Handler serves clients by the relay.
 	Handler(server *relay.Relay, limits func() route.Limits) http.Handler
@@ -123,6 +125,7 @@
 	}
 	e.pools = pool.New(settings.Zone, log)
 	e.reach = newReach()
+	e.budgets = newBudgets(settings.Bounds)
 	e.observer = newObserver(log)
 	e.newPeers()
 	e.suspects = newSuspects(e.reach, e.notices.Crashed, log)
@@ -135,7 +138,7 @@
 		Tables:    e,
 		Pools:     e.pools,
 		Endpoints: platform.Endpoints(),
-		Budgets:   newBudgets(settings.Bounds),
+		Budgets:   e.budgets,
 		Versions:  e.versions,
 		Suspects:  e.suspects,
 		Reach:     e.reach,
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -71,10 +71,12 @@
 func TestRetryBudgetsStayBelowTheFleetsBound(t *testing.T) {
 	bounds := Bounds{RetryRatio: 0.9, RetrySlack: 58, RetryWindowMillis: 10_000}
 	now := time.Now()
-	for _, instances := range []int{1, 3, 9, 12} {
+	for _, instances := range []int{1, 3, 9, 12, 30, 78} {
 		total, requests := 0, 0
 		for range instances {
-			budget := newBudgets(bounds).Service("s")
+			all := newBudgets(bounds)
+			budget := all.Service("s")
+			all.divide(instances)
 			for range 400 / instances {
 				requests++
 				budget.Request(now)
--- /dev/null
+++ b/node/entry/health.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+
+	"github.com/wigeonusher/wigeonusher/coord/membership"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/versions"
+)
+
+// Status is what an instance tells operators about itself.
+type Status struct {
+	Instance string        `json:"instance"`
+	Zone     platform.Zone `json:"zone"`
+	Ready    bool          `json:"ready"`
+	Stopping bool          `json:"stopping"`
+	// Revision is that of the configuration in force, and ConfigAgeMillis the
+	// time since it was last known to be the newest.
+	Revision        int64              `json:"revision"`
+	ConfigAgeMillis int64              `json:"config_age_ms"`
+	Routes          int                `json:"routes"`
+	Endpoints       []pool.Snapshot    `json:"endpoints"`
+	Rollouts        []versions.Rollout `json:"rollouts"`
+	Peers           []membership.Peer  `json:"peers"`
+}
+
+// Status returns how the instance is now.
+func (e *Entry) Status() Status {
+	status := Status{
+		Instance:  e.settings.Name,
+		Zone:      e.settings.Zone,
+		Ready:     e.Ready(),
+		Stopping:  e.stopping.Load(),
+		Endpoints: e.pools.Snapshots(),
+		Rollouts:  e.versions.Rollouts(),
+		Peers:     e.cluster.All(),
+	}
+	slices.SortFunc(status.Endpoints, func(a, b pool.Snapshot) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if table, provenAt := e.Table(); table != nil {
+		status.Revision, status.Routes = table.Revision, table.Routes()
+		status.ConfigAgeMillis = boottime.Since(provenAt).Milliseconds()
+	}
+	return status
+}
+
+// healthHandler serves readiness, status and metrics.
+func (e *Entry) healthHandler() http.Handler {
+	router := echo.New()
+	router.GET(e.platform.ReadinessPath(), func(c echo.Context) error {
+		if !e.Ready() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	router.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Status()) })
+	router.GET("/metrics", func(c echo.Context) error {
+		c.Response().WriteHeader(http.StatusOK)
+		e.writeMetrics(c.Response())
+		return nil
+	})
+	return router
+}
+
+func (e *Entry) writeMetrics(w io.Writer) {
+	e.observer.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -2,11 +2,8 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/node/boottime"
@@ -79,25 +76,3 @@
 	}
 	o.log.WithFields(fields).Info("request")
 }
-
-// healthHandler serves readiness, metrics and status.
-func (e *Entry) healthHandler() http.Handler {
-	router := echo.New()
-	router.GET("/api/ready", func(c echo.Context) error {
-		if !e.Ready() {
-			return c.String(http.StatusServiceUnavailable, "not ready\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
-	})
-	router.GET("/metrics", func(c echo.Context) error {
-		c.Response().WriteHeader(http.StatusOK)
-		e.writeMetrics(c.Response())
-		return nil
-	})
-	return router
-}
-
-func (e *Entry) writeMetrics(w io.Writer) {
-	e.observer.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
-}
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -19,8 +19,12 @@
 const (
 	// retryPart is the part of the fleet's retry ratio that an instance uses.
 	retryPart = 0.95
-	// slackInstances is among how many instances the fleet's slack is divided.
-	slackInstances = 12
+	// leastInstances is among how many instances the fleet's slack is divided at
+	// least: a small fleet may grow before its instances know each other.
+	leastInstances = 12
+	// unknownInstances is how many instances there may be for each one that is
+	// known to live.
+	unknownInstances = 1.3
 	// reservePart is the part of an instance's slack that is kept for streams
 	// that broke off midway.
 	reservePart = 0.5
@@ -30,23 +34,36 @@
 // requests and a fixed part of the slack keep the sum over all instances below
 // the fleet's bound.
 type budgets struct {
-	config retry.WindowConfig
+	// slack is the whole fleet's.
+	slack float64
 
 	mu       sync.Mutex
+	config   retry.WindowConfig
 	services map[route.ServiceName]*retry.Window
 }
 
 func newBudgets(bounds Bounds) *budgets {
-	slack := bounds.RetrySlack / slackInstances
-	return &budgets{
+	b := &budgets{
+		slack: bounds.RetrySlack,
 		config: retry.WindowConfig{
-			Length:  millis(bounds.RetryWindowMillis),
-			Ratio:   retryPart * bounds.RetryRatio,
-			Slack:   slack,
-			Reserve: reservePart * slack,
+			Length: millis(bounds.RetryWindowMillis),
+			Ratio:  retryPart * bounds.RetryRatio,
 		},
 		services: make(map[route.ServiceName]*retry.Window),
 	}
+	b.divide(0)
+	return b
+}
+
+// divide gives the instance its part of the slack among those that live.
+func (b *budgets) divide(live int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	part := b.slack / max(leastInstances, unknownInstances*float64(live))
+	b.config.Slack, b.config.Reserve = part, reservePart*part
+	for _, window := range b.services {
+		window.SetSlack(b.config.Slack, b.config.Reserve)
+	}
 }
 
 // Service implements [relay.Budgets].
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -98,11 +98,12 @@
 	e.cluster.Leave(ctx)
 }
 
-// upkeep drops endpoints that did not register again, and probes those whose
-// pause is over.
+// upkeep drops endpoints that did not register again, probes those whose
+// pause is over, and divides the retry budget among the instances that live.
 func (e *Entry) upkeep(ctx context.Context) error {
 	return loop.Every(ctx, upkeepInterval, func(now time.Time) {
 		e.pools.Expire(now)
+		e.budgets.divide(e.cluster.LiveCount())
 		for _, probe := range e.pools.Probes(now) {
 			go func() { probe.Done(time.Now(), e.reach.Reachable(ctx, probe.Address)) }()
 		}
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -192,3 +192,46 @@
 	}
 	return probes
 }
+
+// Snapshot is an endpoint as this instance sees it.
+type Snapshot struct {
+	ID      platform.EndpointID `json:"id"`
+	Service route.ServiceName   `json:"service"`
+	Address string              `json:"address"`
+	Zone    platform.Zone       `json:"zone"`
+	Version string              `json:"version"`
+	Leaving bool                `json:"leaving"`
+	// InFlight counts this instance's requests there, and Load is the estimate
+	// of all.
+	InFlight int     `json:"in_flight"`
+	Load     float64 `json:"load"`
+	// Failing is the smoothed share of failed requests, and Paused tells that
+	// it has to accept a connection first.
+	Failing float64 `json:"failing"`
+	Paused  bool    `json:"paused"`
+}
+
+// Snapshots returns all endpoints.
+func (p *Pools) Snapshots() []Snapshot {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	snapshots := []Snapshot{}
+	for _, service := range p.services {
+		snapshots = append(snapshots, service.snapshots()...)
+	}
+	return snapshots
+}
+
+func (p *Pool) snapshots() []Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var snapshots []Snapshot
+	for _, m := range p.members {
+		snapshots = append(snapshots, Snapshot{
+			ID: m.record.ID, Service: m.record.Service, Address: m.record.Address, Zone: m.record.Zone,
+			Version: m.record.Version, Leaving: m.record.Leaving, InFlight: m.inFlight, Load: m.load(),
+			Failing: m.failing, Paused: m.probing,
+		})
+	}
+	return snapshots
+}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 	"github.com/wigeonusher/wigeonusher/policy/sizes"
@@ -93,7 +95,7 @@
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
 	case !answer.Genuine:
-		a.verdict, a.err = verdictBroken, errors.New("answer is not the endpoint's own")
+		a.verdict, a.err = verdictBroken, eris.New("answer is not the endpoint's own")
 	case answer.Status >= http.StatusBadRequest:
 		a.keepFailure()
 	case a.escalates():
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
@@ -17,8 +18,8 @@
 
 // Causes for which this side ends an attempt.
 var (
-	errUnreachable = errors.New("endpoint is silent and cannot be reached")
-	errStuck       = errors.New("endpoint is silent for too long")
+	errUnreachable = eris.New("endpoint is silent and cannot be reached")
+	errStuck       = eris.New("endpoint is silent for too long")
 )
 
 const (
--- a/node/versions/peers.go
+++ b/node/versions/peers.go
@@ -54,3 +54,32 @@
 		IncumbentBad:  int(evidence.IncumbentBad),
 	})
 }
+
+// Rollout is a roll-out as this instance sees it.
+type Rollout struct {
+	Service route.ServiceName `json:"service"`
+	Target  string            `json:"target"`
+	Phase   string            `json:"phase"`
+	// Answers and Bad count the new version's answers that this instance and
+	// its peers saw.
+	Answers int `json:"answers"`
+	Bad     int `json:"bad"`
+}
+
+// Rollouts returns the roll-outs that were ordered.
+func (v *Versions) Rollouts() []Rollout {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	rollouts := []Rollout{}
+	for name, s := range v.services {
+		if s.rollout == nil {
+			continue
+		}
+		all := s.rollout.All()
+		rollouts = append(rollouts, Rollout{
+			Service: name, Target: s.rollout.Order.Target, Phase: s.rollout.Phase.String(),
+			Answers: all.Candidate(), Bad: all.CandidateBad,
+		})
+	}
+	return rollouts
+}
