--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -101,6 +101,7 @@
 	pools      *pool.Pools
 	reach      *reach
 	suspects   *suspects
+	budgets    *budgets
 
 	cluster    *cluster.Cluster
 	peerClient *peer.Client
