--- a/policy/experiment/experiment_test.go
+++ b/policy/experiment/experiment_test.go
@@ -31,3 +31,13 @@
 	assert.NilError(t, err)
 	assert.NilError(t, report.Print(os.Stdout))
 }
+
+// TestSizesBeatTheFixedPlansInEachPattern replays the load patterns of the
+// sizes experiment with few seeds.
+func TestSizesBeatTheFixedPlansInEachPattern(t *testing.T) {
+	report, err := experiment.Run("sizes", 5)
+	assert.NilError(t, err)
+	for _, row := range report.Rows {
+		assert.Assert(t, row.Met, "%s: %s is %.3f", row.Name, row.Metric, row.Mean)
+	}
+}
--- a/policy/experiment/registry.go
+++ b/policy/experiment/registry.go
@@ -23,6 +23,7 @@
 		{name: "placement", run: runPlacement},
 		{name: "admission", run: runAdmission},
 		{name: "quota", run: runQuota},
+		{name: "sizes", run: runSizes},
 	}
 }
 
--- /dev/null
+++ b/policy/experiment/sizes.go
@@ -0,0 +1,200 @@
+package experiment
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/policy/sizes"
+)
+
+// The pool that the sizes experiment plays: engines that read prompts one
+// after the other, with three sizes of model.
+const (
+	sizesEngines = 12
+	// sizesTokensPerSecond is the reading speed of a model of pace 1.
+	sizesTokensPerSecond = 20_000
+	sizesMeanTokens      = 6_000
+	// sizesSpread is the deviation of the logarithm of a prompt's length.
+	sizesSpread = 0.8
+	// sizesNoise is the deviation of a confidence around the truth.
+	sizesNoise  = 0.15
+	sizesTarget = 2 * time.Second
+	sizesLength = 60 * time.Second
+	// sizesRate is the load of calm times, in requests per second.
+	sizesRate = 18
+	// sizesAccept is the confidence asked in calm times.
+	sizesAccept = 0.5
+	// sizesRetries stands for a retry budget that is never short.
+	sizesRetries = 10
+	// The worth of an answer that is good but late, and of one that is poor.
+	sizesLate = 0.3
+	sizesPoor = 0.05
+)
+
+// sizesModel is a size of model: its reading time relative to pace 1, the
+// share of requests that it answers well, and its cost per request.
+type sizesModel struct{ pace, quality, cost float64 }
+
+var sizesModels = []sizesModel{{0.3, 0.54, 0.01}, {0.8, 0.64, 0.07}, {3.0, 1.0, 0.15}}
+
+// sizesPattern is a load over time: the factor on the rate, and the engines
+// that work.
+type sizesPattern struct {
+	name    string
+	load    func(at time.Duration) float64
+	engines func(at time.Duration) int
+}
+
+func sizesPatterns() []sizesPattern {
+	all := func(time.Duration) int { return sizesEngines }
+	within := func(at, from, to time.Duration) bool { return at >= from && at < to }
+	return []sizesPattern{
+		{name: "calm", load: func(time.Duration) float64 { return 1 }, engines: all},
+		{name: "burst", engines: all, load: func(at time.Duration) float64 {
+			if within(at, 20*time.Second, 30*time.Second) {
+				return 2.5
+			}
+			return 1
+		}},
+		{name: "half of the engines lost", load: func(time.Duration) float64 { return 1.2 }, engines: func(at time.Duration) int {
+			if within(at, 20*time.Second, 40*time.Second) {
+				return sizesEngines / 2
+			}
+			return sizesEngines
+		}},
+		{name: "twice the load", load: func(time.Duration) float64 { return 2 }, engines: all},
+	}
+}
+
+// sizesPolicy chooses models.
+type sizesPolicy struct {
+	name  string
+	first func(sizes.Request) int
+	next  func(request sizes.Request, asked int, confidence, accept float64) (int, bool)
+	// eases tells that the pressure lowers the confidence asked.
+	eases bool
+}
+
+func sizesPolicies() []sizesPolicy {
+	never := func(sizes.Request, int, float64, float64) (int, bool) { return 0, false }
+	last := len(sizesModels) - 1
+	return []sizesPolicy{
+		{name: "always small", first: func(sizes.Request) int { return 0 }, next: never},
+		{name: "always large", first: func(sizes.Request) int { return last }, next: never},
+		{name: "fixed confidence", first: func(sizes.Request) int { return 0 }, next: func(_ sizes.Request, asked int, confidence, accept float64) (int, bool) {
+			return last, asked < last && confidence < accept
+		}},
+		{name: "time and pressure", first: sizes.First, next: sizes.Next, eases: true},
+	}
+}
+
+// sizesRun plays one pattern under one policy.
+type sizesRun struct {
+	pattern  sizesPattern
+	policy   sizesPolicy
+	random   *rand.Rand
+	freeAt   [sizesEngines]time.Duration
+	pressure sizes.Pressure
+}
+
+// sizesResult is what a run came to, per request.
+type sizesResult struct{ worth, onTime, cost float64 }
+
+func (r *sizesRun) play() sizesResult {
+	var total sizesResult
+	requests := 0.0
+	for at := time.Duration(0); at < sizesLength; {
+		rate := sizesRate * r.pattern.load(at)
+		at += time.Duration(r.random.ExpFloat64() / rate * float64(time.Second))
+		worth, onTime, cost := r.request(at)
+		requests++
+		total.worth += worth - cost
+		total.cost += cost
+		if onTime {
+			total.onTime++
+		}
+	}
+	return sizesResult{worth: total.worth / requests, onTime: total.onTime / requests, cost: total.cost / requests}
+}
+
+// request plays one request: a first model, and a larger one if its answer is
+// not confident.
+func (r *sizesRun) request(arrived time.Duration) (worth float64, onTime bool, cost float64) {
+	tokens := sizesMeanTokens * math.Exp(sizesSpread*r.random.NormFloat64()-sizesSpread*sizesSpread/2)
+	hardness := r.random.Float64()
+	request := sizes.Request{Target: sizesTarget, Retries: sizesRetries}
+	for _, model := range sizesModels {
+		request.Models = append(request.Models, sizes.Model{FirstEvent: reading(tokens, model.pace)})
+	}
+	asked := r.policy.first(request)
+	now := r.run(arrived, tokens, asked)
+	cost = sizesModels[asked].cost
+	accept := sizesAccept
+	if r.policy.eases {
+		accept = r.pressure.Accept(accept)
+	}
+	request.Elapsed = now - arrived
+	confidence := 0.5 + sizesModels[asked].quality - hardness + sizesNoise*r.random.NormFloat64()
+	if next, ok := r.policy.next(request, asked, confidence, accept); ok {
+		asked = next
+		now = r.run(now, tokens, asked)
+		cost += sizesModels[asked].cost
+	}
+	onTime = now-arrived <= sizesTarget
+	r.pressure.Add(!onTime)
+	switch good := hardness <= sizesModels[asked].quality; {
+	case good && onTime:
+		return 1, onTime, cost
+	case good:
+		return sizesLate, onTime, cost
+	default:
+		return sizesPoor, onTime, cost
+	}
+}
+
+func reading(tokens, pace float64) time.Duration {
+	return time.Duration(tokens * pace / sizesTokensPerSecond * float64(time.Second))
+}
+
+// run reads the prompt at the engine that is free first, and returns when the
+// first event comes.
+func (r *sizesRun) run(at time.Duration, tokens float64, model int) time.Duration {
+	best := 0
+	for engine := range r.pattern.engines(at) {
+		if r.freeAt[engine] < r.freeAt[best] {
+			best = engine
+		}
+	}
+	r.freeAt[best] = max(r.freeAt[best], at) + reading(tokens, sizesModels[model].pace)
+	return r.freeAt[best]
+}
+
+func runSizes(seeds int) ([]Row, error) {
+	var rows []Row
+	for _, pattern := range sizesPatterns() {
+		best := make([]float64, seeds)
+		for _, policy := range sizesPolicies() {
+			worth, onTime, cost := make([]float64, seeds), make([]float64, seeds), make([]float64, seeds)
+			gain := make([]float64, seeds)
+			for seed := range seeds {
+				run := &sizesRun{pattern: pattern, policy: policy, random: rand.New(rand.NewPCG(uint64(seed+1), 17))}
+				result := run.play()
+				worth[seed], onTime[seed], cost[seed] = result.worth, result.onTime, result.cost
+				gain[seed] = result.worth - best[seed]
+				if !policy.eases {
+					best[seed] = max(best[seed], result.worth)
+				}
+			}
+			name := pattern.name + ": " + policy.name
+			rows = append(rows,
+				newRow(name, "worth less cost, per request", Target{}, worth),
+				newRow(name, "on time, share", Target{}, onTime),
+				newRow(name, "cost per request", Target{}, cost))
+			if policy.eases {
+				rows = append(rows, newRow(name, "worth above the best of the others", Target{Bound: MeanAtLeast, Value: 0}, gain))
+			}
+		}
+	}
+	return rows, nil
+}
