--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -351,3 +351,20 @@
 		assert.Equal(t, lastEventID([]byte(input)), want, input)
 	}
 }
+
+func TestRefusedClientsReturnSpreadAndInTime(t *testing.T) {
+	const base = 500 * time.Millisecond
+	for _, c := range []struct {
+		left time.Duration
+		draw float64
+		want time.Duration
+	}{
+		{0, 0, 250 * time.Millisecond},
+		{0, 0.5, 500 * time.Millisecond},
+		{10 * time.Second, 0.9, 700 * time.Millisecond},
+		{1200 * time.Millisecond, 0.9, 300 * time.Millisecond},
+		{100 * time.Millisecond, 0.9, 50 * time.Millisecond},
+	} {
+		assert.Equal(t, comeBack(base, c.left, c.draw), c.want)
+	}
+}
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -220,10 +221,25 @@
 }
 
 func (r *run) refuse(refusal *Refusal) {
+	if refusal.RetryAfter > 0 {
+		left := r.request.Patience - time.Since(r.request.Received)
+		refusal.RetryAfter = comeBack(refusal.RetryAfter, left, rand.Float64())
+	}
 	r.refusal = refusal
 	r.client.Refuse(refusal)
 }
 
+// comeBack spreads the times at which refused clients return around a base, so
+// that they do not return together, and early enough that a client with so
+// much time left does return. draw is in [0, 1).
+func comeBack(base, left time.Duration, draw float64) time.Duration {
+	after := time.Duration(float64(base) * (0.5 + draw))
+	if left > 0 {
+		after = min(after, left/returnPart)
+	}
+	return max(after, leastRetryAfter)
+}
+
 func (r *run) report(ctx context.Context) {
 	event := &DoneEvent{
 		RequestID: r.request.ID,
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -27,6 +27,11 @@
 	leastPatience = 400 * time.Millisecond
 	// defaultRetryAfter is when to come back if nothing better is known.
 	defaultRetryAfter = 500 * time.Millisecond
+	// returnPart is the part of its time left after which a client returns at
+	// the latest: one that is told to wait longer than a third does not.
+	returnPart = 4
+	// leastRetryAfter is the least time to come back.
+	leastRetryAfter = 50 * time.Millisecond
 	// leastLeft is the time left below which no attempt is worth starting.
 	leastLeft = 20 * time.Millisecond
 	// escalationReserve is the part of the retry budget, in retries, that is
