--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -75,6 +75,6 @@
 func (l *listener) OwnEvidence() []*peerpb.VersionEvidence { return l.versions.OwnEvidence() }
 
 // SessionVersion implements [notices.Listener].
-func (l *listener) SessionVersion(service, session string) (onTarget, known bool) {
-	return l.versions.SessionVersion(route.ServiceName(service), session)
+func (l *listener) SessionVersion(service, target, session string) (onTarget, known bool) {
+	return l.versions.SessionVersion(route.ServiceName(service), target, session)
 }
--- a/node/notices/notices.go
+++ b/node/notices/notices.go
@@ -41,8 +41,9 @@
 	Evidence(instance string, evidence *peerpb.VersionEvidence)
 	// OwnEvidence returns this instance's counts of the roll-outs under way.
 	OwnEvidence() []*peerpb.VersionEvidence
-	// SessionVersion returns on which side of a roll-out a session runs.
-	SessionVersion(service, session string) (onTarget, known bool)
+	// SessionVersion returns on which side of the roll-out to a target a
+	// session runs.
+	SessionVersion(service, target, session string) (onTarget, known bool)
 }
 
 // Notices passes notices on. Its methods may be called from several
@@ -143,14 +144,14 @@
 
 // AskSession asks all live peers on which side of a roll-out a session runs.
 // The first that knows decides.
-func (n *Notices) AskSession(ctx context.Context, service, session string) (onTarget, known bool) {
+func (n *Notices) AskSession(ctx context.Context, service, target, session string) (onTarget, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	targets := n.alive()
-	replies := make(chan *peerpb.SessionVersionReply, len(targets))
-	for _, target := range targets {
+	peers := n.alive()
+	replies := make(chan *peerpb.SessionVersionReply, len(peers))
+	for _, asked := range peers {
 		go func() {
-			reply, err := n.client.SessionVersion(ctx, target.Address, &peerpb.SessionVersionRequest{Service: service, Session: session})
+			reply, err := n.client.SessionVersion(ctx, asked.Address, &peerpb.SessionVersionRequest{Service: service, Target: target, Session: session})
 			if err != nil {
 				// A peer that does not answer in time may not know either.
 				reply = &peerpb.SessionVersionReply{}
@@ -158,7 +159,7 @@
 			replies <- reply
 		}()
 	}
-	for range targets {
+	for range peers {
 		if reply := <-replies; reply.Known {
 			return reply.OnTarget, true
 		}
@@ -188,6 +189,6 @@
 
 // SessionVersion answers a peer's question for a session.
 func (n *Notices) SessionVersion(_ context.Context, request *peerpb.SessionVersionRequest) (*peerpb.SessionVersionReply, error) {
-	onTarget, known := n.listener.SessionVersion(request.Service, request.Session)
+	onTarget, known := n.listener.SessionVersion(request.Service, request.Target, request.Session)
 	return &peerpb.SessionVersionReply{Known: known, OnTarget: onTarget}, nil
 }
--- a/node/versions/peers.go
+++ b/node/versions/peers.go
@@ -6,15 +6,16 @@
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
 
-// SessionVersion tells a peer on which side a session runs.
-func (v *Versions) SessionVersion(name route.ServiceName, session string) (onTarget, known bool) {
+// SessionVersion tells a peer on which side of the roll-out to a target a
+// session runs.
+func (v *Versions) SessionVersion(name route.ServiceName, target, session string) (onTarget, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[name]
 	if s == nil {
 		return false, false
 	}
-	return v.running(s, session)
+	return v.running(s, target, session)
 }
 
 // OwnEvidence returns what this instance saw of the roll-outs under way.
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -41,7 +41,7 @@
 type Sessions interface {
 	// AskSession returns on which side of a roll-out a session runs, if a peer
 	// knows it.
-	AskSession(ctx context.Context, service, session string) (onTarget, known bool)
+	AskSession(ctx context.Context, service, target, session string) (onTarget, known bool)
 }
 
 // Config lists the parts that roll-outs use.
@@ -84,7 +84,9 @@
 }
 
 type sessionState struct {
-	onTarget bool
+	// target is the new version of the roll-out in which the session ran on it;
+	// empty if it ran on the old one.
+	target   string
 	lastSeen time.Duration
 }
 
@@ -163,19 +165,20 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(name)
-	onTarget := false
-	if s.rollout != nil {
-		onTarget = v.onTarget(ctx, s, session, requestID)
+	current := s.rollout
+	state := sessionState{lastSeen: v.now()}
+	if current != nil && v.onTarget(ctx, s, current, session, requestID) {
+		state.target = current.Order.Target
 	}
 	if session != "" {
-		s.sessions.Add(session, sessionState{onTarget: onTarget, lastSeen: v.now()})
+		s.sessions.Add(session, state)
 	}
-	if s.rollout == nil {
+	if current == nil {
 		return relay.Choice{}
 	}
-	target, phase := s.rollout.Order.Target, s.rollout.Phase
+	target, onTarget := current.Order.Target, state.target != ""
 	choice := relay.Choice{Meant: func(version string) bool { return (version == target) == onTarget }}
-	if !onTarget && phase != canary.Canary {
+	if !onTarget && current.Phase != canary.Canary {
 		choice.Allowed = choice.Meant
 	}
 	return choice
@@ -183,8 +186,8 @@
 
 // onTarget reports whether a request runs on the new version. It gives up the
 // lock while it asks the peers.
-func (v *Versions) onTarget(ctx context.Context, s *service, session, requestID string) bool {
-	switch s.rollout.Phase {
+func (v *Versions) onTarget(ctx context.Context, s *service, current *canary.Rollout, session, requestID string) bool {
+	switch current.Phase {
 	case canary.Full, canary.Completed:
 		return true
 	case canary.Canary:
@@ -192,30 +195,30 @@
 		return false
 	}
 	if session == "" {
-		return s.rollout.Chosen(requestID)
+		return current.Chosen(requestID)
 	}
-	if onTarget, known := v.running(s, session); known {
+	if onTarget, known := v.running(s, current.Order.Target, session); known {
 		return onTarget
 	}
-	if !s.rollout.Chosen(session) {
+	if !current.Chosen(session) {
 		return false
 	}
 	// It may have begun on the old version at another instance.
-	order := s.rollout.Order
+	order := current.Order
 	v.mu.Unlock()
-	onTarget, known := v.asked.AskSession(ctx, string(order.Service), session)
+	onTarget, known := v.asked.AskSession(ctx, string(order.Service), order.Target, session)
 	v.mu.Lock()
 	return onTarget || !known
 }
 
-// running returns on which side a session runs that this instance has seen
-// lately, so that one of its requests may still run.
-func (v *Versions) running(s *service, session string) (onTarget, known bool) {
+// running returns on which side of the roll-out to a target a session runs, if
+// this instance has seen it lately, so that one of its requests may still run.
+func (v *Versions) running(s *service, target, session string) (onTarget, known bool) {
 	state, ok := s.sessions.Get(session)
 	if !ok || v.now()-state.lastSeen >= v.tuning.SessionGap+longestRequest {
 		return false, false
 	}
-	return state.onTarget, true
+	return state.target == target, true
 }
 
 // Observe implements [relay.Versions].
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -27,7 +27,7 @@
 	asked int
 }
 
-func (f *fixture) AskSession(_ context.Context, _, session string) (onTarget, known bool) {
+func (f *fixture) AskSession(_ context.Context, _, _, session string) (onTarget, known bool) {
 	f.asked++
 	onTarget, known = f.peers[session]
 	return onTarget, known
@@ -103,7 +103,7 @@
 	f.agree(canary.Canary)
 	target, _ := f.choose(session, "1")
 	assert.Assert(t, target)
-	onTarget, known := f.versions.SessionVersion(order.Service, session)
+	onTarget, known := f.versions.SessionVersion(order.Service, order.Target, session)
 	assert.Assert(t, onTarget && known, "a peer is told")
 }
 
@@ -158,3 +158,25 @@
 	target, _ := f.choose("x", "1")
 	assert.Assert(t, !target)
 }
+
+// A session that ran on the new version of one roll-out is on the old version
+// of the next.
+func TestNextRollOutBeginsWithAllSessionsOnTheOldVersion(t *testing.T) {
+	f := newFixture()
+	session := chosenSession(t)
+	f.versions.Order(order)
+	f.agree(canary.Canary)
+	target, _ := f.choose(session, "1")
+	assert.Assert(t, target)
+	f.agree(canary.Completed)
+	f.choose(session, "2")
+	next := order
+	next.Target = "v3"
+	f.versions.Order(next)
+	f.versions.Agreed(4, canary.Status{Service: order.Service, Target: "v3", Phase: canary.Canary})
+	choice := f.versions.Choose(context.Background(), order.Service, session, "3")
+	assert.Assert(t, !choice.Meant("v3"))
+	assert.Assert(t, choice.Meant("v2"))
+	onTarget, known := f.versions.SessionVersion(order.Service, "v3", session)
+	assert.Assert(t, known && !onTarget, "a peer is told the same")
+}
