--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -26,7 +26,7 @@
 	record Record
 	// inFlight counts this instance's requests at the endpoint.
 	inFlight int
-	// reported is the endpoint's last word on its running and waiting requests,
+	// reported is what the endpoint last reported of running and waiting requests,
 	// and ownThen this instance's requests at that moment.
 	reported int
 	ownThen  int
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -13,7 +13,7 @@
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// Record is the registry's word about an endpoint.
+// Record is the registry's entry of an endpoint.
 type Record struct {
 	ID      platform.EndpointID
 	Service route.ServiceName
--- a/node/pool/separate.go
+++ b/node/pool/separate.go
@@ -35,7 +35,7 @@
 
 // separate keeps long prompts on endpoints of their own, where they do not
 // stall the streams of others. All instances agree on these endpoints without
-// a word, by the order of a hash.
+// communication, because they order endpoints by the same hash.
 func (p *Pool) separate(candidates []*member, query Query) (chosen []*member, long bool) {
 	if query.GapTarget <= 0 || len(candidates) < leastToSeparate {
 		return candidates, false
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -77,8 +77,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if a.mayGoOnElsewhere() {
-		dog := a.watch(ctx, cancel)
-		defer dog.stop()
+		watchdog := a.watch(ctx, cancel)
+		defer watchdog.stop()
 	}
 	answer, err := a.run.relay.Endpoints.Send(ctx, a.call(), a.run.deadline)
 	if err != nil {
--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -20,5 +20,5 @@
 // An attempt ends in a verdict. It decides whether another attempt may follow
 // (see [run.mayRepeat]), and whether a refusal may say that the request has not
 // run: only if each attempt ended before a byte was sent, or by the endpoint's
-// word that it did not run the request.
+// statement that it did not run the request.
 package relay
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -85,7 +85,7 @@
 	// Genuine tells that the answer bears the endpoint's proof and belongs to
 	// this call.
 	Genuine bool
-	// NotExecuted is the endpoint's word that it did not run the request.
+	// NotExecuted is the endpoint's statement that it did not run the request.
 	NotExecuted bool
 	// Misdirected tells that another endpoint has the address.
 	Misdirected bool
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -51,7 +51,7 @@
 	attempt *attempt
 	cancel  context.CancelCauseFunc
 	// What follows is as it was when the attempt began: the request goes on
-	// beside the watchdog's last look.
+	// while the watchdog may still be looking.
 	reach  Reach
 	route  *route.Route
 	budget *retry.Window
@@ -94,7 +94,7 @@
 		return
 	}
 	if !w.affordable() {
-		// Nothing could follow: a silent endpoint is the better hope.
+		// No other endpoint could be asked, so giving this one up gains nothing.
 		w.timer.Reset(w.quiet)
 		return
 	}
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -148,7 +148,7 @@
 	Pace, UsualPace time.Duration
 }
 
-// bad reports whether the answer speaks against its version. strictness is by
+// bad reports whether the answer counts against its version. strictness is by
 // how much more than usual a slow one must be.
 func (a Answer) bad(strictness time.Duration) bool {
 	switch {
