Core path on ports: gate, planner, places, budgets

Cause: the project's own interface could not move onto relay, which knew the routing table, pools, roll-outs and sizes by their types. They are now implementations of four ports in the same package (TableGate, SizePlanner, PooledPlaces, and the budgets of entry); the run itself knows none of them. A failure that breaks off is sorted like any broken answer, so a client that left no longer counts against the endpoint. Answers of 4xx are the endpoint's own and passed on at once.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -136,19 +136,14 @@
 		SessionGap: millis(settings.Bounds.SessionGapMillis),
 	}, versions.Config{Pools: e.pools, Writer: e, Sessions: e.notices, Logger: log})
 	e.relay = relay.New(relay.Config{
-		Tables:    e,
-		Pools:     e.pools,
+		Gate:      &relay.TableGate{Tables: e, MaxAge: e.configMaxAge()},
+		Planner:   &relay.SizePlanner{Pools: e.pools, Accept: settings.Routing.AcceptConfidence},
+		Places:    &relay.PooledPlaces{Pools: e.pools, Versions: e.versions, Suspects: e.suspects},
 		Endpoints: platform.Endpoints(),
 		Budgets:   e.budgets,
-		Versions:  e.versions,
-		Suspects:  e.suspects,
 		Reach:     e.reach,
 		Observer:  e.observer,
-		Tuning: relay.Tuning{
-			ConfigMaxAge:     e.configMaxAge(),
-			Dial:             time.Duration(settings.Routing.DialMillis) * time.Millisecond,
-			AcceptConfidence: settings.Routing.AcceptConfidence,
-		},
+		Dial:      time.Duration(settings.Routing.DialMillis) * time.Millisecond,
 	})
 	e.observer.gauges(e)
 	return e, nil
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -75,7 +75,7 @@
 		total, requests := 0, 0
 		for range instances {
 			all := newBudgets(bounds)
-			budget := all.Service("s")
+			budget := all.Budget("s")
 			all.divide(instances)
 			for range 400 / instances {
 				requests++
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -66,10 +66,14 @@
 	}
 }
 
-// Service implements [relay.Budgets].
-func (b *budgets) Service(name route.ServiceName) *retry.Window {
+// Budget implements [relay.Budgets].
+func (b *budgets) Budget(name route.ServiceName) relay.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return serviceBudget{b.window(name)}
+}
+
+func (b *budgets) window(name route.ServiceName) *retry.Window {
 	found := b.services[name]
 	if found == nil {
 		found = retry.NewWindow(b.config)
@@ -78,6 +82,13 @@
 	return found
 }
 
+// serviceBudget implements [relay.Budget]. The platform counts the turn of a
+// larger model as a retry.
+type serviceBudget struct{ *retry.Window }
+
+// Escalate implements [relay.Budget].
+func (b serviceBudget) Escalate(now time.Time) bool { return b.Withdraw(now) }
+
 const (
 	// suspectMemory is how long a request that crashed endpoints is remembered,
 	// and maxSuspects how many are.
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +13,6 @@
 
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
-	"github.com/wigeonusher/wigeonusher/policy/sizes"
 )
 
 // verdict is what became of one attempt.
@@ -46,10 +44,12 @@
 
 // attempt is one try of a request at one endpoint.
 type attempt struct {
-	run     *run
-	lease   *pool.Lease
-	model   route.ModelName
-	started time.Time
+	run      *run
+	place    Place
+	endpoint pool.Record
+	model    route.ModelName
+	started  time.Time
+	ended    time.Time
 
 	verdict verdict
 	// next is the model to ask after an answer of low confidence.
@@ -74,9 +74,10 @@
 func (a *attempt) ran() bool { return a.verdict != verdictNotSent && a.verdict != verdictNotExecuted }
 
 func (a *attempt) do(ctx context.Context) {
+	defer func() { a.ended = time.Now() }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if a.mayGoOnElsewhere() {
+	if a.run.relay.Reach != nil && a.mayGoOnElsewhere() {
 		watchdog := a.watch(ctx, cancel)
 		defer watchdog.stop()
 	}
@@ -89,20 +90,20 @@
 	a.answer = answer
 	a.hear()
 	if answer.HasLoad {
-		a.lease.Reported(answer.Running, answer.Waiting)
+		a.place.Reported(answer.Running, answer.Waiting)
 	}
 	switch {
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
 	case !answer.Genuine:
 		a.verdict, a.err = verdictBroken, eris.New("answer is not the endpoint's own")
-	case answer.Status >= http.StatusBadRequest:
-		a.keepFailure()
+	case answer.Status >= http.StatusInternalServerError:
+		a.keepFailure(ctx)
 	case a.escalates():
 		a.verdict = verdictLowConfidence
 		a.noteFirstEvent()
-		a.observe(false)
-	case a.run.permission.route.Kind == route.Stream:
+		a.keepFallback()
+	case a.run.permission.Route.Kind == route.Stream:
 		a.copyStream(ctx)
 	default:
 		a.copyWhole(ctx)
@@ -113,21 +114,21 @@
 	r := a.run
 	return &Call{
 		Request:     r.request,
-		Endpoint:    a.lease.Endpoint.ID,
-		Address:     a.lease.Endpoint.Address,
-		Account:     r.permission.account,
+		Endpoint:    a.endpoint.ID,
+		Address:     a.endpoint.Address,
+		Account:     r.permission.Account,
 		Model:       a.model,
 		Left:        time.Until(r.deadline),
 		ResumeAfter: r.lastEvent,
-		Priority:    r.permission.priority,
-		Dial:        r.relay.Tuning.Dial,
+		Priority:    r.permission.Priority,
+		Dial:        r.relay.Dial,
 	}
 }
 
 // mayGoOnElsewhere reports whether another endpoint may take the request over
 // if this one is silent.
 func (a *attempt) mayGoOnElsewhere() bool {
-	found := a.run.permission.route
+	found := a.run.permission.Route
 	return found.Repeatable() && a.run.runs+1 < found.MaxAttempts
 }
 
@@ -138,7 +139,7 @@
 // hear notes that the endpoint sent something.
 func (a *attempt) hear() {
 	a.heard.Store(time.Now().UnixNano())
-	a.lease.Sign()
+	a.place.Sign()
 }
 
 func (a *attempt) sendFailed(ctx context.Context, err error) {
@@ -167,32 +168,49 @@
 // escalates reports whether the answer is dropped for a larger model's.
 func (a *attempt) escalates() bool {
 	r := a.run
-	found := r.permission.route
-	if !found.Repeatable() || !a.answer.HasConfidence || r.begun || r.escalated || !larger(found.Models, a.model) {
+	found := r.permission.Route
+	if !found.Repeatable() || !a.answer.HasConfidence || r.begun || r.runs+1 >= found.MaxAttempts {
 		return false
 	}
-	plan := r.sizes(found.Models)
-	accept := r.relay.pressures.accept(r.service, r.relay.Tuning.accept(r.permission.priority))
-	next, ok := sizes.Next(plan, slices.Index(found.Models, a.model), a.answer.Confidence, accept)
-	if !ok || r.runs+1 >= found.MaxAttempts || !r.pay() {
+	next, ok := r.relay.Planner.Next(r.progress(), a.model, a.answer.Confidence)
+	if !ok || r.arrivals >= maxArrivals || !r.budget.Escalate(time.Now()) {
 		return false
 	}
-	a.next = found.Models[next]
+	a.next = next
 	return true
 }
 
+// keepFallback keeps an answer that is dropped for a larger model's.
+func (a *attempt) keepFallback() {
+	if a.answer.Complete {
+		a.run.fallback = a.answer
+	}
+}
+
+// fallBack passes on the answer that was dropped for one that did not come.
+func (r *run) fallBack() {
+	answer := r.fallback
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		r.refuse(&Refusal{Reason: EndpointsFailed, RetryAfter: r.request.comeBack()})
+		return
+	}
+	r.begun, r.status = true, answer.Status
+	r.client.Begin(Head{Status: answer.Status, Header: answer.Header, Fallback: true})
+	// A client that is gone needs no more.
+	_ = r.client.Write(body)
+}
+
 // keepFailure reads the endpoint's failure, for the client if nothing better
 // comes.
-func (a *attempt) keepFailure() {
-	a.verdict = verdictFailure
+func (a *attempt) keepFailure(ctx context.Context) {
 	_ = a.answer.Body.SetReadDeadline(time.Now().Add(leastPatience)) // a failure shows in the read
 	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
 	if err != nil {
-		a.verdict, a.err = verdictBroken, err
+		a.broke(ctx, err)
 		return
 	}
-	a.failure = body
-	a.observe(true)
+	a.verdict, a.failure = verdictFailure, body
 }
 
 // passFailure gives the client the endpoint's failure.
@@ -209,7 +227,7 @@
 	}
 	a.run.begun = true
 	a.run.status = a.answer.Status
-	a.run.client.Begin(a.answer.Status, a.answer.Header)
+	a.run.client.Begin(Head{Status: a.answer.Status, Header: a.answer.Header})
 }
 
 // copyWhole keeps the answer until it is whole, then passes it on.
@@ -226,7 +244,6 @@
 	if err := a.run.client.Write(body); err != nil {
 		a.verdict, a.err = verdictClientGone, err
 	}
-	a.observe(false)
 }
 
 func (a *attempt) noteFirstEvent() {
@@ -235,25 +252,31 @@
 	}
 	a.firstEvent = time.Since(a.started)
 	a.streaming.Store(true)
-	a.lease.FirstEvent(a.firstEvent)
+	a.place.FirstEvent(a.firstEvent)
 }
 
-func (a *attempt) observe(failed bool) {
-	endpoints := a.run.relay.Pools.Service(a.run.service)
-	outcome := VersionOutcome{
-		Failed:     failed,
-		FirstEvent: a.firstEvent,
-		UsualFirst: endpoints.FirstEvent(a.model, a.run.request.PromptTokens),
-		UsualPace:  endpoints.Pace(a.model),
+// pace is the mean time from event to event, 0 if there were too few.
+func (a *attempt) pace() time.Duration {
+	if a.events < leastPaceEvents {
+		return 0
 	}
-	if a.events >= leastPaceEvents {
-		outcome.Pace = (time.Since(a.started) - a.firstEvent) / time.Duration(a.events-1)
-		endpoints.LearnPace(a.model, outcome.Pace)
+	return (a.ended.Sub(a.started) - a.firstEvent) / time.Duration(a.events-1)
+}
+
+// delivery tells how the answer reached the client.
+func (a *attempt) delivery() Delivery {
+	return Delivery{
+		FirstEvent: a.started.Sub(a.run.request.Received) + a.firstEvent,
+		LongestGap: a.longestGap,
+		LongPrompt: a.place.LongPrompt(),
 	}
-	a.run.relay.Versions.Observe(a.run.service, a.lease.Endpoint.Version, outcome)
 }
 
-// result is what the attempt tells of its endpoint.
+// ending is what the attempt tells of its endpoint.
+func (a *attempt) ending() Ending {
+	return Ending{Result: a.result(), Crashed: a.crashed, FirstEvent: a.firstEvent, Pace: a.pace()}
+}
+
 func (a *attempt) result() pool.Result {
 	switch a.verdict {
 	case verdictDelivered, verdictLowConfidence:
@@ -278,13 +301,13 @@
 		Session:    a.run.request.Session,
 		Number:     a.run.arrivals,
 		Service:    a.run.service,
-		Endpoint:   string(a.lease.Endpoint.ID),
-		Version:    a.lease.Endpoint.Version,
+		Endpoint:   string(a.endpoint.ID),
+		Version:    a.endpoint.Version,
 		Model:      a.model,
-		Revision:   a.run.permission.table.Revision,
+		Revision:   a.run.permission.Revision,
 		Verdict:    a.verdict.String(),
 		Events:     a.events,
-		Took:       time.Since(a.started),
+		Took:       a.ended.Sub(a.started),
 		FirstEvent: a.firstEvent,
 		SinceStart: a.started.Sub(a.run.request.Received),
 		LongestGap: a.longestGap,
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -3,56 +3,61 @@
 import (
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// permission is what the gate says of a request under one revision.
-type permission struct {
-	table   *route.Table
-	route   *route.Route
-	account route.AccountName
-	// priority ranks the request; 0 is the most urgent.
-	priority int
-	age      time.Duration
+// Tables gives the routing table in force.
+type Tables interface {
+	// Table returns the newest table and the moment at which it was last known
+	// to be the newest; nil if none is known.
+	Table() (*route.Table, boottime.Instant)
 }
 
-// gate decides whether the request may run now. It is asked before each
-// attempt, and by the newest table known. How old that may be counts at the
-// arrival of the request: one that was permitted when it came may go on at
-// another endpoint. Only a table that is known to be current denies: an older
-// one may lack a route or a key that was added since.
-func (r *Relay) gate(request *Request) (permission, *Refusal) {
-	table, provenAt := r.Tables.Table()
+// TableGate is the [Gate] of a routing table.
+type TableGate struct {
+	Tables Tables
+	// MaxAge is the greatest age at which a table may still permit a request
+	// that needs a key; 0 means any.
+	MaxAge time.Duration
+}
+
+// Admit implements [Gate]. How old the table may be counts at the arrival of
+// the request: one that was permitted when it came may go on at another
+// endpoint. Only a table that is known to be current denies: an older one may
+// lack a route or a key that was added since.
+func (g *TableGate) Admit(request *Request) (Permission, *Refusal) {
+	table, provenAt := g.Tables.Table()
 	if table == nil {
-		return permission{}, &Refusal{Reason: NoConfig, NotRun: true, RetryAfter: defaultRetryAfter}
+		return Permission{}, &Refusal{Reason: NoConfig, NotRun: true, RetryAfter: request.comeBack()}
 	}
-	p := permission{table: table, age: max(0, time.Duration(request.ReceivedBoot-provenAt))}
-	current := r.Tuning.ConfigMaxAge == 0 || p.age < r.Tuning.ConfigMaxAge
+	p := Permission{Revision: table.Revision, Age: max(0, time.Duration(request.ReceivedBoot-provenAt))}
+	current := g.MaxAge == 0 || p.Age < g.MaxAge
 	found, ok := table.Match(request.Host, request.Path)
 	if !ok {
-		return p, denied(current, UnknownRoute)
+		return p, denied(request, current, UnknownRoute)
 	}
-	p.route, p.priority = found, found.Priority
+	p.Route, p.Priority = found, found.Priority
 	if !table.NeedsKey(found) {
 		return p, nil
 	}
 	if !current {
-		return p, denied(current, UnknownKey)
+		return p, denied(request, current, UnknownKey)
 	}
 	account, ok := table.Account(request.Key)
 	if !ok {
-		return p, denied(current, UnknownKey)
+		return p, denied(request, current, UnknownKey)
 	}
-	p.account = account.Name
+	p.Account = account.Name
 	if account.Ranked {
-		p.priority = account.Priority
+		p.Priority = account.Priority
 	}
 	return p, nil
 }
 
-func denied(current bool, reason Reason) *Refusal {
+func denied(request *Request, current bool, reason Reason) *Refusal {
 	if !current {
-		return &Refusal{Reason: ConfigTooOld, NotRun: true, RetryAfter: defaultRetryAfter}
+		return &Refusal{Reason: ConfigTooOld, NotRun: true, RetryAfter: request.comeBack()}
 	}
 	return &Refusal{Reason: reason, NotRun: true}
 }
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -28,6 +28,7 @@
 	tables    *tables
 	budget    *retry.Window
 	pools     *pool.Pools
+	places    *PooledPlaces
 	client    *recorder
 	observer  *events
 }
@@ -44,9 +45,10 @@
 	return t.table, t.proven
 }
 
-type oneBudget struct{ budget *retry.Window }
+type oneBudget struct{ *retry.Window }
 
-func (b oneBudget) Service(route.ServiceName) *retry.Window { return b.budget }
+func (b oneBudget) Budget(route.ServiceName) Budget { return b }
+func (b oneBudget) Escalate(now time.Time) bool     { return b.Withdraw(now) }
 
 type anyVersion struct{}
 
@@ -200,8 +202,8 @@
 	finals  int
 }
 
-func (r *recorder) Begin(status int, _ http.Header) {
-	r.begun, r.status = true, status
+func (r *recorder) Begin(head Head) {
+	r.begun, r.status = true, head.Status
 	r.finals++
 }
 
@@ -252,10 +254,12 @@
 			Address: "127.0.0.1:1", Version: "v1", Slots: 8,
 		})
 	}
+	h.places = &PooledPlaces{Pools: h.pools, Versions: anyVersion{}, Suspects: noSuspects{}}
 	h.relay = New(Config{
-		Tables: h.tables, Pools: h.pools, Endpoints: h.endpoints, Budgets: oneBudget{h.budget},
-		Versions: anyVersion{}, Suspects: noSuspects{}, Reach: dark{}, Observer: h.observer,
-		Tuning: Tuning{ConfigMaxAge: 5 * time.Second, AcceptConfidence: []float64{0.6}},
+		Gate:    &TableGate{Tables: h.tables, MaxAge: 5 * time.Second},
+		Planner: &SizePlanner{Pools: h.pools, Accept: []float64{0.6}},
+		Places:  h.places, Endpoints: h.endpoints, Budgets: oneBudget{h.budget},
+		Reach: dark{}, Observer: h.observer,
 	})
 	return h
 }
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -123,7 +123,7 @@
 			Address: "127.0.0.1:1", Version: "v2", Slots: 8,
 		})
 	}
-	h.relay.Versions = firstOnly{version: "v1", calls: new(int)}
+	h.places.Versions = firstOnly{version: "v1", calls: new(int)}
 	h.serve(testRequestOfAnyModel())
 	assert.Equal(t, len(h.endpoints.arrivals), 2)
 	assert.Equal(t, h.endpoints.arrivals[1].call.Endpoint, h.endpoints.arrivals[0].call.Endpoint)
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -43,6 +46,35 @@
 	MaxAnswerTokens int
 	// AnyModel leaves the choice of the model to the route's list.
 	AnyModel bool
+
+	fingerprint uint64
+}
+
+// Fingerprint names the request, as an account sends it, by what decides how an
+// endpoint runs it.
+func (r *Request) Fingerprint(account route.AccountName) uint64 {
+	if r.fingerprint == 0 {
+		r.fingerprint = r.digest(account)
+	}
+	return r.fingerprint
+}
+
+func (r *Request) digest(account route.AccountName) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{r.Method, r.Target, string(account)} {
+		_, _ = digest.WriteString(part) // a digest's writes never fail
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(r.Body)
+	return digest.Sum64()
+}
+
+// left is the time that the client still waits, 0 or less if unknown or over.
+func (r *Request) left() time.Duration { return r.Patience - time.Since(r.Received) }
+
+// comeBack returns when a client that is refused now may come back.
+func (r *Request) comeBack() time.Duration {
+	return comeBack(defaultRetryAfter, r.left(), rand.Float64())
 }
 
 // PromptPart is a part of a prompt.
@@ -96,7 +128,10 @@
 	// Running and Waiting are the endpoint's requests, if HasLoad.
 	Running, Waiting int
 	HasLoad          bool
-	Body             Body
+	// Complete tells that the body is at hand as a whole: it can be passed on
+	// later if nothing better comes.
+	Complete bool
+	Body     Body
 }
 
 // Body is the body of an answer. Its end is only reported as io.EOF if the
@@ -126,10 +161,20 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Client takes the answer. After Begin, the answer ends by Finish or Abort.
+// Head is the head of an answer as the client gets it.
+type Head struct {
+	Status int
+	Header http.Header
+	// Fallback tells that the answer would have been dropped for a larger
+	// model's, which was not to be had.
+	Fallback bool
+}
+
+// Client takes the answer. After Begin, the answer is whole when
+// [Relay.Serve] returns, unless Abort was called.
 type Client interface {
 	// Begin sends the head of an endpoint's answer.
-	Begin(status int, header http.Header)
+	Begin(head Head)
 	// Write sends a piece of the body at once.
 	Write(p []byte) error
 	// Refuse answers without an endpoint. Nothing was begun before.
@@ -150,6 +195,8 @@
 	CrashSuspect    Reason = "request has crashed the endpoints that ran it"
 	NoEndpoint      Reason = "no endpoint"
 	EndpointsFailed Reason = "endpoints failed"
+	NotAllowed      Reason = "not allowed any more"
+	Overloaded      Reason = "no room before the deadline"
 	TimeIsUp        Reason = "deadline passed"
 	BodyTooLarge    Reason = "body too large"
 	BadRequest      Reason = "malformed request"
@@ -162,4 +209,7 @@
 	NotRun bool
 	// RetryAfter is when to come back, 0 if that does not help.
 	RetryAfter time.Duration
+	// Cause is the codec's own description, if a port that belongs to it
+	// refused; nil otherwise.
+	Cause error
 }
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonusher/wigeonusher/coord/platform"
-	"github.com/wigeonusher/wigeonusher/coord/retry"
-	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -21,12 +16,10 @@
 	// draw chooses among the services of the route, in [0, 1).
 	draw float64
 
-	permission  permission
-	fingerprint uint64
-	deadline    time.Time
-	service     route.ServiceName
-	budget      *retry.Window
-	versions    Choice
+	permission Permission
+	deadline   time.Time
+	service    route.ServiceName
+	budget     Budget
 	// version is the one that the first attempt ran on.
 	version string
 	// model is the model planned for the next attempt.
@@ -38,8 +31,10 @@
 	runs   int
 	// mayHaveRun tells that some attempt may have run the request.
 	mayHaveRun bool
-	// escalated tells that an answer was dropped for a better one.
+	// escalated tells that an answer was dropped for a better one, and fallback
+	// is that answer if it is at hand as a whole.
 	escalated bool
+	fallback  *Answer
 	avoid     []platform.EndpointID
 	begun     bool
 	// lastEvent is the ID of the last event that the client has.
@@ -50,19 +45,14 @@
 }
 
 func (r *run) serve(ctx context.Context) {
-	permission, refusal := r.relay.gate(r.request)
+	permission, refusal := r.relay.Gate.Admit(r.request)
 	r.permission = permission
 	if refusal != nil {
 		r.refuse(refusal)
 		return
 	}
-	r.fingerprint = fingerprint(r.request, permission.account)
-	if r.relay.Suspects.Refused(r.fingerprint) {
-		r.refuse(&Refusal{Reason: CrashSuspect, NotRun: true})
-		return
-	}
-	if !r.settle(ctx) {
-		r.refuse(&Refusal{Reason: NoEndpoint, NotRun: true, RetryAfter: defaultRetryAfter})
+	if !r.settle() {
+		r.refuse(&Refusal{Reason: NoEndpoint, NotRun: true, RetryAfter: r.request.comeBack()})
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -71,8 +61,8 @@
 }
 
 // settle fixes what stays the same over all attempts of the request.
-func (r *run) settle(ctx context.Context) bool {
-	found := r.permission.route
+func (r *run) settle() bool {
+	found := r.permission.Route
 	r.deadline = r.request.Received.Add(found.Timeout)
 	if r.request.Patience > 0 && r.request.Patience < found.Timeout {
 		r.deadline = r.request.Received.Add(r.request.Patience)
@@ -81,20 +71,28 @@
 	if !ok {
 		return false
 	}
-	r.enter(ctx, service)
+	r.enter(service)
 	r.lastEvent = r.request.ResumeAfter
-	if r.request.AnyModel && len(found.Models) > 0 {
-		r.model = r.firstModel(found.Models)
-	}
+	r.model = r.relay.Planner.First(r.progress())
 	return true
 }
 
 // enter makes a service the one that runs the request.
-func (r *run) enter(ctx context.Context, service route.ServiceName) {
+func (r *run) enter(service route.ServiceName) {
 	r.service = service
-	r.budget = r.relay.Budgets.Service(service)
+	r.budget = r.relay.Budgets.Budget(service)
 	r.budget.Request(time.Now())
-	r.versions = r.relay.Versions.Choose(ctx, service, r.request.Session, r.request.ID)
+}
+
+func (r *run) progress() *Progress {
+	return &Progress{
+		Request:   r.request,
+		Route:     r.permission.Route,
+		Service:   r.service,
+		Priority:  r.permission.Priority,
+		Retries:   r.budget.Available(time.Now()),
+		Escalated: r.escalated,
+	}
 }
 
 // attempts tries until the request has its final answer.
@@ -104,15 +102,18 @@
 			r.end(ctx, refusal)
 			return
 		}
-		lease, ok := r.choose()
-		if !ok {
-			r.end(ctx, &Refusal{Reason: NoEndpoint, RetryAfter: defaultRetryAfter})
+		place, refusal := r.place(ctx)
+		if refusal != nil {
+			if r.instead(ctx, refusal) {
+				continue
+			}
+			r.end(ctx, refusal)
 			return
 		}
 		r.arrivals++
-		attempt := r.newAttempt(lease)
+		attempt := r.newAttempt(place)
 		attempt.do(ctx)
-		lease.End(time.Now(), attempt.result())
+		place.End(attempt.ending())
 		r.relay.Observer.Attempted(attempt.event())
 		if !r.next(ctx, attempt) {
 			return
@@ -120,11 +121,23 @@
 	}
 }
 
-func (r *run) newAttempt(lease *pool.Lease) *attempt {
+func (r *run) place(ctx context.Context) (Place, *Refusal) {
+	return r.relay.Places.Place(ctx, &Query{
+		Request:    r.request,
+		Permission: &r.permission,
+		Service:    r.service,
+		Model:      r.model,
+		Version:    r.version,
+		Avoid:      r.avoid,
+	})
+}
+
+func (r *run) newAttempt(place Place) *attempt {
+	endpoint := place.Endpoint()
 	if r.version == "" {
-		r.version = lease.Endpoint.Version
+		r.version = endpoint.Version
 	}
-	a := &attempt{run: r, lease: lease, model: r.model, started: time.Now()}
+	a := &attempt{run: r, place: place, endpoint: endpoint, model: r.model, started: time.Now()}
 	a.heard.Store(a.started.UnixNano())
 	return a
 }
@@ -134,23 +147,19 @@
 	if ctx.Err() != nil || time.Until(r.deadline) < leastLeft {
 		return &Refusal{Reason: TimeIsUp}
 	}
-	permission, refusal := r.relay.gate(r.request)
+	permission, refusal := r.relay.Gate.Admit(r.request)
 	if refusal != nil {
 		return refusal
 	}
 	r.permission = permission
-	if permission.route.Allows(r.service) {
-		if r.version != "" {
-			// A roll-out may have gone on since the last attempt.
-			r.versions = r.relay.Versions.Choose(ctx, r.service, r.request.Session, r.request.ID)
-		}
+	if permission.Route.Allows(r.service) {
 		return nil
 	}
-	service, ok := permission.route.Pick(r.draw)
+	service, ok := permission.Route.Pick(r.draw)
 	if !ok {
-		return &Refusal{Reason: NoEndpoint, RetryAfter: defaultRetryAfter}
+		return &Refusal{Reason: NoEndpoint, RetryAfter: r.request.comeBack()}
 	}
-	r.enter(ctx, service)
+	r.enter(service)
 	return nil
 }
 
@@ -163,7 +172,7 @@
 	}
 	switch a.verdict {
 	case verdictDelivered:
-		r.notePressure(a)
+		r.relay.Planner.Delivered(r.progress(), a.delivery())
 		return false
 	case verdictClientGone:
 		return false
@@ -172,16 +181,13 @@
 		r.escalated, r.model = true, a.next
 		return true
 	}
-	r.avoid = append(r.avoid, a.lease.Endpoint.ID)
+	r.avoid = append(r.avoid, a.endpoint.ID)
 	if a.verdict == verdictNotSent {
 		// It did not arrive, and so costs no retry.
 		r.arrivals--
 		r.unsent++
 		return r.unsent < maxArrivals || r.giveUp(ctx, a)
 	}
-	if a.crashed {
-		r.relay.Suspects.Crashed(r.fingerprint, a.lease.Endpoint.Address)
-	}
 	if a.ran() && !r.mayRepeat() || !r.pay() {
 		return r.giveUp(ctx, a)
 	}
@@ -191,20 +197,53 @@
 // mayRepeat reports whether another run is allowed after one that may have
 // run.
 func (r *run) mayRepeat() bool {
-	return r.permission.route.Repeatable() && r.runs < r.permission.route.MaxAttempts
+	found := r.permission.Route
+	if r.begun && !found.Resumable {
+		return false
+	}
+	return found.Repeatable() && r.runs < found.MaxAttempts
+}
+
+// pay takes what another arrival costs from the retry budget. A stream that
+// the client has a part of may use its reserve.
+func (r *run) pay() bool {
+	if r.arrivals >= maxArrivals {
+		return false
+	}
+	if r.begun {
+		return r.budget.WithdrawUrgent(time.Now())
+	}
+	return r.budget.Withdraw(time.Now())
 }
 
-// giveUp answers with what the last attempt brought. It returns false: the
-// request is at its end.
+// giveUp ends the attempts at a model. It reports true if another model takes
+// its place; else the client has what the last attempt brought.
 func (r *run) giveUp(ctx context.Context, a *attempt) bool {
 	if a.verdict == verdictFailure && !r.begun {
 		a.passFailure()
 		return false
 	}
-	r.end(ctx, &Refusal{Reason: EndpointsFailed, RetryAfter: defaultRetryAfter})
+	refusal := &Refusal{Reason: EndpointsFailed, RetryAfter: r.request.comeBack()}
+	if r.instead(ctx, refusal) {
+		return true
+	}
+	r.end(ctx, refusal)
 	return false
 }
 
+// instead turns to another model if the present one is not to be had. A request
+// that crashes endpoints does so with any model.
+func (r *run) instead(ctx context.Context, refusal *Refusal) bool {
+	if r.begun || ctx.Err() != nil || refusal.Reason == CrashSuspect {
+		return false
+	}
+	model, ok := r.relay.Planner.Instead(r.model)
+	if ok {
+		r.model = model
+	}
+	return ok
+}
+
 // end gives the final answer if no endpoint's answer was passed on.
 func (r *run) end(ctx context.Context, refusal *Refusal) {
 	if r.begun {
@@ -212,6 +251,10 @@
 		r.client.Abort()
 		return
 	}
+	if r.fallback != nil {
+		r.fallBack()
+		return
+	}
 	if ctx.Err() != nil && refusal.Reason != TimeIsUp {
 		refusal = &Refusal{Reason: TimeIsUp}
 	}
@@ -221,10 +264,6 @@
 }
 
 func (r *run) refuse(refusal *Refusal) {
-	if refusal.RetryAfter > 0 {
-		left := r.request.Patience - time.Since(r.request.Received)
-		refusal.RetryAfter = comeBack(refusal.RetryAfter, left, rand.Float64())
-	}
 	r.refusal = refusal
 	r.client.Refuse(refusal)
 }
@@ -243,8 +282,9 @@
 func (r *run) report(ctx context.Context) {
 	event := &DoneEvent{
 		RequestID: r.request.ID,
-		Account:   r.permission.account,
-		ConfigAge: r.permission.age,
+		Account:   r.permission.Account,
+		Revision:  r.permission.Revision,
+		ConfigAge: r.permission.Age,
 		Attempts:  r.arrivals,
 		Refusal:   r.refusal,
 		Status:    r.status,
@@ -252,22 +292,8 @@
 		Aborted:   r.aborted,
 		Took:      time.Since(r.request.Received),
 	}
-	if r.permission.route != nil {
-		event.Route = r.permission.route.Name
-	}
-	if r.permission.table != nil {
-		event.Revision = r.permission.table.Revision
+	if r.permission.Route != nil {
+		event.Route = r.permission.Route.Name
 	}
 	r.relay.Observer.Done(event)
 }
-
-// fingerprint names a request by what decides how an endpoint runs it.
-func fingerprint(request *Request, account route.AccountName) uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{request.Method, request.Target, string(account)} {
-		_, _ = digest.WriteString(part) // a digest's writes never fail
-		_, _ = digest.Write([]byte{0})
-	}
-	_, _ = digest.Write(request.Body)
-	return digest.Sum64()
-}
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -83,7 +83,6 @@
 			a.verdict, a.err = verdictClientGone, err
 		}
 	}
-	a.observe(false)
 }
 
 // wholeEvents returns the length of the events that are whole.
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -2,26 +2,6 @@
 
 import "time"
 
-// Tuning holds the bounds that the core path works with.
-type Tuning struct {
-	// ConfigMaxAge is the greatest age at which a table may still permit a
-	// request that needs a key; 0 means any.
-	ConfigMaxAge time.Duration
-	// Dial bounds the time to connect to an endpoint.
-	Dial time.Duration
-	// AcceptConfidence is the least confidence, in [0, 1], at which an answer
-	// of a model that is not the largest is passed on, by the rank of the
-	// request from 0, the most urgent. The last holds for all further ranks.
-	AcceptConfidence []float64
-}
-
-func (t *Tuning) accept(rank int) float64 {
-	if len(t.AcceptConfidence) == 0 {
-		return 0
-	}
-	return t.AcceptConfidence[min(max(0, rank), len(t.AcceptConfidence)-1)]
-}
-
 const (
 	// leastPatience is the least time that a silent endpoint gets.
 	leastPatience = 400 * time.Millisecond
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -6,16 +6,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// Reach tells whether endpoints can be reached.
-type Reach interface {
-	// Reachable reports whether an endpoint accepts connections now.
-	Reachable(ctx context.Context, address string) bool
-}
-
 // Causes for which this side ends an attempt.
 var (
 	errUnreachable = eris.New("endpoint is silent and cannot be reached")
@@ -54,7 +47,7 @@
 	// while the watchdog may still be looking.
 	reach  Reach
 	route  *route.Route
-	budget *retry.Window
+	budget Budget
 	// usual is the usual time to the first event.
 	usual time.Duration
 	quiet time.Duration
@@ -67,8 +60,8 @@
 func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
 	r := a.run
 	w := &watchdog{
-		attempt: a, cancel: cancel, reach: r.relay.Reach, route: r.permission.route, budget: r.budget,
-		usual: r.relay.Pools.Service(r.service).FirstEvent(a.model, r.request.PromptTokens),
+		attempt: a, cancel: cancel, reach: r.relay.Reach, route: r.permission.Route, budget: r.budget,
+		usual: a.place.Usual(),
 		quiet: quietBeforeProbe,
 	}
 	if target := w.route.TargetLatency; target > 0 {
@@ -102,7 +95,7 @@
 		w.cancel(errStuck)
 		return
 	}
-	reached := w.reach.Reachable(ctx, w.attempt.lease.Endpoint.Address)
+	reached := w.reach.Reachable(ctx, w.attempt.endpoint.Address)
 	if reached || !heard.Equal(w.attempt.heardAt()) {
 		w.missed = 0
 		w.timer.Reset(w.quiet)
@@ -130,7 +123,7 @@
 	if w.attempt.streaming.Load() {
 		patience = stuckGaps * w.route.TargetGap
 	}
-	if time.Since(w.attempt.lease.LastSign()) > max(lifeless, patience/2) {
+	if time.Since(w.attempt.place.LastSign()) > max(lifeless, patience/2) {
 		patience /= 2
 	}
 	return max(patience, leastPatience)
