--- a/node/assemble.go
+++ b/node/assemble.go
@@ -21,7 +21,6 @@
 	"github.com/wigeonusher/wigeonusher/node/cluster"
 	"github.com/wigeonusher/wigeonusher/node/control"
 	"github.com/wigeonusher/wigeonusher/node/directory"
-	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/feedback"
 	"github.com/wigeonusher/wigeonusher/node/follow"
 	"github.com/wigeonusher/wigeonusher/node/keys"
@@ -280,35 +279,26 @@
 func (n *Node) assembleServers(p *parts) {
 	scheduler := placement.New(placement.Standard(placement.Tuning{}))
 	retryBudgets := newBudgets()
-	dispatcher := dispatch.New(dispatch.Config{
+	server := caller.New(caller.Config{
 		Instance:  n.id,
 		Zone:      n.settings.Zone,
+		BodyBytes: n.settings.Limits.BodyBytes,
 		Policies:  p.control,
 		Endpoints: p.directory,
 		Pools:     p.pools,
-		Engines:   p.engines,
+		Engines:   caller.EngineClient{Client: p.engines},
+		Services:  p.engines,
 		Suspects:  p.suspects,
 		Planner:   p.feedback,
-		Budgets:   retryBudgets,
 		Exposures: p.rollouts,
 		Owners:    p.asks,
+		Biller:    p.biller,
+		Sessions:  p.sessions,
+		Limits:    p.limits,
+		Once:      p.once,
+		Budgets:   retryBudgets,
 		Scheduler: scheduler,
-	})
-	server := caller.New(caller.Config{
-		Instance:   n.id,
-		Zone:       n.settings.Zone,
-		BodyBytes:  n.settings.Limits.BodyBytes,
-		Policies:   p.control,
-		Dispatcher: dispatcher,
-		Endpoints:  p.directory,
-		Services:   p.engines,
-		Biller:     p.biller,
-		Sessions:   p.sessions,
-		Limits:     p.limits,
-		Once:       p.once,
-		Budgets:    retryBudgets,
-		Scheduler:  scheduler,
-		Telemetry:  p.telemetry,
+		Telemetry: p.telemetry,
 	})
 	n.addGauges(p)
 	n.callerServer = &http.Server{
--- a/node/budgets.go
+++ b/node/budgets.go
@@ -9,7 +9,7 @@
 )
 
 // budgets holds the retry budgets of accounts and pools. It implements
-// dispatch.Budgets.
+// caller.Budgets.
 type budgets struct {
 	mu       sync.Mutex
 	accounts map[document.AccountID]*retry.Budget
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -11,7 +11,6 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/node/billing"
-	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/session"
@@ -23,12 +22,12 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(c echo.Context) error {
-	request := &dispatch.Request{}
-	e, trouble := s.open(c, &request.Attempt)
+	e, trouble := s.open(c, notRun())
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	if trouble := s.fill(e, request); trouble != nil {
+	request, trouble := s.decode(e)
+	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
 	e.reservation, trouble = s.reserveBill(e)
@@ -36,15 +35,29 @@
 		return s.refuse(c, trouble)
 	}
 	defer e.reservation.Close()
-	ctx, cancel := context.WithDeadline(c.Request().Context(), request.Deadline)
+	ctx, cancel := context.WithDeadline(c.Request().Context(), request.deadline)
 	defer cancel()
 	if trouble := s.bindSession(ctx, e, request); trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	if request.Body.Stream {
-		return s.streamed(ctx, e, request)
+	work, trouble := s.newChatWork(request)
+	if trouble != nil {
+		return s.refuse(c, trouble)
 	}
-	return s.whole(ctx, e, request)
+	return s.answer(ctx, e, work)
+}
+
+// answer runs the request and bills what it used before the last byte of the
+// answer goes out. The deadline is the relay's to keep: the bill may need
+// longer.
+func (s *Server) answer(ctx context.Context, e *exchange, work *chatWork) error {
+	writer := &chatWriter{exchange: e, streamed: work.request.body.Stream}
+	for _, step := range work.plan {
+		writer.refs = append(writer.refs, step.Ref)
+	}
+	work.run(e.echo.Request().Context(), writer)
+	s.bill(ctx, e, work, writer)
+	return writer.finish(work.used.frames == 0)
 }
 
 // reserveBill keeps room for the request's bill.
@@ -56,31 +69,34 @@
 	return reservation, nil
 }
 
-// fill reads the request's body and headers.
-func (s *Server) fill(e *exchange, request *dispatch.Request) *problem.Problem {
+// decode reads the request's body and headers.
+func (s *Server) decode(e *exchange) (*chatRequest, *problem.Problem) {
 	body, err := openai.Parse(e.body)
 	if err != nil {
-		return problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
+		return nil, problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
 	}
 	header := e.echo.Request().Header
-	request.ID = e.id
-	request.Account = e.account
-	request.Body = body
-	request.Raw = e.body
-	request.Prompt = body.Prompt()
-	request.Class = classOf(e.policy, header)
-	request.Priority, _ = strconv.Atoi(header.Get(HeaderPriority))
+	request := &chatRequest{
+		id:      e.id,
+		account: e.account,
+		class:   classOf(e.policy, header),
+		body:    body,
+		raw:     e.body,
+		prompt:  body.Prompt(),
+	}
+	// A priority that is not a number ranks like none.
+	request.priority, _ = strconv.Atoi(header.Get(HeaderPriority))
 	fallback := defaultDeadline
-	if rule, ok := e.policy.Routing.Classes[request.Class]; ok {
+	if rule, ok := e.policy.Routing.Classes[request.class]; ok {
 		fallback = time.Duration(rule.DeadlineMillis) * time.Millisecond
 	}
-	request.Deadline = deadlineOf(e.echo.Request(), fallback)
+	request.deadline = deadlineOf(e.echo.Request(), fallback)
 	if body.Model != openai.ModelAuto {
 		model, version, _ := strings.Cut(body.Model, "@")
-		request.Model = document.ModelName(model)
-		request.Version = document.VersionName(version)
+		request.model = document.ModelName(model)
+		request.version = document.VersionName(version)
 	}
-	return nil
+	return request, nil
 }
 
 func classOf(policy *document.Policy, header http.Header) document.TaskClass {
@@ -92,7 +108,7 @@
 }
 
 // bindSession finds the versions that the request may use.
-func (s *Server) bindSession(ctx context.Context, e *exchange, request *dispatch.Request) *problem.Problem {
+func (s *Server) bindSession(ctx context.Context, e *exchange, request *chatRequest) *problem.Problem {
 	header := e.echo.Request().Header
 	query := sessions.Query{
 		Account: e.account,
@@ -102,7 +118,7 @@
 	}
 	if query.Session == "" && query.Token == "" {
 		found := s.Sessions.Single(query, e.id)
-		request.Birth, request.Fresh = found.Birth, found.Fresh
+		request.birth, request.fresh = found.Birth, found.Fresh
 		return nil
 	}
 	if len(query.Session) > session.MaxNameBytes {
@@ -112,7 +128,7 @@
 	if err != nil {
 		return problem.New(problem.Malformed, http.StatusBadRequest, err.Error(), e.attempt)
 	}
-	request.Birth, request.Fresh = found.Birth, found.Fresh
+	request.birth, request.fresh = found.Birth, found.Fresh
 	response := e.echo.Response().Header()
 	response.Set(HeaderSession, string(found.Birth.Session))
 	response.Set(HeaderSessionToken, s.Sessions.Token(found.Birth))
@@ -120,79 +136,41 @@
 }
 
 // modelsOf returns the models that the request may use.
-func modelsOf(policy *document.Policy, request *dispatch.Request) []document.ModelName {
-	if request.Model != "" {
-		return []document.ModelName{request.Model}
-	}
-	return policy.Routing.Classes[request.Class].Models
-}
-
-type discard struct{}
-
-func (discard) Frame(document.Ref, *openai.Chunk) error { return nil }
-
-func (s *Server) whole(ctx context.Context, e *exchange, request *dispatch.Request) error {
-	result, trouble := s.Dispatcher.Run(ctx, request, discard{})
-	s.bill(ctx, e, request, result, false)
-	if trouble != nil {
-		return s.refuse(e.echo, trouble)
-	}
-	body, err := result.Answer.Whole(e.id, result.Ref.String())
-	if err != nil {
-		return err
-	}
-	setAnswerHeaders(e.echo.Response().Header(), result.Ref, result.Degraded)
-	observedOf(e.echo).frame(result.Ref)
-	return e.echo.JSONBlob(http.StatusOK, body)
-}
-
-func setAnswerHeaders(header http.Header, ref document.Ref, degraded bool) {
-	header.Set(HeaderModel, ref.String())
-	if degraded {
-		header.Set(HeaderDegraded, "true")
-	}
-}
-
-func (s *Server) streamed(ctx context.Context, e *exchange, request *dispatch.Request) error {
-	sink := &sseSink{exchange: e}
-	result, trouble := s.Dispatcher.Run(ctx, request, sink)
-	s.bill(ctx, e, request, result, sink.started)
-	if trouble == nil {
-		return sink.raw([]byte("[DONE]"))
-	}
-	if !sink.started {
-		return s.refuse(e.echo, trouble)
+func modelsOf(policy *document.Policy, request *chatRequest) []document.ModelName {
+	if request.model != "" {
+		return []document.ModelName{request.model}
 	}
-	trouble.RequestID = e.id
-	return sink.event(streamError{trouble})
+	return policy.Routing.Classes[request.class].Models
 }
 
-// bill records what the request used, before its last byte goes out. Nothing is
-// recorded for a request that got no answer; a caller that left in the middle
-// of a stream that had begun pays for what it got.
-func (s *Server) bill(ctx context.Context, e *exchange, request *dispatch.Request, result *dispatch.Result, begun bool) {
-	if result.Answer == nil && !(result.CallerGone && begun) {
+// bill records what the request used. Nothing is recorded for a request that
+// got no answer; a caller that left in the middle of a stream that had begun
+// pays for what it got.
+func (s *Server) bill(ctx context.Context, e *exchange, work *chatWork, writer *chatWriter) {
+	if writer.head == nil || writer.aborted {
 		return
 	}
+	work.usedPart()
+	ref := writer.ref()
 	bill := billing.Bill{
-		RequestID: request.ID,
-		Account:   request.Account,
-		Model:     result.Ref.Model,
-		Version:   result.Ref.Version,
+		RequestID: work.request.id,
+		Account:   work.request.account,
+		Model:     ref.Model,
+		Version:   ref.Version,
 		Outcome:   outcome.Ran().String(),
 		Key:       s.billKey(e),
 	}
-	for _, use := range result.Uses {
-		version := e.policy.Models[use.Ref.Model].Versions[use.Ref.Version]
-		bill.PromptTokens += use.PromptTokens
-		bill.AnswerTokens += use.AnswerTokens
-		bill.CostMicro += version.PromptCost*float64(use.PromptTokens) + version.AnswerCost*float64(use.AnswerTokens)
+	for _, use := range work.used.uses {
+		version := e.policy.Models[use.ref.Model].Versions[use.ref.Version]
+		bill.PromptTokens += use.promptTokens
+		bill.AnswerTokens += use.answerTokens
+		bill.CostMicro += version.PromptCost*float64(use.promptTokens) + version.AnswerCost*float64(use.answerTokens)
 	}
 	if err := e.reservation.Bill(ctx, bill); err != nil {
 		s.Telemetry.BillRefused(e.id, err)
 		return
 	}
-	s.Telemetry.Billed(result.Ref, bill.CostMicro)
+	s.Telemetry.Billed(ref, bill.CostMicro)
 }
 
 // billKey returns what makes the bill unique: the caller's idempotency key,
--- a/node/caller/once.go
+++ b/node/caller/once.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/intent"
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/node/once"
-	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
 
@@ -19,7 +17,9 @@
 
 // serveOnce runs a call that must run at most once.
 func (s *Server) serveOnce(ctx context.Context, call *serviceCall) error {
-	var contentType string
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
+	defer cancel()
+	var kind string
 	response := s.Once.Run(ctx, once.Call{
 		Key: intent.Key{
 			Account: string(call.account),
@@ -31,13 +31,13 @@
 		Body:     call.body,
 		Deadline: call.deadline.Add(-answerMargin),
 	}, call.attempt, func(_ context.Context, fencing uint64, progress *outcome.Attempt) intent.DispatchResult {
-		result, kind := s.dispatchOnce(call, fencing, progress)
-		contentType = kind
+		result, answered := call.dispatchOnce(fencing, progress)
+		kind = answered
 		return result
 	})
 	switch response.Kind {
 	case intent.Answered:
-		return call.echo.Blob(response.Status, contentType, response.Body)
+		return call.echo.Blob(response.Status, kind, response.Body)
 	case intent.Replayed:
 		call.echo.Response().Header().Set(HeaderReplayed, "true")
 		return call.echo.Blob(response.Status, http.DetectContentType(response.Body), response.Body)
@@ -46,25 +46,22 @@
 	}
 }
 
-// dispatchOnce sends the call to an endpoint, on a connection of its own. It
-// goes on when the caller has gone, because the call may have begun. A dispatch
-// that the endpoint refused without running it leaves progress untouched.
-func (s *Server) dispatchOnce(call *serviceCall, fencing uint64, progress *outcome.Attempt) (intent.DispatchResult, string) {
-	ctx, cancel := context.WithDeadline(context.Background(), call.deadline)
-	defer cancel()
-	var sent outcome.Attempt
-	answer, err := s.dispatch(ctx, call, fencing, true, &sent)
-	if sent.Departed() && !errors.Is(err, engine.ErrRefused) {
+// dispatchOnce has the relay run the call. It goes on when the caller has gone,
+// because the call may have begun. One that certainly did not run leaves
+// progress untouched; the relay has asked all endpoints that it may, so it is
+// not dispatched again.
+func (c *serviceCall) dispatchOnce(fencing uint64, progress *outcome.Attempt) (intent.DispatchResult, string) {
+	c.fencing = fencing
+	writer := &serviceWriter{}
+	c.run(context.Background(), writer)
+	if writer.refusal == nil {
 		progress.Depart()
+		return intent.DispatchResult{Outcome: outcome.Ran(), Status: writer.head.Status, Body: writer.body}, writer.head.Header.Get(contentType)
 	}
-	if err == nil {
-		return intent.DispatchResult{Outcome: outcome.Ran(), Status: answer.Status, Body: answer.Body}, answer.ContentType
+	if !writer.refusal.NotRun {
+		progress.Depart()
 	}
-	var trouble *problem.Problem
-	return intent.DispatchResult{
-		Outcome:  progress.Outcome(),
-		MayRetry: !errors.As(err, &trouble),
-	}, ""
+	return intent.DispatchResult{Outcome: progress.Outcome()}, ""
 }
 
 // onceProblem turns a response without an answer into a problem.
--- a/node/dispatch/dispatcher.go
+++ b/node/caller/ports.go
@@ -1,23 +1,26 @@
-package dispatch
+package caller
 
 import (
 	"context"
-	"strconv"
-	"sync/atomic"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/intent"
+	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/coord/suspect"
 	"github.com/wigeonusher/wigeonusher/node/admit"
+	"github.com/wigeonusher/wigeonusher/node/billing"
+	"github.com/wigeonusher/wigeonusher/node/once"
+	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/node/suspects"
 	"github.com/wigeonusher/wigeonusher/policy/admission"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/policy/session"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
-	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
 
 // Policies gives the policy in force.
@@ -25,6 +28,29 @@
 	Policy() *document.Policy
 }
 
+// Biller records what requests cost.
+type Biller interface {
+	// Reserve keeps room for the bill of a request that is about to start.
+	Reserve() (*billing.Reservation, error)
+}
+
+// Sessions finds the birth of a session.
+type Sessions interface {
+	Resolve(ctx context.Context, query sessions.Query) (sessions.Found, error)
+	Single(query sessions.Query, requestID string) sessions.Found
+	Token(birth session.Birth) string
+}
+
+// Limits decides which requests are within their account's limit.
+type Limits interface {
+	Allow(account document.AccountID) (ok bool, retryAfter time.Duration)
+}
+
+// Once runs calls at most once.
+type Once interface {
+	Run(ctx context.Context, call once.Call, progress *outcome.Attempt, dispatch once.Dispatch) intent.Respond
+}
+
 // Endpoints knows the endpoints and their load.
 type Endpoints interface {
 	Usable(pools ...platform.PoolName) []platform.ListedEndpoint
@@ -45,12 +71,25 @@
 	Enter(ctx context.Context, pool platform.PoolName, request admission.Request) (*admit.Slot, error)
 }
 
-// Engines dispatches to endpoints.
+// Engines dispatches chat requests.
 type Engines interface {
-	Chat(ctx context.Context, call engine.Call, departed engine.Departure, sink func(*openai.Chunk) error) (*engine.Answer, error)
+	Chat(ctx context.Context, call engine.Call, departed engine.Departure) (Stream, error)
 	Reachable(ctx context.Context, address string) bool
 }
 
+// Stream is an engine's answer, frame by frame.
+type Stream interface {
+	// Next returns the next frame, and io.EOF once the answer is whole.
+	Next() (*openai.Chunk, error)
+	Answer() *engine.Answer
+	Close()
+}
+
+// Services dispatches calls to plain services.
+type Services interface {
+	Service(ctx context.Context, call engine.ServiceCall, departed engine.Departure) (*engine.ServiceAnswer, error)
+}
+
 // Suspects judges requests that may crash endpoints.
 type Suspects interface {
 	Permission(fingerprint suspect.Fingerprint) suspect.Permission
@@ -65,7 +104,8 @@
 // Planner plans which versions a request tries, and learns from answers.
 type Planner interface {
 	Plan(rule document.ClassRule, exploreShare float64, request cascade.Request) cascade.Plan
-	Answered(request *Request, result cascade.Result, text string)
+	// Answered is told of an answer to a request's prompt.
+	Answered(requestID, prompt string, result cascade.Result, text string)
 	// Failed is told of a dispatch that an endpoint failed.
 	Failed(class document.TaskClass, ref document.Ref)
 }
@@ -91,101 +131,10 @@
 	Release(zone platform.Zone, endpoint platform.EndpointID)
 }
 
-// Config lists the parts that a dispatcher uses.
-type Config struct {
-	Instance  platform.InstanceID
-	Zone      platform.Zone
-	Policies  Policies
-	Endpoints Endpoints
-	Pools     Pools
-	Engines   Engines
-	Suspects  Suspects
-	Planner   Planner
-	Budgets   Budgets
-	Exposures Exposures
-	Owners    Owners
-	Scheduler *placement.Scheduler
-}
-
-// Dispatcher runs requests. Its methods may be called from several goroutines.
-type Dispatcher struct {
-	Config
-	speeds   *speeds
-	attempts atomic.Uint64
-}
-
-// New returns a dispatcher.
-func New(config Config) *Dispatcher {
-	return &Dispatcher{Config: config, speeds: newSpeeds()}
-}
-
-// Run dispatches a request and passes its answer to the sink. The result says
-// what was consumed, also if there is a problem.
-func (d *Dispatcher) Run(ctx context.Context, request *Request, sink Sink) (*Result, *problem.Problem) {
-	result := &Result{}
-	plan, trouble := d.plan(request)
-	if trouble != nil {
-		return result, trouble
-	}
-	var held *buffer
-	for i, step := range plan.Steps {
-		last := i == len(plan.Steps)-1
-		out := sink
-		if !last {
-			held = &buffer{}
-			out = held
-		}
-		answer, stepTrouble := d.runStep(ctx, request, step.Ref, out, result)
-		if stepTrouble != nil {
-			trouble = stepTrouble
-			if last || stepTrouble.Type == problem.CrashSuspect {
-				break
-			}
-			continue
-		}
-		d.learn(request, step.Ref, answer, result.Answer)
-		result.Ref, result.Answer = step.Ref, answer
-		trouble = nil
-		if last {
-			return result, nil
-		}
-		if answer.Confidence() >= step.Accept {
-			return result, held.flush(request, sink)
-		}
-	}
-	return d.fallBack(request, result, held, sink, trouble)
-}
-
-// fallBack gives the answer of an earlier step if the last one was not to be
-// had.
-func (d *Dispatcher) fallBack(request *Request, result *Result, held *buffer, sink Sink, trouble *problem.Problem) (*Result, *problem.Problem) {
-	if result.Answer == nil || trouble.Type == problem.AnswerInterrupted || trouble.Type == problem.CrashSuspect {
-		result.Answer = nil
-		return result, trouble
-	}
-	result.Degraded = true
-	return result, held.flush(request, sink)
-}
-
-// learn tells the planner of an answer. earlier is the answer that fell short
-// before it, nil if there is none.
-func (d *Dispatcher) learn(request *Request, ref document.Ref, answer, earlier *engine.Answer) {
-	usage := answer.Usage()
-	d.speeds.add(ref, answer.FirstToken, answer.Took, usage.CompletionTokens)
-	result := cascade.Result{
-		Class:        request.Class,
-		Ref:          ref,
-		Confidence:   answer.Confidence(),
-		PromptTokens: usage.PromptTokens,
-		AnswerTokens: usage.CompletionTokens,
-	}
-	if earlier != nil {
-		result.Escalated = true
-		result.Before = earlier.Confidence()
-	}
-	d.Planner.Answered(request, result, answer.Text())
-}
-
-func (d *Dispatcher) attemptID() string {
-	return string(d.Instance) + "-" + strconv.FormatUint(d.attempts.Add(1), 36)
+// EngineClient makes the client of package engine the [Engines] of a server.
+type EngineClient struct{ *engine.Client }
+
+// Chat implements [Engines].
+func (c EngineClient) Chat(ctx context.Context, call engine.Call, departed engine.Departure) (Stream, error) {
+	return c.Client.Chat(ctx, call, departed)
 }
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -1,9 +1,6 @@
-// Package caller serves the callers' API: it authenticates, checks and bounds
-// requests, hands them on, and writes answers and refusals.
 package caller
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -14,18 +11,12 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/wigeonusher/wigeonusher/coord/intent"
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/billing"
-	"github.com/wigeonusher/wigeonusher/node/dispatch"
-	"github.com/wigeonusher/wigeonusher/node/once"
-	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
-	"github.com/wigeonusher/wigeonusher/policy/session"
-	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
 
@@ -50,71 +41,44 @@
 // retryAfter is when to come back after a refusal that says nothing better.
 const retryAfter = time.Second
 
-// Policies gives the policy in force.
-type Policies interface {
-	Policy() *document.Policy
-}
-
-// Biller records what requests cost.
-type Biller interface {
-	// Reserve keeps room for the bill of a request that is about to start.
-	Reserve() (*billing.Reservation, error)
-}
-
-// Sessions finds the birth of a session.
-type Sessions interface {
-	Resolve(ctx context.Context, query sessions.Query) (sessions.Found, error)
-	Single(query sessions.Query, requestID string) sessions.Found
-	Token(birth session.Birth) string
-}
-
-// Limits decides which requests are within their account's limit.
-type Limits interface {
-	Allow(account document.AccountID) (ok bool, retryAfter time.Duration)
-}
-
-// Once runs calls at most once.
-type Once interface {
-	Run(ctx context.Context, call once.Call, progress *outcome.Attempt, dispatch once.Dispatch) intent.Respond
-}
-
-// Dispatcher runs chat requests.
-type Dispatcher interface {
-	Run(ctx context.Context, request *dispatch.Request, sink dispatch.Sink) (*dispatch.Result, *problem.Problem)
-}
-
-// Services dispatches calls to plain services.
-type Services interface {
-	Service(ctx context.Context, call engine.ServiceCall, departed engine.Departure) (*engine.ServiceAnswer, error)
-}
-
 // Config lists the parts that a server uses.
 type Config struct {
-	Instance   platform.InstanceID
-	Zone       platform.Zone
-	BodyBytes  int64
-	Policies   Policies
-	Dispatcher Dispatcher
-	Endpoints  dispatch.Endpoints
-	Services   Services
-	Biller     Biller
-	Sessions   Sessions
-	Limits     Limits
-	Once       Once
-	Budgets    dispatch.Budgets
-	Scheduler  *placement.Scheduler
-	Telemetry  *telemetry.Telemetry
+	Instance  platform.InstanceID
+	Zone      platform.Zone
+	BodyBytes int64
+	Policies  Policies
+	Endpoints Endpoints
+	Pools     Pools
+	Engines   Engines
+	Services  Services
+	Suspects  Suspects
+	Planner   Planner
+	Exposures Exposures
+	Owners    Owners
+	Biller    Biller
+	Sessions  Sessions
+	Limits    Limits
+	Once      Once
+	Budgets   Budgets
+	Scheduler *placement.Scheduler
+	Telemetry *telemetry.Telemetry
 }
 
 // Server is the callers' API of one instance.
 type Server struct {
 	Config
+	speeds   *speeds
 	requests atomic.Uint64
 	attempts atomic.Uint64
 }
 
 // New returns a server.
-func New(config Config) *Server { return &Server{Config: config} }
+func New(config Config) *Server { return &Server{Config: config, speeds: newSpeeds()} }
+
+// attemptID returns an ID for one dispatch.
+func (s *Server) attemptID() string {
+	return string(s.Instance) + "-" + strconv.FormatUint(s.attempts.Add(1), 36)
+}
 
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
@@ -130,6 +94,7 @@
 
 // exchange is one request of a caller and the way back to it.
 type exchange struct {
+	server  *Server
 	echo    echo.Context
 	id      string
 	policy  *document.Policy
@@ -143,7 +108,7 @@
 // open authenticates a request, counts it against its account's limit and
 // reads its body.
 func (s *Server) open(c echo.Context, attempt *outcome.Attempt) (*exchange, *problem.Problem) {
-	e := &exchange{echo: c, policy: s.Policies.Policy(), attempt: attempt}
+	e := &exchange{server: s, echo: c, policy: s.Policies.Policy(), attempt: attempt}
 	e.id = s.requestID(c.Request())
 	seen := observedOf(c)
 	seen.exchange = e
--- a/node/caller/service.go
+++ b/node/caller/service.go
@@ -1,11 +1,10 @@
 package caller
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,19 +12,21 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
-	"github.com/wigeonusher/wigeonusher/coord/retry"
+	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/random"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/gate"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/policy/route"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
 
-// maxServiceTries bounds the dispatches of one call to a plain service.
-const maxServiceTries = 3
+const contentType = "Content-Type"
 
-// serviceCall is one call to a plain service.
+// serviceCall is one call to a plain service. It implements the ports of the
+// relay.
 type serviceCall struct {
 	*exchange
 	service  document.ServiceName
@@ -33,12 +34,16 @@
 	slots    int
 	path     string
 	deadline time.Time
-	avoid    []platform.EndpointID
+	budget   pairBudget
+	// once tells that the call must not run again, and fencing is the number
+	// that it carries then.
+	once    bool
+	fencing uint64
 }
 
 // service serves calls to plain services.
 func (s *Server) service(c echo.Context) error {
-	e, trouble := s.open(c, &outcome.Attempt{})
+	e, trouble := s.open(c, notRun())
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
@@ -46,18 +51,19 @@
 	if trouble != nil {
 		return s.refuse(c, trouble)
 	}
-	ctx, cancel := context.WithDeadline(c.Request().Context(), call.deadline)
-	defer cancel()
-	if call.atMostOnce() {
-		return s.serveOnce(ctx, call)
+	call.once = call.atMostOnce()
+	if call.once {
+		return s.serveOnce(c.Request().Context(), call)
 	}
-	return s.serveRepeatable(ctx, call)
+	writer := &serviceWriter{}
+	call.run(c.Request().Context(), writer)
+	return writer.finish(call)
 }
 
 func (s *Server) newServiceCall(e *exchange) (*serviceCall, *problem.Problem) {
 	name := document.ServiceName(e.echo.Param("service"))
-	if trouble := s.checkService(e, name); trouble != nil {
-		return nil, trouble
+	if err := gate.CheckService(s.Policies.Policy(), e.account, name); err != nil {
+		return nil, notAllowed(err)
 	}
 	request := e.echo.Request()
 	call := &serviceCall{exchange: e, service: name, path: "/" + e.echo.Param("*")}
@@ -73,30 +79,15 @@
 	}
 	slices.Sort(pools)
 	if len(pools) == 0 {
-		return nil, call.noEndpoint()
+		return nil, problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, noRunner, notRun()).After(retryAfter)
 	}
 	call.pool = pools[0]
 	call.slots = e.policy.Pools[call.pool].Slots
+	call.budget = pairBudget{account: s.Budgets.Account(call.account), pool: s.Budgets.Pool(call.pool)}
 	return call, nil
 }
 
-// checkService passes the gate with the policy in force now.
-func (s *Server) checkService(e *exchange, name document.ServiceName) *problem.Problem {
-	err := gate.CheckService(s.Policies.Policy(), e.account, name)
-	var refusal *gate.Refusal
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &refusal) && refusal.Reason == gate.UnknownService:
-		return problem.New(problem.UnknownService, http.StatusNotFound, "unknown service", e.attempt)
-	default:
-		return problem.New(problem.NotAllowed, http.StatusForbidden, "service not allowed", e.attempt)
-	}
-}
-
-func (c *serviceCall) noEndpoint() *problem.Problem {
-	return problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, "no endpoint runs the service", c.attempt).After(retryAfter)
-}
+const noRunner = "no endpoint runs the service"
 
 // atMostOnce reports whether the call may not be repeated: by the first rule
 // that matches, or by its method.
@@ -115,87 +106,189 @@
 	return c.echo.Request().Header.Get(HeaderIdempotency)
 }
 
-// dispatch sends the call to one endpoint. sent tells whether a byte may have
-// left.
-func (s *Server) dispatch(ctx context.Context, call *serviceCall, fencing uint64, fresh bool, sent engine.Departure) (*engine.ServiceAnswer, error) {
-	if trouble := s.checkService(call.exchange, call.service); trouble != nil {
-		return nil, trouble
-	}
-	endpoint, err := s.placeService(call)
-	if err != nil {
-		return nil, err
-	}
-	request := call.echo.Request()
-	started := time.Now()
-	s.Endpoints.Dispatched(started, endpoint.ID, nil)
-	answer, err := s.Services.Service(ctx, engine.ServiceCall{
-		Address:        endpoint.Address,
-		Method:         request.Method,
-		PathAndQuery:   call.path,
-		ContentType:    request.Header.Get("Content-Type"),
-		Body:           call.body,
-		RequestID:      call.id,
-		AttemptID:      string(s.Instance) + "-s" + strconv.FormatUint(s.attempts.Add(1), 36),
-		IdempotencyKey: call.idempotencyKey(),
-		Fencing:        fencing,
-		Timeout:        time.Until(call.deadline),
-		Fresh:          fresh,
-	}, sent)
-	refused := errors.Is(err, engine.ErrRefused)
-	s.Endpoints.Finished(time.Now(), endpoint.ID, time.Since(started), err != nil && !refused)
-	if refused {
-		s.Endpoints.Refused(platform.ListedEndpoint{ID: endpoint.ID, Address: endpoint.Address})
+// run has the relay serve the call.
+func (c *serviceCall) run(ctx context.Context, client relay.Client) {
+	core := relay.New(relay.Config{
+		Gate:      fixedGate(c.permission()),
+		Planner:   relay.NoChoice{},
+		Places:    c,
+		Endpoints: c,
+		Budgets:   c,
+		Observer:  attemptLog{c.server.Telemetry},
+	})
+	core.Serve(ctx, &relay.Request{
+		ID:       c.id,
+		Method:   c.echo.Request().Method,
+		Target:   c.path,
+		Body:     c.body,
+		Received: time.Now(),
+		Patience: time.Until(c.deadline),
+	}, client)
+}
+
+func (c *serviceCall) permission() relay.Permission {
+	kind := route.Idempotent
+	if c.once {
+		kind = route.AtMostOnce
 	}
-	if err != nil {
-		call.avoid = append(call.avoid, endpoint.ID)
+	return relay.Permission{
+		Account:  route.AccountName(c.account),
+		Revision: int64(c.policy.Revision),
+		Route: &route.Route{
+			Name:        string(c.service),
+			Kind:        kind,
+			Timeout:     time.Until(c.deadline),
+			MaxAttempts: maxTries,
+			Split:       []route.Share{{Service: route.ServiceName(c.service), Weight: 1}},
+		},
 	}
-	return answer, err
 }
 
-func (s *Server) placeService(call *serviceCall) (placement.Candidate, error) {
+// Budget implements [relay.Budgets].
+func (c *serviceCall) Budget(route.ServiceName) relay.Budget { return c.budget }
+
+// Place implements [relay.Places]. It passes the gate with the policy in force
+// now.
+func (c *serviceCall) Place(_ context.Context, query *relay.Query) (relay.Place, *relay.Refusal) {
+	if err := gate.CheckService(c.server.Policies.Policy(), c.account, c.service); err != nil {
+		return nil, &relay.Refusal{Reason: relay.NotAllowed, Cause: notAllowed(err)}
+	}
 	now := time.Now()
 	var candidates []placement.Candidate
-	for _, endpoint := range s.Endpoints.Usable(call.pool) {
-		if s.Endpoints.MayDispatch(endpoint.ID) {
-			candidates = append(candidates, s.Endpoints.Candidate(now, endpoint, call.slots, nil))
+	for _, endpoint := range c.server.Endpoints.Usable(c.pool) {
+		if c.server.Endpoints.MayDispatch(endpoint.ID) {
+			candidates = append(candidates, c.server.Endpoints.Candidate(now, endpoint, c.slots, nil))
 		}
 	}
-	picked, err := s.Scheduler.Pick(random.Global{}, placement.Request{Zone: s.Zone, Avoid: call.avoid}, candidates)
+	picked, err := c.server.Scheduler.Pick(random.Global{}, placement.Request{Zone: c.server.Zone, Avoid: query.Avoid}, candidates)
 	if err != nil {
-		return placement.Candidate{}, call.noEndpoint()
-	}
-	return picked, nil
-}
-
-// serveRepeatable dispatches a call that may be repeated, again if need be.
-func (s *Server) serveRepeatable(ctx context.Context, call *serviceCall) error {
-	accountBudget, poolBudget := s.Budgets.Account(call.account), s.Budgets.Pool(call.pool)
-	accountBudget.Deposit()
-	poolBudget.Deposit()
-	for number := 1; ; number++ {
-		var sent outcome.Attempt
-		answer, err := s.dispatch(ctx, call, 0, false, &sent)
-		refused := errors.Is(err, engine.ErrRefused)
-		if sent.Departed() && !refused {
-			call.attempt.Depart()
-		}
-		if err == nil {
-			return call.echo.Blob(answer.Status, answer.ContentType, answer.Body)
-		}
-		var trouble *problem.Problem
-		if errors.As(err, &trouble) {
-			return s.refuse(call.echo, trouble)
-		}
-		mayRetry := number < maxServiceTries && ctx.Err() == nil
-		if !mayRetry || (!refused && !retry.WithdrawAll(time.Now(), accountBudget, poolBudget)) {
-			return s.refuse(call.echo, call.interrupted())
-		}
+		cause := problem.New(problem.NoEndpoint, http.StatusServiceUnavailable, noRunner, notRun()).After(retryAfter)
+		return nil, &relay.Refusal{Reason: relay.NoEndpoint, RetryAfter: retryAfter, Cause: cause}
+	}
+	c.server.Endpoints.Dispatched(now, picked.ID, nil)
+	return &servicePlace{call: c, candidate: picked, started: now}, nil
+}
+
+// Send implements [relay.Endpoints].
+func (c *serviceCall) Send(ctx context.Context, call *relay.Call, deadline time.Time) (*relay.Answer, error) {
+	request := c.echo.Request()
+	var sent outcome.Attempt
+	answer, err := c.server.Services.Service(ctx, engine.ServiceCall{
+		Address:        call.Address,
+		Method:         request.Method,
+		PathAndQuery:   c.path,
+		ContentType:    request.Header.Get(contentType),
+		Body:           c.body,
+		RequestID:      c.id,
+		AttemptID:      c.server.attemptID(),
+		IdempotencyKey: c.idempotencyKey(),
+		Fencing:        c.fencing,
+		Timeout:        time.Until(deadline),
+		Fresh:          c.once,
+	}, &sent)
+	if err != nil {
+		return sendFailed(&sent, err)
+	}
+	return &relay.Answer{
+		Status:  answer.Status,
+		Header:  http.Header{contentType: {answer.ContentType}},
+		Genuine: true,
+		Body:    &wholeBody{Reader: bytes.NewReader(answer.Body)},
+	}, nil
+}
+
+// wholeBody is a body that is at hand.
+type wholeBody struct {
+	*bytes.Reader
+	noBody
+}
+
+// Read implements [relay.Body].
+func (b *wholeBody) Read(p []byte) (int, error) { return b.Reader.Read(p) }
+
+// servicePlace is a place at an endpoint of a plain service.
+type servicePlace struct {
+	call      *serviceCall
+	candidate placement.Candidate
+	started   time.Time
+}
+
+// Endpoint implements [relay.Place].
+func (p *servicePlace) Endpoint() pool.Record {
+	return pool.Record{
+		ID: p.candidate.ID, Service: route.ServiceName(p.call.service), Address: p.candidate.Address,
+		Zone: p.candidate.Zone, Slots: p.call.slots,
+	}
+}
+
+// LongPrompt implements [relay.Place].
+func (*servicePlace) LongPrompt() bool { return false }
+
+// Usual implements [relay.Place].
+func (*servicePlace) Usual() time.Duration { return 0 }
+
+// Sign implements [relay.Place].
+func (*servicePlace) Sign() {}
+
+// LastSign implements [relay.Place].
+func (*servicePlace) LastSign() time.Time { return time.Now() }
+
+// Reported implements [relay.Place].
+func (*servicePlace) Reported(int, int) {}
+
+// FirstEvent implements [relay.Place].
+func (*servicePlace) FirstEvent(time.Duration) {}
+
+// End implements [relay.Place].
+func (p *servicePlace) End(ending relay.Ending) {
+	endpoints := p.call.server.Endpoints
+	failed := ending.Result == pool.Broken
+	endpoints.Finished(time.Now(), p.candidate.ID, time.Since(p.started), failed)
+	if ending.Result == pool.Full {
+		endpoints.Refused(platform.ListedEndpoint{ID: p.candidate.ID, Address: p.candidate.Address})
+	}
+}
+
+// serviceWriter is the [relay.Client] of a call to a plain service. It keeps
+// the answer.
+type serviceWriter struct {
+	head    relay.Head
+	body    []byte
+	refusal *relay.Refusal
+}
+
+// Begin implements [relay.Client].
+func (w *serviceWriter) Begin(head relay.Head) { w.head = head }
+
+// Write implements [relay.Client].
+func (w *serviceWriter) Write(p []byte) error {
+	w.body = append(w.body, p...)
+	return nil
+}
+
+// Abort implements [relay.Client]. A kept answer is never broken off.
+func (w *serviceWriter) Abort() {}
+
+// Refuse implements [relay.Client].
+func (w *serviceWriter) Refuse(refusal *relay.Refusal) { w.refusal = refusal }
+
+// finish answers the caller.
+func (w *serviceWriter) finish(call *serviceCall) error {
+	switch {
+	case w.refusal != nil:
+		return call.server.refuse(call.echo, serviceProblem(w.refusal))
+	case w.head.Status == 0:
+		return nil // the caller has gone
+	default:
+		return call.echo.Blob(w.head.Status, w.head.Header.Get(contentType), w.body)
 	}
 }
 
-func (c *serviceCall) interrupted() *problem.Problem {
-	if c.attempt.Outcome().IsNotRun() {
-		return c.noEndpoint()
+// serviceProblem turns a refusal into a problem.
+func serviceProblem(refusal *relay.Refusal) *problem.Problem {
+	trouble := problemOf(refusal)
+	if trouble.Type == problem.AnswerInterrupted {
+		trouble.Type = problem.OutcomeUnknown
 	}
-	return problem.New(problem.OutcomeUnknown, http.StatusBadGateway, "no endpoint answered whole", c.attempt).After(retryAfter)
+	return trouble
 }
--- a/node/dispatch/speeds.go
+++ b/node/caller/speeds.go
@@ -1,4 +1,4 @@
-package dispatch
+package caller
 
 import (
 	"sync"
--- a/node/dispatch/dispatch_test.go
+++ b/node/caller/work_test.go
@@ -1,8 +1,9 @@
-package dispatch
+package caller
 
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -49,7 +50,7 @@
 func (w *world) Refused(platform.ListedEndpoint)                              {}
 func (w *world) Charge(document.Ref)                                          {}
 func (w *world) Reachable(context.Context, string) bool                       { return true }
-func (w *world) Answered(*Request, cascade.Result, string)                    {}
+func (w *world) Answered(string, string, cascade.Result, string)              {}
 func (w *world) Failed(document.TaskClass, document.Ref)                      {}
 func (w *world) Account(document.AccountID) *retry.Budget                     { return generous() }
 
@@ -59,16 +60,23 @@
 	return cascade.Plan{Steps: w.plan}
 }
 
-func (w *world) Chat(_ context.Context, call engine.Call, departed engine.Departure, _ func(*openai.Chunk) error) (*engine.Answer, error) {
+func (w *world) Chat(_ context.Context, call engine.Call, departed engine.Departure) (Stream, error) {
 	w.calls = append(w.calls, call.Ref)
 	script := w.scripts[0]
 	w.scripts = w.scripts[1:]
 	if err := script(departed); err != nil {
 		return nil, err
 	}
-	return &engine.Answer{}, nil
+	return &wholeStream{}, nil
 }
 
+// wholeStream is an answer that is whole without a frame.
+type wholeStream struct{ answer engine.Answer }
+
+func (*wholeStream) Next() (*openai.Chunk, error) { return nil, io.EOF }
+func (s *wholeStream) Answer() *engine.Answer     { return &s.answer }
+func (*wholeStream) Close()                       {}
+
 func (w *world) Reserve(context.Context, platform.Zone, platform.EndpointID, int, bool) (int, bool, error) {
 	return 0, false, errors.New("no owner")
 }
@@ -91,10 +99,6 @@
 }
 func (noSuspects) Finished(suspect.Fingerprint, platform.EndpointID) {}
 
-type discard struct{}
-
-func (discard) Frame(document.Ref, *openai.Chunk) error { return nil }
-
 // policyWith returns a policy with two models; state is that of small@v1.
 func policyWith(state document.VersionState) *document.Policy {
 	version := func(state document.VersionState) map[document.VersionName]document.Version {
@@ -115,20 +119,22 @@
 	}
 }
 
-func newRequest(model document.ModelName) *Request {
-	return &Request{
-		ID:       "r1",
-		Account:  "acme",
-		Class:    "tagging",
-		Model:    model,
-		Birth:    session.Birth{Pins: map[document.ModelName]document.VersionName{"small": "v1", "large": "v1"}},
-		Body:     &openai.Request{},
-		Deadline: time.Now().Add(time.Minute),
+func newRequest(model document.ModelName) *chatRequest {
+	return &chatRequest{
+		id:       "r1",
+		account:  "acme",
+		class:    "tagging",
+		model:    model,
+		birth:    session.Birth{Pins: map[document.ModelName]document.VersionName{"small": "v1", "large": "v1"}},
+		body:     &openai.Request{},
+		deadline: time.Now().Add(time.Minute),
 	}
 }
 
-func newDispatcher(w *world) *Dispatcher {
-	return New(Config{
+// serve runs a request in the world and returns what its caller gets.
+func (w *world) serve(t *testing.T, request *chatRequest) *chatWriter {
+	t.Helper()
+	server := New(Config{
 		Instance:  "self",
 		Policies:  w,
 		Endpoints: w,
@@ -141,6 +147,11 @@
 		Owners:    w,
 		Scheduler: placement.New(placement.Standard(placement.Tuning{})),
 	})
+	work, trouble := server.newChatWork(request)
+	assert.Assert(t, trouble == nil)
+	writer := &chatWriter{}
+	work.run(t.Context(), writer)
+	return writer
 }
 
 func TestRetryAfterAWithdrawalIsRefused(t *testing.T) {
@@ -150,7 +161,7 @@
 		w.policy = policyWith(document.VersionWithdrawn)
 		return engine.ErrCut
 	}}
-	_, trouble := newDispatcher(w).Run(t.Context(), newRequest("small"), discard{})
+	trouble := w.serve(t, newRequest("small")).trouble
 	assert.Equal(t, trouble.Type, problem.VersionWithdrawn)
 	assert.Equal(t, trouble.Outcome, "unknown")
 	assert.Equal(t, len(w.calls), 1)
@@ -169,9 +180,9 @@
 		w.policy = narrowed
 		return nil
 	}}
-	result, trouble := newDispatcher(w).Run(t.Context(), newRequest(""), discard{})
-	assert.Assert(t, trouble == nil)
-	assert.Assert(t, result.Degraded)
+	got := w.serve(t, newRequest(""))
+	assert.Assert(t, got.trouble == nil)
+	assert.Assert(t, got.head.Fallback)
 	assert.DeepEqual(t, w.calls, []document.Ref{{Model: "small", Version: "v1"}})
 }
 
@@ -187,8 +198,7 @@
 		return nil
 	}
 	w.scripts = []func(engine.Departure) error{answer, answer}
-	_, trouble := newDispatcher(w).Run(t.Context(), newRequest(""), discard{})
-	assert.Assert(t, trouble == nil)
+	assert.Assert(t, w.serve(t, newRequest("")).trouble == nil)
 	assert.DeepEqual(t, w.calls, []document.Ref{small, large})
 	assert.Equal(t, w.fingerprints[0], w.fingerprints[1])
 }
@@ -216,7 +226,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w := &world{policy: policyWith(document.VersionServing), scripts: c.scripts}
-			_, trouble := newDispatcher(w).Run(t.Context(), newRequest("small"), discard{})
+			trouble := w.serve(t, newRequest("small")).trouble
 			assert.Equal(t, trouble.Outcome, c.outcome)
 			assert.Equal(t, trouble.Status, c.status)
 			assert.Assert(t, trouble.RetryAfterMillis > 0)
--- a/node/entry/health.go
+++ b/node/entry/health.go
@@ -1,12 +1,10 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
 	"github.com/wigeonusher/wigeonusher/coord/membership"
@@ -63,13 +61,8 @@
 	router.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, e.Status()) })
 	router.GET("/metrics", func(c echo.Context) error {
 		c.Response().WriteHeader(http.StatusOK)
-		e.writeMetrics(c.Response())
+		e.observer.Write(c.Response())
 		return nil
 	})
 	return router
 }
-
-func (e *Entry) writeMetrics(w io.Writer) {
-	e.observer.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
-}
--- a/node/feedback/feedback.go
+++ b/node/feedback/feedback.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
-	"github.com/wigeonusher/wigeonusher/node/dispatch"
 	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/node/random"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
@@ -71,29 +70,29 @@
 	}
 }
 
-// Plan implements dispatch.Planner.
+// Plan implements caller.Planner.
 func (f *Feedback) Plan(rule document.ClassRule, exploreShare float64, request cascade.Request) cascade.Plan {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.planner.Plan(random.Global{}, rule, exploreShare, request)
 }
 
-// Answered implements dispatch.Planner.
-func (f *Feedback) Answered(request *dispatch.Request, result cascade.Result, text string) {
+// Answered implements caller.Planner.
+func (f *Feedback) Answered(requestID, prompt string, result cascade.Result, text string) {
 	f.mu.Lock()
 	f.planner.ObserveResult(result)
 	f.mu.Unlock()
 	if f.service == nil {
 		return
 	}
-	id := request.ID + "/" + result.Ref.String()
+	id := requestID + "/" + result.Ref.String()
 	f.pending.Add(id, result)
 	answer := platform.RatedAnswer{
 		RequestID: id,
 		TaskClass: string(result.Class),
 		Model:     string(result.Ref.Model),
 		Version:   string(result.Ref.Version),
-		Prompt:    clip(request.Prompt),
+		Prompt:    clip(prompt),
 		Answer:    clip(text),
 	}
 	select {
--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -5,15 +5,20 @@
 //
 // A codec on the client's side turns bytes into a [Request] and implements
 // [Client]; a codec on the endpoints' side implements [Endpoints]. Neither is
-// known here.
+// known here. What is decided from outside comes through further ports: [Gate]
+// (may the request run?), [Planner] (by which model?), [Places] (at which
+// endpoint?) and [Budgets] (may it be repeated?).
+//
+// [TableGate], [SizePlanner] and [PooledPlaces] implement them for a routing
+// table, models of different sizes and pools of endpoints. Package caller
+// implements them for chat requests with cascades and for plain services.
 //
 // # Steps
 //
-// [Relay.Serve] runs a request through a list of steps: gate (route, account,
-// model, age of the configuration), suspect (has the request crashed
-// endpoints?), then attempts. Each attempt asks the gate again, because the
-// configuration may have changed while the request waited, then plans a model,
-// chooses an endpoint, sends, and copies the answer.
+// [Relay.Serve] asks the gate, settles the deadline and the service, and makes
+// attempts. Each attempt asks the gate again, because the configuration may
+// have changed while the request waited, then takes a place, sends, and copies
+// the answer.
 //
 // # What an attempt may end in
 //
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -91,6 +91,8 @@
 	silent bool
 	// reset breaks the connection after the call arrived.
 	reset bool
+	// complete answers are at hand as a whole.
+	complete bool
 	// foreign answers belong to another call.
 	foreign    bool
 	status     int
@@ -143,7 +145,7 @@
 	}
 	answer := &Answer{
 		Status: status, Header: http.Header{}, Genuine: !does.foreign,
-		Confidence: does.confidence, HasConfidence: call.Model != "",
+		Confidence: does.confidence, HasConfidence: call.Model != "", Complete: does.complete,
 	}
 	answer.Body = streamBody(call, does)
 	return answer, nil
@@ -199,11 +201,13 @@
 	body    bytes.Buffer
 	refusal *Refusal
 	aborted bool
-	finals  int
+	// fallback tells that the answer was one that had been dropped.
+	fallback bool
+	finals   int
 }
 
 func (r *recorder) Begin(head Head) {
-	r.begun, r.status = true, head.Status
+	r.begun, r.status, r.fallback = true, head.Status, head.Fallback
 	r.finals++
 }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -41,6 +41,21 @@
 	Delivered(progress *Progress, delivery Delivery)
 }
 
+// NoChoice is the [Planner] of requests that leave no choice of a model.
+type NoChoice struct{}
+
+// First implements [Planner].
+func (NoChoice) First(*Progress) route.ModelName { return "" }
+
+// Next implements [Planner].
+func (NoChoice) Next(*Progress, route.ModelName, float64) (route.ModelName, bool) { return "", false }
+
+// Instead implements [Planner].
+func (NoChoice) Instead(route.ModelName) (route.ModelName, bool) { return "", false }
+
+// Delivered implements [Planner].
+func (NoChoice) Delivered(*Progress, Delivery) {}
+
 // Progress is how far a request has come.
 type Progress struct {
 	Request  *Request
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -292,6 +293,7 @@
 		found.MaxAttempts = rapid.IntRange(1, 4).Draw(t, "attempts")
 		if kind == route.Stream {
 			found.Resumable = rapid.Bool().Draw(t, "resumable")
+			found.Restartable = rapid.Bool().Draw(t, "restartable")
 			found.Models = []route.ModelName{"small", "middle", "large"}
 		}
 		script := rapid.SliceOfN(rapid.Custom(drawAct), 8, 8).Draw(t, "script")
@@ -328,6 +330,88 @@
 	})
 }
 
+// steps is a planner that asks its models one after the other.
+type steps []route.ModelName
+
+func (s steps) First(*Progress) route.ModelName { return s[0] }
+func (s steps) Next(_ *Progress, asked route.ModelName, confidence float64) (route.ModelName, bool) {
+	if confidence >= 0.6 {
+		return "", false
+	}
+	return s.Instead(asked)
+}
+
+func (s steps) Instead(unavailable route.ModelName) (route.ModelName, bool) {
+	at := slices.Index(s, unavailable)
+	if at == len(s)-1 {
+		return "", false
+	}
+	return s[at+1], true
+}
+
+func (steps) Delivered(*Progress, Delivery) {}
+
+func TestDroppedAnswerIsPassedOnIfNothingBetterComes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		complete bool
+		large    act
+		status   int
+		fallback bool
+	}{
+		{"larger model answers", true, act{confidence: 1, events: -1}, http.StatusOK, false},
+		{"larger model breaks off", true, act{reset: true}, http.StatusOK, true},
+		{"answer is not at hand", false, act{reset: true}, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			found := testRoute(route.Idempotent)
+			found.Models = []route.ModelName{"small", "large"}
+			h := newHarness(testTable(found), 2, func(call *Call, _ int) act {
+				if call.Model == "small" {
+					return act{confidence: 0.1, events: -1, complete: c.complete}
+				}
+				return c.large
+			})
+			h.relay.Planner = steps(found.Models)
+			h.serve(testRequest())
+			assert.Equal(t, h.client.status, c.status)
+			assert.Equal(t, h.client.fallback, c.fallback)
+			assert.Equal(t, h.client.finals, 1)
+		})
+	}
+}
+
+func TestOtherModelTakesThePlaceOfOneThatIsNotToBeHad(t *testing.T) {
+	found := testRoute(route.Idempotent)
+	h := newHarness(testTable(found), 3, func(call *Call, _ int) act {
+		return act{reset: call.Model == "small", events: -1}
+	})
+	h.relay.Planner = steps{"small", "large"}
+	found.MaxAttempts = 1
+	h.serve(testRequest())
+	assert.Equal(t, h.client.status, http.StatusOK)
+	assert.Equal(t, len(h.endpoints.arrivals), 2)
+}
+
+func TestRestartableStreamBeginsAnewOnlyBeforeItsFirstEvent(t *testing.T) {
+	for _, c := range []struct {
+		events, runs int
+		aborted      bool
+	}{{0, 2, false}, {1, 1, true}} {
+		found := testRoute(route.Stream)
+		found.Resumable, found.Restartable = false, true
+		h := newHarness(testTable(found), 2, func(_ *Call, number int) act {
+			if number == 0 {
+				return act{events: c.events}
+			}
+			return act{events: -1}
+		})
+		h.serve(testRequest())
+		assert.Equal(t, h.endpoints.runs(), c.runs)
+		assert.Equal(t, h.client.aborted, c.aborted)
+	}
+}
+
 func drawAct(t *rapid.T) act {
 	return act{
 		refused:     rapid.IntRange(0, 4).Draw(t, "refused") == 0,
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/coord/config"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 )
 
@@ -75,6 +76,33 @@
 	}).Info("request")
 }
 
+// Attempted counts and logs an attempt at an endpoint.
+func (t *Telemetry) Attempted(event *relay.AttemptEvent) {
+	t.set.GetOrCreateCounter(fmt.Sprintf(`wigeonusher_attempts_total{service=%q,verdict=%q}`, event.Service, event.Verdict)).Inc()
+	if event.FirstEvent > 0 {
+		t.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_first_event_seconds{service=%q,model=%q}`, event.Service, event.Model)).Update(event.FirstEvent.Seconds())
+	}
+	fields := logrus.Fields{
+		"request": event.RequestID, "session": event.Session, "arrival": event.Number, "service": event.Service, "endpoint": event.Endpoint,
+		"version": event.Version, "model": event.Model, "revision": event.Revision, "verdict": event.Verdict,
+		"status": event.Status, "confidence": event.Confidence, "events": event.Events,
+		"took_ms": event.Took.Milliseconds(), "first_event_ms": event.FirstEvent.Milliseconds(),
+		"after_ms": event.SinceStart.Milliseconds(), "longest_gap_ms": event.LongestGap.Milliseconds(),
+	}
+	if event.Err != nil {
+		fields["error"] = event.Err.Error()
+	}
+	t.log.WithFields(fields).Info("attempt")
+}
+
+// Count adds one to a counter.
+func (t *Telemetry) Count(name string) { t.set.GetOrCreateCounter(name).Inc() }
+
+// Observe adds a value to a histogram.
+func (t *Telemetry) Observe(name string, value float64) {
+	t.set.GetOrCreateHistogram(name).Update(value)
+}
+
 // Billed counts a bill.
 func (t *Telemetry) Billed(ref document.Ref, costMicro float64) {
 	t.set.GetOrCreateCounter(fmt.Sprintf(`wigeonusher_bills_total{version=%q}`, ref)).Inc()
--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -24,7 +24,8 @@
 	// Idempotent requests may run any number of times.
 	Idempotent
 	// Stream answers are a series of events. They may be repeated, from the
-	// last event delivered, if the route is resumable.
+	// last event delivered, if the route is resumable, and as long as none was
+	// delivered if it is restartable.
 	Stream
 )
 
@@ -37,6 +38,9 @@
 	Kind   Kind
 	// Resumable streams go on at another endpoint after the last event.
 	Resumable bool
+	// Restartable streams may begin anew at another endpoint as long as the
+	// client has no event.
+	Restartable bool
 	// Timeout is the longest time that a request may be kept waiting.
 	Timeout time.Duration
 	// TargetLatency is the latency objective: up to the whole answer, or up to
@@ -60,7 +64,7 @@
 
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+	return r.Kind == Idempotent || r.Kind == Stream && (r.Resumable || r.Restartable)
 }
 
 // ServiceName names a pool of endpoints that run the same program.
--- a/policy/route/route_test.go
+++ b/policy/route/route_test.go
@@ -61,7 +61,9 @@
 		{route.Route{Kind: route.Idempotent}, true},
 		{route.Route{Kind: route.Stream}, false},
 		{route.Route{Kind: route.Stream, Resumable: true}, true},
+		{route.Route{Kind: route.Stream, Restartable: true}, true},
 		{route.Route{Kind: route.AtMostOnce, Resumable: true}, false},
+		{route.Route{Kind: route.AtMostOnce, Restartable: true}, false},
 	} {
 		assert.Equal(t, c.route.Repeatable(), c.want)
 	}
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -91,9 +91,9 @@
 	Took       time.Duration
 }
 
-// Chat dispatches a request and hands its frames to sink as they come. It
-// returns the answer once it is whole. departed is told before a byte may leave.
-func (c *Client) Chat(ctx context.Context, call Call, departed Departure, sink func(*openai.Chunk) error) (*Answer, error) {
+// Chat dispatches a request and returns its answer, once the engine has begun
+// one. departed is told before a byte may leave. The caller closes the stream.
+func (c *Client) Chat(ctx context.Context, call Call, departed Departure) (*Stream, error) {
 	body, err := call.Request.ForEngine(call.Ref.String())
 	if err != nil {
 		return nil, err
@@ -103,9 +103,9 @@
 		limit = min(limit, call.Progress)
 	}
 	ctx, watch := newWatchdog(ctx, limit)
-	defer watch.stop()
 	request, err := http.NewRequestWithContext(departing(ctx, departed), http.MethodPost, "http://"+call.Address+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
+		watch.stop()
 		return nil, eris.Wrap(err, "engine: build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
@@ -115,14 +115,15 @@
 	started := time.Now()
 	response, err := c.http.Do(request)
 	if err != nil {
+		defer watch.stop()
 		return nil, watch.explain(err)
 	}
-	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
+		watch.stop()
+		response.Body.Close()
 		return nil, statusError(response)
 	}
-	reader := &streamReader{body: response.Body, attemptID: call.AttemptID, started: started, watch: watch}
-	return reader.run(sink)
+	return newStream(response.Body, call.AttemptID, started, watch), nil
 }
 
 // departing tells of the departure when a connection is ready to write. A
--- a/wire/engine/client_test.go
+++ b/wire/engine/client_test.go
@@ -97,7 +97,18 @@
 	request, err := openai.Parse([]byte(`{"model":"auto","messages":[{"role":"user","content":"x"}]}`))
 	assert.NilError(t, err)
 	call := engine.Call{Address: address, AttemptID: "a", Ref: document.Ref{Model: "small", Version: "v1"}, Request: request}
-	return client.Chat(t.Context(), call, attempt, func(*openai.Chunk) error { return nil })
+	stream, err := client.Chat(t.Context(), call, attempt)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	for err == nil {
+		_, err = stream.Next()
+	}
+	if !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return stream.Answer(), nil
 }
 
 func FuzzChunk(f *testing.F) {
--- a/wire/engine/stream.go
+++ b/wire/engine/stream.go
@@ -20,9 +20,11 @@
 	doneMarker = []byte("[DONE]")
 )
 
-// streamReader reads the server-sent events of one answer.
-type streamReader struct {
-	body      io.Reader
+// Stream is the answer to a chat request, frame by frame. It is not safe for
+// concurrent use.
+type Stream struct {
+	body      io.ReadCloser
+	scanner   *bufio.Scanner
 	attemptID string
 	started   time.Time
 	watch     *watchdog
@@ -30,50 +32,63 @@
 	frames    int
 }
 
-// run reads until the end marker. An answer without it is cut.
-func (r *streamReader) run(sink func(*openai.Chunk) error) (*Answer, error) {
-	scanner := bufio.NewScanner(r.body)
+func newStream(body io.ReadCloser, attemptID string, started time.Time, watch *watchdog) *Stream {
+	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, frameBufferBytes), MaxFrameBytes)
-	for scanner.Scan() {
-		r.watch.progress()
-		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
+	return &Stream{body: body, scanner: scanner, attemptID: attemptID, started: started, watch: watch}
+}
+
+// Close ends the stream, whole or not.
+func (s *Stream) Close() {
+	s.watch.stop()
+	s.body.Close()
+}
+
+// Answer returns what has come so far: the whole answer after [Stream.Next]
+// has returned io.EOF.
+func (s *Stream) Answer() *Answer { return &s.answer }
+
+// Next returns the next frame, and io.EOF after the end marker. An answer
+// without the marker is cut.
+func (s *Stream) Next() (*openai.Chunk, error) {
+	for s.scanner.Scan() {
+		s.watch.progress()
+		data, ok := bytes.CutPrefix(s.scanner.Bytes(), dataPrefix)
 		if !ok {
 			continue
 		}
 		data = bytes.TrimSpace(data)
 		if bytes.Equal(data, doneMarker) {
-			return r.finish()
-		}
-		if err := r.frame(data, sink); err != nil {
-			return nil, err
+			return nil, s.finish()
 		}
+		return s.frame(data)
 	}
-	if err := scanner.Err(); err != nil && !errors.Is(err, bufio.ErrTooLong) {
-		return nil, r.watch.explain(err)
+	if err := s.scanner.Err(); err != nil && !errors.Is(err, bufio.ErrTooLong) {
+		return nil, s.watch.explain(err)
 	}
 	return nil, ErrCut
 }
 
-func (r *streamReader) frame(data []byte, sink func(*openai.Chunk) error) error {
+func (s *Stream) frame(data []byte) (*openai.Chunk, error) {
 	chunk, err := openai.DecodeChunk(data)
 	if err != nil {
-		return ErrCut
+		return nil, ErrCut
 	}
-	if chunk.ID != r.attemptID {
-		return ErrForeign
+	if chunk.ID != s.attemptID {
+		return nil, ErrForeign
 	}
-	if r.frames == 0 {
-		r.answer.FirstToken = time.Since(r.started)
+	if s.frames == 0 {
+		s.answer.FirstToken = time.Since(s.started)
 	}
-	r.frames++
-	r.answer.Add(chunk)
-	return sink(chunk)
+	s.frames++
+	s.answer.Add(chunk)
+	return chunk, nil
 }
 
-func (r *streamReader) finish() (*Answer, error) {
-	if !r.answer.Finished() {
-		return nil, ErrCut
+func (s *Stream) finish() error {
+	if !s.answer.Finished() {
+		return ErrCut
 	}
-	r.answer.Took = time.Since(r.started)
-	return &r.answer, nil
+	s.answer.Took = time.Since(s.started)
+	return io.EOF
 }
