--- a/node/caller/engine.go
+++ b/node/caller/engine.go
@@ -35,7 +35,7 @@
 		Address:   call.Address,
 		RequestID: work.request.id,
 		AttemptID: work.server.attemptID(),
-		Ref:       ref,
+		Model:     ref.String(),
 		Priority:  work.request.priority,
 		Request:   work.request.body,
 		Progress:  patience(deadline),
--- a/node/caller/work_test.go
+++ b/node/caller/work_test.go
@@ -28,7 +28,7 @@
 type world struct {
 	policy  *document.Policy
 	scripts []func(departed engine.Departure) error
-	calls   []document.Ref
+	calls   []string
 	plan    []cascade.Step
 	// fingerprints are those of all dispatches.
 	fingerprints []suspect.Fingerprint
@@ -61,7 +61,7 @@
 }
 
 func (w *world) Chat(_ context.Context, call engine.Call, departed engine.Departure) (Stream, error) {
-	w.calls = append(w.calls, call.Ref)
+	w.calls = append(w.calls, call.Model)
 	script := w.scripts[0]
 	w.scripts = w.scripts[1:]
 	if err := script(departed); err != nil {
@@ -183,7 +183,7 @@
 	got := w.serve(t, newRequest(""))
 	assert.Assert(t, got.trouble == nil)
 	assert.Assert(t, got.head.Fallback)
-	assert.DeepEqual(t, w.calls, []document.Ref{{Model: "small", Version: "v1"}})
+	assert.DeepEqual(t, w.calls, []string{"small@v1"})
 }
 
 func TestStepsOfACascadeShareOneFingerprint(t *testing.T) {
@@ -199,7 +199,7 @@
 	}
 	w.scripts = []func(engine.Departure) error{answer, answer}
 	assert.Assert(t, w.serve(t, newRequest("")).trouble == nil)
-	assert.DeepEqual(t, w.calls, []document.Ref{small, large})
+	assert.DeepEqual(t, w.calls, []string{small.String(), large.String()})
 	assert.Equal(t, w.fingerprints[0], w.fingerprints[1])
 }
 
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -14,7 +14,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 )
 
@@ -76,9 +75,10 @@
 	Address   string
 	RequestID string
 	AttemptID string
-	Ref       document.Ref
-	Priority  int
-	Request   *openai.Request
+	// Model names the model and its version as engines do: "model@version".
+	Model    string
+	Priority int
+	Request  *openai.Request
 	// Progress, if not 0, is a longest silence shorter than the client's.
 	Progress time.Duration
 }
@@ -94,7 +94,7 @@
 // Chat dispatches a request and returns its answer, once the engine has begun
 // one. departed is told before a byte may leave. The caller closes the stream.
 func (c *Client) Chat(ctx context.Context, call Call, departed Departure) (*Stream, error) {
-	body, err := call.Request.ForEngine(call.Ref.String())
+	body, err := call.Request.ForEngine(call.Model)
 	if err != nil {
 		return nil, err
 	}
--- a/wire/engine/client_test.go
+++ b/wire/engine/client_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
-	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/wire/engine"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 )
@@ -96,7 +95,7 @@
 	defer client.Close()
 	request, err := openai.Parse([]byte(`{"model":"auto","messages":[{"role":"user","content":"x"}]}`))
 	assert.NilError(t, err)
-	call := engine.Call{Address: address, AttemptID: "a", Ref: document.Ref{Model: "small", Version: "v1"}, Request: request}
+	call := engine.Call{Address: address, AttemptID: "a", Model: "small@v1", Request: request}
 	stream, err := client.Chat(t.Context(), call, attempt)
 	if err != nil {
 		return nil, err
