Overload: what was given up counts as late, and the smallest model goes first

The pressure counted answers only, so with most clients leaving it saw calm; with the retry budget used up, First asked the largest model at once, ten times the work of the smallest; and the usual time to a first event was learned from the quick ones only, so endpoints were given up as stuck and the prompts read again.

Change: attempts that were given up after the objective count as late; an attempt without an event teaches the time it waited; under pressure the smallest model is asked first.

Ruled out: load of the instances (0.03 of a core), refusals (none).

--- a/node/caller/place.go
+++ b/node/caller/place.go
@@ -354,6 +354,9 @@
 // FirstEvent implements [relay.Place]. It is taken from the engine's frames.
 func (*chatPlace) FirstEvent(time.Duration) {}
 
+// NoEvent implements [relay.Place].
+func (*chatPlace) NoEvent(time.Duration) {}
+
 // End implements [relay.Place].
 func (c *chatPlace) End(ending relay.Ending) {
 	server := c.places.work.server
--- a/node/caller/plan.go
+++ b/node/caller/plan.go
@@ -68,8 +68,8 @@
 	return modelOf(p[at+1].Ref), true
 }
 
-// Delivered implements [relay.Planner].
-func (chatPlan) Delivered(*relay.Progress, relay.Delivery) {}
+// Observe implements [relay.Planner].
+func (chatPlan) Observe(*relay.Progress, relay.Delivery) {}
 
 // notRun is the attempt of a request that nothing was sent for.
 func notRun() *outcome.Attempt { return &outcome.Attempt{} }
--- a/node/caller/service.go
+++ b/node/caller/service.go
@@ -239,6 +239,9 @@
 // FirstEvent implements [relay.Place].
 func (*servicePlace) FirstEvent(time.Duration) {}
 
+// NoEvent implements [relay.Place].
+func (*servicePlace) NoEvent(time.Duration) {}
+
 // End implements [relay.Place].
 func (p *servicePlace) End(ending relay.Ending) {
 	endpoints := p.call.server.Endpoints
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -65,6 +65,16 @@
 	l.pool.learn(l.model, l.tokens, took)
 }
 
+// NoEvent takes in that no event came in a time: what such requests take is at
+// least that, if it is more than usual.
+func (l *Lease) NoEvent(waited time.Duration) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if waited > l.pool.expect(l.model, l.tokens) {
+		l.pool.learn(l.model, l.tokens, waited)
+	}
+}
+
 // End gives the place back.
 func (l *Lease) End(now time.Time, result Result) {
 	l.pool.mu.Lock()
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -74,7 +74,7 @@
 func (a *attempt) ran() bool { return a.verdict != verdictNotSent && a.verdict != verdictNotExecuted }
 
 func (a *attempt) do(ctx context.Context) {
-	defer func() { a.ended = time.Now() }()
+	defer a.end()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if a.run.relay.Reach != nil && a.mayGoOnElsewhere() {
@@ -110,6 +110,14 @@
 	}
 }
 
+// end notes when the attempt ended, and how long no event came if none did.
+func (a *attempt) end() {
+	a.ended = time.Now()
+	if a.firstEvent == 0 && a.ran() && a.verdict != verdictFailure {
+		a.place.NoEvent(a.ended.Sub(a.started))
+	}
+}
+
 func (a *attempt) call() *Call {
 	r := a.run
 	return &Call{
@@ -265,9 +273,14 @@
 
 // delivery tells how the answer reached the client.
 func (a *attempt) delivery() Delivery {
+	first := a.firstEvent
+	if first == 0 {
+		first = a.ended.Sub(a.started)
+	}
 	return Delivery{
-		FirstEvent: a.started.Sub(a.run.request.Received) + a.firstEvent,
+		FirstEvent: a.started.Sub(a.run.request.Received) + first,
 		LongestGap: a.longestGap,
+		Whole:      a.verdict == verdictDelivered,
 		LongPrompt: a.place.LongPrompt(),
 	}
 }
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -119,6 +119,8 @@
 func (p *pooledPlace) Reported(running, waiting int) { p.lease.Reported(running, waiting) }
 func (p *pooledPlace) FirstEvent(took time.Duration) { p.lease.FirstEvent(took) }
 
+func (p *pooledPlace) NoEvent(waited time.Duration) { p.lease.NoEvent(waited) }
+
 func (p *pooledPlace) Usual() time.Duration {
 	return p.endpoints.FirstEvent(p.query.Model, p.query.Request.PromptTokens)
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -37,8 +37,8 @@
 	// Instead returns the model to ask if another is not to be had; false gives
 	// the request up.
 	Instead(unavailable route.ModelName) (route.ModelName, bool)
-	// Delivered is told how an answer reached the client.
-	Delivered(progress *Progress, delivery Delivery)
+	// Observe is told how an attempt went for the client.
+	Observe(progress *Progress, delivery Delivery)
 }
 
 // NoChoice is the [Planner] of requests that leave no choice of a model.
@@ -53,8 +53,8 @@
 // Instead implements [Planner].
 func (NoChoice) Instead(route.ModelName) (route.ModelName, bool) { return "", false }
 
-// Delivered implements [Planner].
-func (NoChoice) Delivered(*Progress, Delivery) {}
+// Observe implements [Planner].
+func (NoChoice) Observe(*Progress, Delivery) {}
 
 // Progress is how far a request has come.
 type Progress struct {
@@ -68,11 +68,15 @@
 	Escalated bool
 }
 
-// Delivery tells how an answer reached the client.
+// Delivery tells how an answer reached the client, or how long the client has
+// waited for one.
 type Delivery struct {
-	// FirstEvent is the time from the request's arrival to the first event, and
-	// LongestGap the longest pause between two events.
+	// FirstEvent is the time from the request's arrival to the first event, or
+	// to the end of an attempt without one, and LongestGap the longest pause
+	// between two events.
 	FirstEvent, LongestGap time.Duration
+	// Whole tells that the client has the whole answer.
+	Whole bool
 	// LongPrompt tells that the prompt went to endpoints kept for long ones.
 	LongPrompt bool
 }
@@ -112,6 +116,8 @@
 	Reported(running, waiting int)
 	// FirstEvent takes in the time to the first event or the whole answer.
 	FirstEvent(took time.Duration)
+	// NoEvent takes in that none came in a time.
+	NoEvent(waited time.Duration)
 	End(ending Ending)
 }
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -349,7 +349,7 @@
 	return s[at+1], true
 }
 
-func (steps) Delivered(*Progress, Delivery) {}
+func (steps) Observe(*Progress, Delivery) {}
 
 func TestDroppedAnswerIsPassedOnIfNothingBetterComes(t *testing.T) {
 	for _, c := range []struct {
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -170,9 +170,9 @@
 		r.runs++
 		r.mayHaveRun = true
 	}
+	r.observe(a)
 	switch a.verdict {
 	case verdictDelivered:
-		r.relay.Planner.Delivered(r.progress(), a.delivery())
 		return false
 	case verdictClientGone:
 		return false
@@ -194,6 +194,15 @@
 	return true
 }
 
+// observe tells the planner how the attempt went for the client.
+func (r *run) observe(a *attempt) {
+	switch a.verdict {
+	case verdictDelivered, verdictClientGone, verdictBroken:
+		r.relay.Planner.Observe(r.progress(), a.delivery())
+	default:
+	}
+}
+
 // mayRepeat reports whether another run is allowed after one that may have
 // run.
 func (r *run) mayRepeat() bool {
--- a/node/relay/sizing.go
+++ b/node/relay/sizing.go
@@ -29,6 +29,7 @@
 	}
 	plan := s.describe(p)
 	plan.Retries -= escalationReserve
+	plan.Relief = s.relief(p.Service)
 	if p.Route.MaxAttempts < 2 || !p.Route.Repeatable() {
 		plan.Retries = 0
 	}
@@ -52,13 +53,18 @@
 // Instead implements [Planner]: all sizes run on the same endpoints.
 func (s *SizePlanner) Instead(route.ModelName) (route.ModelName, bool) { return "", false }
 
-// Delivered implements [Planner]. Long prompts are late at any load, so they do
-// not count.
-func (s *SizePlanner) Delivered(p *Progress, delivery Delivery) {
+// Observe implements [Planner]. A request that was given up after its objective
+// is late like one that was served late: if only answers counted, an overload
+// in which most clients leave would look calm. Long prompts are late at any
+// load, so they do not count.
+func (s *SizePlanner) Observe(p *Progress, delivery Delivery) {
 	if !p.Request.AnyModel || p.Route.TargetLatency <= 0 || delivery.LongPrompt {
 		return
 	}
 	late := delivery.FirstEvent > p.Route.TargetLatency || delivery.LongestGap > p.Route.TargetGap
+	if !late && !delivery.Whole {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pressure(p.Service).Add(late)
@@ -90,6 +96,12 @@
 	return s.pressure(p.Service).Accept(calm)
 }
 
+func (s *SizePlanner) relief(service route.ServiceName) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pressure(service).Relief()
+}
+
 func (s *SizePlanner) pressure(service route.ServiceName) *sizes.Pressure {
 	if s.pressures == nil {
 		s.pressures = make(map[route.ServiceName]*sizes.Pressure)
--- a/policy/sizes/sizes.go
+++ b/policy/sizes/sizes.go
@@ -15,6 +15,8 @@
 	// hopeless is the confidence below which even a late answer of a larger
 	// model is worth more to the caller than the one at hand.
 	hopeless = 0.3
+	// pressed is the relief from which on larger models are not asked first.
+	pressed = 0.3
 )
 
 // Model is one size as it looks for the request at hand.
@@ -33,6 +35,9 @@
 	Elapsed time.Duration
 	// Retries is how many further endpoints may be asked.
 	Retries float64
+	// Relief is the part of the asked confidence that is remitted under
+	// pressure, in [0, 1].
+	Relief float64
 }
 
 // fits reports whether the objective can be met by a model that is asked
@@ -42,10 +47,12 @@
 }
 
 // First returns the model to ask first: the smallest, if a larger one can
-// follow in time, else the largest that answers in time.
+// follow in time, else the largest that answers in time. Under pressure the
+// smallest is asked whatever can follow: an overload leaves neither time nor
+// retries for a second model, and to ask the largest at once would feed it.
 func First(r Request) int {
 	last := len(r.Models) - 1
-	if last == 0 {
+	if last == 0 || r.Relief >= pressed {
 		return 0
 	}
 	if r.Retries >= 1 && r.fits(last, r.Elapsed+r.Models[0].FirstEvent) {
