Overload: a late first event counts when it is overdue, once a request

Cause: a request that is served late or given up was told at its end, seconds after it was late; the confidence asked fell too slowly for a burst. The watchdog tells the planner when the objective passes.

--- a/node/pool/pool_test.go
+++ b/node/pool/pool_test.go
@@ -200,3 +200,26 @@
 	third, _ := service.Choose(now, query)
 	assert.Assert(t, third.Endpoint.ID != first.Endpoint.ID, "a peer's long prompt is being read there")
 }
+
+// If only answers taught, those that never came would make a pool look quick.
+func TestRequestsWithoutAnEventTeachHowLongTheyWaited(t *testing.T) {
+	pools := newPools()
+	fill(pools, 1)
+	endpoints := pools.Service("s")
+	send := func(end func(lease *pool.Lease)) {
+		lease, ok := endpoints.Choose(start, pool.Query{Model: "m", Tokens: 100})
+		assert.Assert(t, ok)
+		end(lease)
+		lease.End(start, pool.Abandoned)
+	}
+	for range 20 {
+		send(func(lease *pool.Lease) { lease.FirstEvent(100 * time.Millisecond) })
+	}
+	calm := endpoints.FirstEvent("m", 100)
+	send(func(lease *pool.Lease) { lease.NoEvent(50 * time.Millisecond) })
+	assert.Equal(t, endpoints.FirstEvent("m", 100), calm, "less than usual tells nothing")
+	for range 20 {
+		send(func(lease *pool.Lease) { lease.NoEvent(3 * time.Second) })
+	}
+	assert.Assert(t, endpoints.FirstEvent("m", 100) > time.Second)
+}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -330,6 +331,50 @@
 	})
 }
 
+// watching is a planner that notes what it is told.
+type watching struct {
+	NoChoice
+	mu   sync.Mutex
+	told []Delivery
+	at   []time.Time
+}
+
+func (w *watching) Observe(_ *Progress, delivery Delivery) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told, w.at = append(w.told, delivery), append(w.at, time.Now())
+}
+
+// If only answers counted, an overload in which clients leave would look calm.
+func TestLateRequestIsToldOnceAndBeforeItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		act  act
+		told int
+		// late is the greatest time after which the first is told.
+		late  time.Duration
+		whole bool
+	}{
+		{"served", act{events: -1}, 1, 0, true},
+		{"silent for longer than the objective", act{silent: true}, 1, 2*time.Second + quietBeforeProbe, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(testTable(testRoute(route.Stream)), 1, func(*Call, int) act {
+					return c.act
+				})
+				planner := &watching{}
+				h.relay.Planner = planner
+				started := time.Now()
+				h.serve(testRequest())
+				assert.Equal(t, len(planner.told), c.told)
+				assert.Equal(t, planner.told[0].Whole, c.whole)
+				assert.Assert(t, planner.at[0].Sub(started) <= c.late, "after %s", planner.at[0].Sub(started))
+			})
+		})
+	}
+}
+
 // steps is a planner that asks its models one after the other.
 type steps []route.ModelName
 
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -29,6 +30,8 @@
 	// unsent counts attempts of which no byte left.
 	unsent int
 	runs   int
+	// overdue tells that the planner knows that the request is late.
+	overdue atomic.Bool
 	// mayHaveRun tells that some attempt may have run the request.
 	mayHaveRun bool
 	// escalated tells that an answer was dropped for a better one, and fallback
@@ -196,6 +199,9 @@
 
 // observe tells the planner how the attempt went for the client.
 func (r *run) observe(a *attempt) {
+	if r.overdue.Load() {
+		return
+	}
 	switch a.verdict {
 	case verdictDelivered, verdictClientGone, verdictBroken:
 		r.relay.Planner.Observe(r.progress(), a.delivery())
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -45,13 +45,16 @@
 	cancel  context.CancelCauseFunc
 	// What follows is as it was when the attempt began: the request goes on
 	// while the watchdog may still be looking.
-	reach  Reach
-	route  *route.Route
-	budget Budget
+	reach   Reach
+	planner Planner
+	route   *route.Route
+	budget  Budget
 	// usual is the usual time to the first event.
 	usual time.Duration
 	quiet time.Duration
 	timer *time.Timer
+	// progress is the request's when the attempt began.
+	progress *Progress
 	// missed counts the probes in a row that did not reach the endpoint.
 	missed int
 }
@@ -60,8 +63,8 @@
 func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
 	r := a.run
 	w := &watchdog{
-		attempt: a, cancel: cancel, reach: r.relay.Reach, route: r.permission.Route, budget: r.budget,
-		usual: a.place.Usual(),
+		attempt: a, cancel: cancel, reach: r.relay.Reach, planner: r.relay.Planner, route: r.permission.Route, budget: r.budget,
+		usual: a.place.Usual(), progress: r.progress(),
 		quiet: quietBeforeProbe,
 	}
 	if target := w.route.TargetLatency; target > 0 {
@@ -86,6 +89,7 @@
 		w.timer.Reset(w.quiet - silence)
 		return
 	}
+	w.noteOverdue()
 	if !w.affordable() {
 		// No other endpoint could be asked, so giving this one up gains nothing.
 		w.timer.Reset(w.quiet)
@@ -109,6 +113,19 @@
 	w.timer.Reset(probePause)
 }
 
+// noteOverdue tells the planner of a first event that is late already. It may
+// still take long to come, or the client to leave.
+func (w *watchdog) noteOverdue() {
+	waited := time.Since(w.progress.Request.Received)
+	if w.attempt.streaming.Load() || w.route.TargetLatency <= 0 || waited <= w.route.TargetLatency {
+		return
+	}
+	if w.attempt.run.overdue.Swap(true) {
+		return
+	}
+	w.planner.Observe(w.progress, Delivery{FirstEvent: waited, LongPrompt: w.attempt.place.LongPrompt()})
+}
+
 // affordable reports whether the retry budget lets another attempt follow.
 func (w *watchdog) affordable() bool {
 	if w.attempt.streaming.Load() {
--- a/policy/sizes/sizes_test.go
+++ b/policy/sizes/sizes_test.go
@@ -32,6 +32,8 @@
 		{"no retry to follow", sizes.Request{Models: models(100, 200, 500), Target: millis(1000), Retries: 0.5}, 2},
 		{"long prompt: only the largest alone is on time", sizes.Request{Models: models(300, 400, 800), Target: millis(1000), Retries: 5}, 2},
 		{"longer prompt: the middle one is on time", sizes.Request{Models: models(300, 800, 3000), Target: millis(1000), Retries: 5}, 1},
+		{"pressure: the largest would feed it", sizes.Request{Models: models(100, 200, 500), Target: millis(1000), Retries: 0.5, Relief: 0.4}, 0},
+		{"little pressure", sizes.Request{Models: models(100, 200, 500), Target: millis(1000), Retries: 0.5, Relief: 0.1}, 2},
 		{"nothing is on time", sizes.Request{Models: models(2000, 3000, 9000), Target: millis(1000), Retries: 5}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, sizes.First(c.request), c.want) })
