Pressure: full confidence soon after an overload

Cause: after three times the load for 10 s all were on time again in 2 s, but most answers were still the smallest model's: the relief takes 600 requests on time to go, about a minute an instance.

--- a/policy/sizes/sizes_test.go
+++ b/policy/sizes/sizes_test.go
@@ -118,3 +118,16 @@
 	}
 	assert.Equal(t, pressure.Accept(0.6), 0.6)
 }
+
+// Answers of small models that nobody would have to put up with any more cost
+// the callers after an overload.
+func TestPressureGoesSoonAfterAnOverload(t *testing.T) {
+	var pressure sizes.Pressure
+	for range 100 {
+		pressure.Add(true)
+	}
+	for range 300 {
+		pressure.Add(false)
+	}
+	assert.Equal(t, pressure.Accept(0.6), 0.6)
+}
