--- a/cmd/internal/tool/experiment.go
+++ b/cmd/internal/tool/experiment.go
@@ -1,6 +1,8 @@
 package tool
 
 import (
+	"fmt"
+
 	"github.com/wigeonusher/wigeonusher/policy/experiment"
 )
 
@@ -8,6 +10,7 @@
 type experimentCommand struct {
 	Name  string `arg:"" help:"Name of the experiment, or all." default:"all"`
 	Seeds int    `help:"Number of seeds per figure." default:"10"`
+	Plots string `help:"Directory for plots over time (SVG), of experiments that give them." type:"path"`
 }
 
 // Help implements kong.HelpProvider.
@@ -17,7 +20,8 @@
 
 Examples:
   wigeonusher experiment rollout
-  wigeonusher experiment all --seeds 20 --json`
+  wigeonusher experiment all --seeds 20 --json
+  wigeonusher experiment overload --plots plots`
 }
 
 // Run runs one experiment, or all.
@@ -31,6 +35,9 @@
 		if err != nil {
 			return err
 		}
+		if err := c.draw(env, report); err != nil {
+			return err
+		}
 		if env.json {
 			err = env.printLine(report)
 		} else {
@@ -42,3 +49,17 @@
 	}
 	return nil
 }
+
+func (c *experimentCommand) draw(env *environment, report experiment.Report) error {
+	if c.Plots == "" || len(report.Series) == 0 {
+		return nil
+	}
+	names, err := drawPlots(c.Plots, report.Series)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		fmt.Fprintln(env.err, "wrote", name)
+	}
+	return nil
+}
--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -244,3 +244,18 @@
 	code, _ = o.runWith(log, "explain", "id-9")
 	assert.Assert(t, code != tool.ExitOK)
 }
+
+func TestExperimentDrawsItsSeries(t *testing.T) {
+	directory := filepath.Join(t.TempDir(), "plots")
+	var out, errors bytes.Buffer
+	code := tool.Main(context.Background(), []string{"experiment", "overload", "--seeds", "1", "--plots", directory}, strings.NewReader(""), &out, &errors)
+	assert.Equal(t, code, tool.ExitOK, errors.String())
+	drawn, err := filepath.Glob(filepath.Join(directory, "*.svg"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(drawn), 16, "four metrics of four cases")
+	for _, name := range drawn {
+		text, err := os.ReadFile(name)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Contains(text, []byte("</svg>")), name)
+	}
+}
--- a/policy/experiment/experiment_test.go
+++ b/policy/experiment/experiment_test.go
@@ -41,3 +41,13 @@
 		assert.Assert(t, row.Met, "%s: %s is %.3f", row.Name, row.Metric, row.Mean)
 	}
 }
+
+// TestOverloadIsServedOnTimeAndForgotten replays a burst, a hot account, retry
+// abuse and a crash with few seeds.
+func TestOverloadIsServedOnTimeAndForgotten(t *testing.T) {
+	report, err := experiment.Run("overload", 4)
+	assert.NilError(t, err)
+	for _, row := range report.Rows {
+		assert.Assert(t, row.Met, "%s: %s is %.3f", row.Name, row.Metric, row.Mean)
+	}
+}
--- a/policy/experiment/registry.go
+++ b/policy/experiment/registry.go
@@ -13,6 +13,17 @@
 type experiment struct {
 	name string
 	run  func(seeds int) ([]Row, error)
+	// draws is set in place of run by experiments that also give series.
+	draws func(seeds int) ([]Row, []Series)
+}
+
+func (e experiment) measure(seeds int) ([]Row, []Series, error) {
+	if e.draws != nil {
+		rows, series := e.draws(seeds)
+		return rows, series, nil
+	}
+	rows, err := e.run(seeds)
+	return rows, nil, err
 }
 
 // experiments lists all experiments.
@@ -24,6 +35,7 @@
 		{name: "admission", run: runAdmission},
 		{name: "quota", run: runQuota},
 		{name: "sizes", run: runSizes},
+		{name: "overload", draws: runOverload},
 	}
 }
 
@@ -47,9 +59,9 @@
 	if at < 0 {
 		return Report{}, eris.Wrapf(ErrUnknown, "%q", name)
 	}
-	rows, err := all[at].run(seeds)
+	rows, series, err := all[at].measure(seeds)
 	if err != nil {
 		return Report{}, eris.Wrapf(err, "experiment %s", name)
 	}
-	return Report{Experiment: name, Seeds: seeds, Rows: rows}, nil
+	return Report{Experiment: name, Seeds: seeds, Rows: rows, Series: series}, nil
 }
--- a/policy/experiment/report.go
+++ b/policy/experiment/report.go
@@ -12,6 +12,17 @@
 	Experiment string `json:"experiment"`
 	Seeds      int    `json:"seeds"`
 	Rows       []Row  `json:"rows"`
+	// Series are drawn over time, of the first seed; empty for most experiments.
+	Series []Series `json:"series,omitempty"`
+}
+
+// Series is one metric over the seconds of one run.
+type Series struct {
+	Case string `json:"case"`
+	// Metric names the values with their unit, and Decision what decided.
+	Metric   string    `json:"metric"`
+	Decision string    `json:"decision"`
+	Values   []float64 `json:"values"`
 }
 
 // Row is one figure over all seeds.
