--- a/policy/experiment/overload_record.go
+++ b/policy/experiment/overload_record.go
@@ -12,7 +12,6 @@
 	before, during, after overloadFigures
 	// accounts counts requests and those on time in the disturbance.
 	accounts [overloadAccounts]struct{ offered, onTime float64 }
-	cost     float64
 
 	// second holds the first-event times of the running second.
 	second  []time.Duration
