--- a/cmd/internal/tool/demo.go
+++ b/cmd/internal/tool/demo.go
@@ -15,6 +15,7 @@
 	Deployment   string        `help:"Shape of the fleet: sheetline or guild." enum:"sheetline,guild" default:"sheetline"`
 	Seed         uint64        `help:"Seed of the traffic, the answers and the faults." default:"1"`
 	Duration     time.Duration `help:"Length of the traffic, 10s to 25s." default:"20s"`
+	Platform     bool          `help:"Run entry instances on the stand-in of the users' platform."`
 	Observations string        `help:"File for every observation, a JSON object per line." type:"path"`
 }
 
@@ -27,13 +28,21 @@
 itself within 45 s; exits with 0 only if every invariant held, and with 6 otherwise. With --json the
 last line of the output is the result as one object.
 
+With --platform, nine entry instances run on the stand-in of the users' platform: an engine drains, an
+instance is replaced, the store is silent, a key is revoked, an engine crashes, and a roll-out is
+ordered, while one answer in ten goes wrong.
+
 Examples:
   wigeonusher demo
-  wigeonusher demo --deployment guild --seed 7 --duration 15s --json`
+  wigeonusher demo --deployment guild --seed 7 --duration 15s --json
+  wigeonusher demo --platform --seed 7`
 }
 
 // Run runs the demonstration and prints its table.
 func (c *demoCommand) Run(env *environment) error {
+	if c.Platform {
+		return c.runPlatform(env)
+	}
 	result, err := demo.Run(env.ctx, demo.Config{
 		Deployment: c.Deployment,
 		Seed:       c.Seed,
