Reload takes over the settings, by signal or when the file has changed

Only the log level was taken over, and only at SIGHUP. Bounds, routing, limits and seeds are in force at once now; what the start fixes stays, and the log names what changed and what needs a restart. The retry slack is divided again only when the number of instances changes.

Tests: reload in the pure parts, the daemon as a process with a changed file.

--- a/cmd/wigeonusherd/entry.go
+++ b/cmd/wigeonusherd/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -46,9 +47,9 @@
 	// Hangups are taken until the process ends: one that comes while it stops
 	// must not kill it.
 	signal.Notify(hangups, syscall.SIGHUP)
-	go c.watchReload(hangups, logger)
 	instance, err := entry.New(loaded, platform.New(loaded.StoreAddress), logger)
 	if err == nil {
+		go c.watchReload(hangups, instance, logger)
 		err = instance.Run(ctx)
 	}
 	if err != nil {
@@ -59,16 +60,46 @@
 	return err
 }
 
-// watchReload checks the settings at each SIGHUP. What an instance listens on
-// and where its platform is stay as they were at the start.
-func (c *entryCommand) watchReload(hangups <-chan os.Signal, logger *logrus.Logger) {
-	for range hangups {
-		loaded, err := entry.LoadSettings(c.Settings)
-		if err != nil {
-			logger.WithError(err).Error("settings not in order; the former stay in force")
-			continue
+// settingsInterval is the time between looks whether the settings file has
+// changed: it may without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchReload reads the settings again at each SIGHUP and when their file has
+// changed.
+func (c *entryCommand) watchReload(hangups <-chan os.Signal, instance *entry.Entry, logger *logrus.Logger) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	known := c.settingsVersion()
+	for {
+		select {
+		case <-hangups:
+			known = c.settingsVersion()
+		case <-ticker.C:
+			version := c.settingsVersion()
+			if version == known {
+				continue
+			}
+			known = version
 		}
-		configureLogger(logger, loaded.LogLevel)
-		logger.WithField("level", loaded.LogLevel).Info("settings read again")
+		c.reload(instance, logger)
+	}
+}
+
+// settingsVersion tells one state of the settings file from another.
+func (c *entryCommand) settingsVersion() string {
+	info, err := os.Stat(c.Settings)
+	if err != nil {
+		return "" // the file is being replaced; it shows at the next look
 	}
+	return fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+}
+
+func (c *entryCommand) reload(instance *entry.Entry, logger *logrus.Logger) {
+	loaded, err := entry.LoadSettings(c.Settings)
+	if err != nil {
+		logger.WithError(err).Error("settings not in order; the former stay in force")
+		return
+	}
+	configureLogger(logger, loaded.LogLevel)
+	instance.Reload(loaded)
 }
--- a/cmd/wigeonusherd/entry_test.go
+++ b/cmd/wigeonusherd/entry_test.go
@@ -50,6 +50,10 @@
 	waitLine(t, lines, "configuration in force")
 	assert.NilError(t, daemon.Process.Signal(syscall.SIGHUP))
 	waitLine(t, lines, "settings read again")
+	// Changed settings are noticed without a signal too.
+	changed := strings.Replace(string(body), `"balancer_lag_ms":1500`, `"balancer_lag_ms":1400,"retry_slack":7`, 1)
+	assert.NilError(t, os.WriteFile(settings, []byte(changed), 0o600))
+	waitLine(t, lines, `"changed":["bounds/balancer_lag_ms","bounds/retry_slack"]`)
 	assert.NilError(t, daemon.Process.Signal(syscall.SIGTERM))
 	waitLine(t, lines, "instance drains")
 	// The first may come before the stop has reached all parts.
--- a/coord/retry/window.go
+++ b/coord/retry/window.go
@@ -45,11 +45,13 @@
 // NewWindow returns a window without requests.
 func NewWindow(cfg WindowConfig) *Window { return &Window{cfg: cfg} }
 
-// SetSlack changes the slack and its reserve, as instances come and go.
-func (w *Window) SetSlack(slack, reserve float64) {
+// SetBounds changes the ratio, the slack and its reserve, as instances come and
+// go or settings change. The length stays: what is counted is cut by it.
+func (w *Window) SetBounds(cfg WindowConfig) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cfg.Slack, w.cfg.Reserve = slack, reserve
+	cfg.Length = w.cfg.Length
+	w.cfg = cfg
 }
 
 // Request counts a request.
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -38,10 +38,10 @@
 	client   *peer.Client
 	interval time.Duration
 	log      *logrus.Entry
-	seeds    []string
 	started  time.Time
 
 	mu     sync.Mutex
+	seeds  []string
 	peers  *membership.Peers
 	random *rand.Rand
 
@@ -64,6 +64,13 @@
 	}
 }
 
+// SetSeeds changes the addresses to try while no peer is known.
+func (c *Cluster) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
 // Join adds parts that gossip. It must be called before [Cluster.Run].
 func (c *Cluster) Join(gossips ...Gossip) { c.gossips = append(c.gossips, gossips...) }
 
@@ -156,13 +163,12 @@
 	c.mu.Lock()
 	c.peers.Tick(now)
 	targets := c.peers.Targets(now, c.random)
-	alone := len(c.peers.All()) == 0
-	c.mu.Unlock()
-	if alone {
+	if len(c.peers.All()) == 0 {
 		for _, seed := range c.seeds {
 			targets = append(targets, membership.Peer{Address: seed})
 		}
 	}
+	c.mu.Unlock()
 	if len(targets) == 0 {
 		return
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -90,7 +90,10 @@
 
 // Entry is an entry instance.
 type Entry struct {
+	// settings are those of the start, with the ports that were taken, and live
+	// those in force.
 	settings Settings
+	live     atomic.Pointer[Settings]
 	platform Platform
 	log      *logrus.Entry
 
@@ -124,6 +127,7 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
+	e.live.Store(&settings)
 	e.pools = pool.New(settings.Zone, log)
 	e.reach = newReach()
 	e.budgets = newBudgets(settings.Bounds)
@@ -131,19 +135,16 @@
 	e.newPeers()
 	e.suspects = newSuspects(e.reach, e.notices.Crashed, log)
 	e.pools.OnLongRead(e.notices.LongRead)
-	e.versions = versions.New(canary.Tuning{
-		Share:      canaryPart * settings.Bounds.ExposureShare,
-		SessionGap: millis(settings.Bounds.SessionGapMillis),
-	}, versions.Config{Pools: e.pools, Writer: e, Sessions: e.notices, Logger: log})
+	e.versions = versions.New(settings.Bounds.canary(), versions.Config{Pools: e.pools, Writer: e, Sessions: e.notices, Logger: log})
 	e.relay = relay.New(relay.Config{
-		Gate:      &relay.TableGate{Tables: e, MaxAge: e.configMaxAge()},
-		Planner:   &relay.SizePlanner{Pools: e.pools, Accept: settings.Routing.AcceptConfidence},
+		Gate:      &relay.TableGate{Tables: e, MaxAge: e.configMaxAge},
+		Planner:   &relay.SizePlanner{Pools: e.pools, Accept: e.acceptConfidence},
 		Places:    &relay.PooledPlaces{Pools: e.pools, Versions: e.versions, Suspects: e.suspects},
 		Endpoints: platform.Endpoints(),
 		Budgets:   e.budgets,
 		Reach:     e.reach,
 		Observer:  e.observer,
-		Dial:      time.Duration(settings.Routing.DialMillis) * time.Millisecond,
+		Dial:      e.dialTimeout,
 	})
 	e.observer.gauges(e)
 	return e, nil
@@ -180,19 +181,16 @@
 // Settings returns the settings, with the ports that were taken.
 func (e *Entry) Settings() Settings { return e.settings }
 
-// canaryPart is the part of the allowed exposure that the first phase of a
-// roll-out uses.
-const canaryPart = 0.6
-
 func millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
 // configMaxAge returns how old the proof of the configuration may be for
 // requests that need a key; 0 if any age will do.
 func (e *Entry) configMaxAge() time.Duration {
-	if !e.settings.Bounds.StrictRevocation {
+	bounds := e.live.Load().Bounds
+	if !bounds.StrictRevocation {
 		return 0
 	}
-	return millis(e.settings.Bounds.RevocationMillis) - revocationMargin
+	return millis(bounds.RevocationMillis) - revocationMargin
 }
 
 // Table implements [relay.Tables].
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -20,11 +20,14 @@
 func (e *Entry) registryTailer() *tailer.Tailer {
 	return tailer.New(tailer.Config{
 		Log: e.platform.Log(), Topic: e.platform.Topics().Registry, Wait: registryWait,
-		Pace:  time.Duration(registryPart * float64(millis(e.settings.Bounds.EndpointDrainMillis))),
-		Apply: e.applyRegistry, Logger: e.log,
+		Pace: e.registryPace, Apply: e.applyRegistry, Logger: e.log,
 	})
 }
 
+func (e *Entry) registryPace() time.Duration {
+	return time.Duration(registryPart * float64(millis(e.live.Load().Bounds.EndpointDrainMillis)))
+}
+
 func (e *Entry) statusTailer() *tailer.Tailer {
 	return tailer.New(tailer.Config{
 		Log: e.platform.Log(), Topic: e.platform.Topics().Status, Wait: statusWait, Apply: e.applyStatus, Logger: e.log,
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -34,10 +34,11 @@
 // requests and a fixed part of the slack keep the sum over all instances below
 // the fleet's bound.
 type budgets struct {
-	// slack is the whole fleet's.
-	slack float64
-
-	mu       sync.Mutex
+	mu sync.Mutex
+	// slack is the whole fleet's, and live the number of instances that it was
+	// last divided among.
+	slack    float64
+	live     int
 	config   retry.WindowConfig
 	services map[route.ServiceName]*retry.Window
 }
@@ -55,14 +56,31 @@
 	return b
 }
 
+// rebound takes over other bounds. The length of the window stays.
+func (b *budgets) rebound(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slack, b.config.Ratio = bounds.RetrySlack, retryPart*bounds.RetryRatio
+	b.apply()
+}
+
 // divide gives the instance its part of the slack among those that live.
 func (b *budgets) divide(live int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	part := b.slack / max(leastInstances, unknownInstances*float64(live))
+	if live == b.live && b.config.Slack > 0 {
+		return
+	}
+	b.live = live
+	b.apply()
+}
+
+// apply gives all windows their bounds. The caller holds the lock.
+func (b *budgets) apply() {
+	part := b.slack / max(leastInstances, unknownInstances*float64(b.live))
 	b.config.Slack, b.config.Reserve = part, reservePart*part
 	for _, window := range b.services {
-		window.SetSlack(b.config.Slack, b.config.Reserve)
+		window.SetBounds(b.config)
 	}
 }
 
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -43,7 +43,7 @@
 // seeds are the seed addresses without this instance's own.
 func (e *Entry) seeds() []string {
 	var seeds []string
-	for _, seed := range e.settings.Seeds {
+	for _, seed := range e.live.Load().Seeds {
 		if seed != e.settings.PeerAddress {
 			seeds = append(seeds, seed)
 		}
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -56,8 +56,9 @@
 
 // bound fits the runtime to the machine.
 func (e *Entry) bound() {
-	runtime.GOMAXPROCS(max(1, e.settings.Limits.Processors))
-	debug.SetMemoryLimit(int64(e.settings.Limits.MemoryMB * memoryPart * (1 << 20)))
+	limits := e.live.Load().Limits
+	runtime.GOMAXPROCS(max(1, limits.Processors))
+	debug.SetMemoryLimit(int64(limits.MemoryMB * memoryPart * (1 << 20)))
 }
 
 func (e *Entry) clientServer() *http.Server {
@@ -84,9 +85,10 @@
 	started := time.Now()
 	e.stopping.Store(true)
 	e.log.Info("instance drains")
-	grace := millis(e.settings.Bounds.StopGraceMillis) - graceReserve
+	bounds := e.live.Load().Bounds
+	grace := millis(bounds.StopGraceMillis) - graceReserve
 	select {
-	case <-time.After(min(millis(e.settings.Bounds.BalancerLagMillis), grace/2)):
+	case <-time.After(min(millis(bounds.BalancerLagMillis), grace/2)):
 	case <-work.Done():
 		return
 	}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -120,6 +120,10 @@
 
 func (a *attempt) call() *Call {
 	r := a.run
+	var dial time.Duration
+	if r.relay.Dial != nil {
+		dial = r.relay.Dial()
+	}
 	return &Call{
 		Request:     r.request,
 		Endpoint:    a.endpoint.ID,
@@ -129,7 +133,7 @@
 		Left:        time.Until(r.deadline),
 		ResumeAfter: r.lastEvent,
 		Priority:    r.permission.Priority,
-		Dial:        r.relay.Dial,
+		Dial:        dial,
 	}
 }
 
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -17,9 +17,9 @@
 // TableGate is the [Gate] of a routing table.
 type TableGate struct {
 	Tables Tables
-	// MaxAge is the greatest age at which a table may still permit a request
+	// MaxAge gives the greatest age at which a table may still permit a request
 	// that needs a key; 0 means any.
-	MaxAge time.Duration
+	MaxAge func() time.Duration
 }
 
 // Admit implements [Gate]. How old the table may be counts at the arrival of
@@ -32,7 +32,8 @@
 		return Permission{}, &Refusal{Reason: NoConfig, NotRun: true, RetryAfter: request.comeBack()}
 	}
 	p := Permission{Revision: table.Revision, Age: max(0, time.Duration(request.ReceivedBoot-provenAt))}
-	current := g.MaxAge == 0 || p.Age < g.MaxAge
+	maxAge := g.MaxAge()
+	current := maxAge == 0 || p.Age < maxAge
 	found, ok := table.Match(request.Host, request.Path)
 	if !ok {
 		return p, denied(request, current, UnknownRoute)
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -260,8 +260,8 @@
 	}
 	h.places = &PooledPlaces{Pools: h.pools, Versions: anyVersion{}, Suspects: noSuspects{}}
 	h.relay = New(Config{
-		Gate:    &TableGate{Tables: h.tables, MaxAge: 5 * time.Second},
-		Planner: &SizePlanner{Pools: h.pools, Accept: []float64{0.6}},
+		Gate:    &TableGate{Tables: h.tables, MaxAge: func() time.Duration { return 5 * time.Second }},
+		Planner: &SizePlanner{Pools: h.pools, Accept: func() []float64 { return []float64{0.6} }},
 		Places:  h.places, Endpoints: h.endpoints, Budgets: oneBudget{h.budget},
 		Reach: dark{}, Observer: h.observer,
 	})
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -62,8 +62,9 @@
 	// Reach is nil if the endpoints' codec judges their silence itself.
 	Reach    Reach
 	Observer Observer
-	// Dial bounds the time to connect to an endpoint.
-	Dial time.Duration
+	// Dial bounds the time to connect to an endpoint; nil if the endpoints'
+	// codec does.
+	Dial func() time.Duration
 }
 
 // Relay serves requests. Its methods may be called from several goroutines.
--- a/node/relay/sizing.go
+++ b/node/relay/sizing.go
@@ -13,10 +13,10 @@
 // rules are those of package sizes.
 type SizePlanner struct {
 	Pools Pools
-	// Accept is the least confidence, in [0, 1], at which an answer of a model
-	// that is not the largest is passed on, by the rank of the request from 0,
-	// the most urgent. The last holds for all further ranks.
-	Accept []float64
+	// Accept gives the least confidence, in [0, 1], at which an answer of a
+	// model that is not the largest is passed on, by the rank of the request
+	// from 0, the most urgent. The last holds for all further ranks.
+	Accept func() []float64
 
 	mu        sync.Mutex
 	pressures map[route.ServiceName]*sizes.Pressure
@@ -88,8 +88,8 @@
 // service.
 func (s *SizePlanner) accept(p *Progress) float64 {
 	calm := 0.0
-	if len(s.Accept) > 0 {
-		calm = s.Accept[min(max(0, p.Priority), len(s.Accept)-1)]
+	if byRank := s.Accept(); len(byRank) > 0 {
+		calm = byRank[min(max(0, p.Priority), len(byRank)-1)]
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -39,8 +39,8 @@
 	Topic keyed.Topic
 	// Wait bounds how long a read waits for a record.
 	Wait time.Duration
-	// Pace is the least time between two reads.
-	Pace time.Duration
+	// Pace gives the least time between two reads; nil means none.
+	Pace func() time.Duration
 	// Apply takes in a batch. It is called from one goroutine.
 	Apply  func(batch Batch)
 	Logger *logrus.Entry
@@ -68,7 +68,9 @@
 			loop.Sleep(ctx, t.pause())
 			continue
 		}
-		loop.Sleep(ctx, t.config.Pace-time.Since(started))
+		if t.config.Pace != nil {
+			loop.Sleep(ctx, t.config.Pace()-time.Since(started))
+		}
 	}
 	return nil
 }
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// SetTuning changes the bounds of roll-outs that are ordered from now on.
+func (v *Versions) SetTuning(tuning Tuning) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tuning = tuning
+}
+
 func (v *Versions) service(name route.ServiceName) *service {
 	found := v.services[name]
 	if found == nil {
