A version that was rolled back stays out after the next order

Change: versions that were rolled back are on neither side until they are ordered again. Test: TestBadVersionStaysOutAfterTheNextOrder. Left: an instance that starts after the next order has no way to know it.

--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -78,6 +79,9 @@
 type service struct {
 	rollout  *canary.Rollout
 	sessions *simplelru.LRU[string, sessionState]
+	// bad holds the versions that were rolled back. Their endpoints may outlive
+	// the next order. It is replaced, never changed: choices refer to it.
+	bad map[string]bool
 	// proposeAt is when this instance proposes the phase it waits for.
 	proposeAt time.Duration
 	proposes  canary.Phase
@@ -121,7 +125,7 @@
 		if err != nil {
 			panic(eris.Wrap(err, "versions: size of a cache"))
 		}
-		found = &service{sessions: sessions}
+		found = &service{sessions: sessions, bad: make(map[string]bool)}
 		v.services[name] = found
 	}
 	return found
@@ -135,9 +139,11 @@
 	if s.rollout != nil && s.rollout.Order == order {
 		return
 	}
+	s.setBad(order.Target, false) // it may have been mended
 	s.rollout = canary.New(order, v.tuning, v.now())
 	if status, ok := v.statuses[order.Service]; ok {
 		s.rollout.Agreed(status)
+		s.note()
 	}
 	v.log.WithFields(logrus.Fields{
 		"service": order.Service, "target": order.Target, "duration_s": order.Duration.Seconds(), "phase": s.rollout.Phase.String(),
@@ -157,6 +163,7 @@
 		}
 		before := s.rollout.Phase
 		s.rollout.Agreed(status)
+		s.note()
 		if before != s.rollout.Phase {
 			answers, paces := s.rollout.All().Answers, s.rollout.All().Paces
 			v.log.WithFields(logrus.Fields{
@@ -186,8 +193,32 @@
 	if current == nil {
 		return relay.Choice{}
 	}
-	target, onTarget := current.Order.Target, state.target != ""
-	choice := relay.Choice{Meant: func(version string) bool { return (version == target) == onTarget }}
+	return s.choice(current, state.target != "")
+}
+
+// note remembers a version that was rolled back.
+func (s *service) note() {
+	if s.rollout.Phase == canary.RolledBack {
+		s.setBad(s.rollout.Order.Target, true)
+	}
+}
+
+func (s *service) setBad(version string, bad bool) {
+	if s.bad[version] == bad {
+		return
+	}
+	s.bad = maps.Clone(s.bad)
+	s.bad[version] = bad
+}
+
+// choice is that of a request on one side of the roll-out. A version that is
+// known to be bad is on neither.
+func (s *service) choice(current *canary.Rollout, onTarget bool) relay.Choice {
+	target, bad := current.Order.Target, s.bad
+	choice := relay.Choice{
+		Meant:   func(version string) bool { return (version == target) == onTarget && !bad[version] },
+		Allowed: func(version string) bool { return !bad[version] },
+	}
 	if !onTarget && current.Phase != canary.Canary {
 		choice.Allowed = choice.Meant
 	}
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -151,6 +151,28 @@
 	assert.Assert(t, choice.Allowed("v1"))
 }
 
+// The endpoints of a version that was rolled back may still be there when the
+// next one is ordered.
+func TestBadVersionStaysOutAfterTheNextOrder(t *testing.T) {
+	f := newFixture()
+	session := chosenSession(t)
+	f.versions.Order(order)
+	f.agree(canary.RolledBack)
+	next := order
+	next.Target = "v3"
+	f.versions.Order(next)
+	for _, phase := range []canary.Phase{canary.Ordered, canary.Canary, canary.Full} {
+		f.versions.Agreed(4, canary.Status{Service: order.Service, Target: "v3", Phase: phase})
+		for _, id := range []string{session, "other", ""} {
+			choice := f.versions.Choose(context.Background(), order.Service, id, "1")
+			assert.Assert(t, !choice.Meant("v2") && !choice.Allowed("v2"), "%s, session %q", phase, id)
+		}
+	}
+	f.versions.Order(order)
+	f.agree(canary.Full)
+	assert.Assert(t, f.versions.Choose(context.Background(), order.Service, "x", "1").Meant("v2"), "it was ordered again")
+}
+
 func TestOrderSeenAfterItsStatusFollowsIt(t *testing.T) {
 	f := newFixture()
 	f.agree(canary.RolledBack)
