A stopping instance ends kept connections with their next answer

Cause: the shutdown closes idle connections; a request that was on its way on one got no answer. What is left are connections that wait at the listener when it closes. Test: TestStoppingInstanceEndsKeptConnections.

--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -63,13 +63,25 @@
 
 func (e *Entry) clientServer() *http.Server {
 	return &http.Server{
-		Handler:           e.platform.Handler(e.relay, e.limits),
+		Handler:           e.closeWhileStopping(e.platform.Handler(e.relay, e.limits)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
 }
 
+// closeWhileStopping ends each kept connection with its next answer once the
+// instance stops. The shutdown that follows closes idle connections, and a
+// request that is on its way on one would be lost.
+func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Entry) awaitStop(ctx, work context.Context) error {
 	select {
 	case <-ctx.Done():
