Core path and callers' API: files split, places without news share their empty methods

A failure of a larger model no longer hides the answer that was dropped for it (TestDroppedAnswerIsPassedOnIfNothingBetterComes, case added, fails before).

--- /dev/null
+++ b/node/caller/service_answer.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/policy/placement"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/wire/problem"
+)
+
+// servicePlace is a place at an endpoint of a plain service.
+type servicePlace struct {
+	relay.QuietPlace
+	call      *serviceCall
+	candidate placement.Candidate
+	started   time.Time
+}
+
+// Endpoint implements [relay.Place].
+func (p *servicePlace) Endpoint() pool.Record {
+	return pool.Record{
+		ID: p.candidate.ID, Service: route.ServiceName(p.call.service), Address: p.candidate.Address,
+		Zone: p.candidate.Zone, Slots: p.call.slots,
+	}
+}
+
+// End implements [relay.Place].
+func (p *servicePlace) End(ending relay.Ending) {
+	endpoints := p.call.server.Endpoints
+	failed := ending.Result == pool.Broken
+	endpoints.Finished(time.Now(), p.candidate.ID, time.Since(p.started), failed)
+	if ending.Result == pool.Full {
+		endpoints.Refused(platform.ListedEndpoint{ID: p.candidate.ID, Address: p.candidate.Address})
+	}
+}
+
+// serviceWriter is the [relay.Client] of a call to a plain service. It keeps
+// the answer.
+type serviceWriter struct {
+	head    relay.Head
+	body    []byte
+	refusal *relay.Refusal
+}
+
+// Begin implements [relay.Client].
+func (w *serviceWriter) Begin(head relay.Head) { w.head = head }
+
+// Write implements [relay.Client].
+func (w *serviceWriter) Write(p []byte) error {
+	w.body = append(w.body, p...)
+	return nil
+}
+
+// Abort implements [relay.Client]. A kept answer is never broken off.
+func (w *serviceWriter) Abort() {}
+
+// Refuse implements [relay.Client].
+func (w *serviceWriter) Refuse(refusal *relay.Refusal) { w.refusal = refusal }
+
+// finish answers the caller.
+func (w *serviceWriter) finish(call *serviceCall) error {
+	switch {
+	case w.refusal != nil:
+		return call.server.refuse(call.echo, serviceProblem(w.refusal))
+	case w.head.Status == 0:
+		return nil // the caller has gone
+	default:
+		return call.echo.Blob(w.head.Status, w.head.Header.Get(contentType), w.body)
+	}
+}
+
+// serviceProblem turns a refusal into a problem.
+func serviceProblem(refusal *relay.Refusal) *problem.Problem {
+	trouble := problemOf(refusal)
+	if trouble.Type == problem.AnswerInterrupted {
+		trouble.Type = problem.OutcomeUnknown
+	}
+	return trouble
+}
--- a/node/caller/work.go
+++ b/node/caller/work.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
@@ -162,29 +161,3 @@
 
 // Done implements [relay.Observer].
 func (attemptLog) Done(*relay.DoneEvent) {}
-
-// pairBudget is the retry budget of an account and a pool together.
-type pairBudget struct{ account, pool *retry.Budget }
-
-// Request implements [relay.Budget].
-func (b pairBudget) Request(time.Time) {
-	b.account.Deposit()
-	b.pool.Deposit()
-}
-
-// Available implements [relay.Budget]. Nothing is decided by it here.
-func (pairBudget) Available(time.Time) float64 { return 0 }
-
-// Withdraw implements [relay.Budget].
-func (b pairBudget) Withdraw(now time.Time) bool {
-	return retry.WithdrawAll(now, b.account, b.pool)
-}
-
-// WithdrawUrgent implements [relay.Budget].
-func (b pairBudget) WithdrawUrgent(now time.Time) bool { return b.Withdraw(now) }
-
-// Urgent implements [relay.Budget].
-func (pairBudget) Urgent(time.Time) bool { return true }
-
-// Escalate implements [relay.Budget]. A step of a cascade is no retry.
-func (pairBudget) Escalate(time.Time) bool { return true }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -121,6 +121,31 @@
 	End(ending Ending)
 }
 
+// QuietPlace answers for a [Place] what it has nothing to say to: it learns
+// nothing from the answer's course. It is meant to be embedded.
+type QuietPlace struct{}
+
+// LongPrompt implements [Place].
+func (QuietPlace) LongPrompt() bool { return false }
+
+// Usual implements [Place].
+func (QuietPlace) Usual() time.Duration { return 0 }
+
+// Sign implements [Place].
+func (QuietPlace) Sign() {}
+
+// LastSign implements [Place].
+func (QuietPlace) LastSign() time.Time { return time.Now() }
+
+// Reported implements [Place].
+func (QuietPlace) Reported(int, int) {}
+
+// FirstEvent implements [Place].
+func (QuietPlace) FirstEvent(time.Duration) {}
+
+// NoEvent implements [Place].
+func (QuietPlace) NoEvent(time.Duration) {}
+
 // Ending tells how an attempt ended at its endpoint.
 type Ending struct {
 	Result pool.Result
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -406,6 +406,7 @@
 	}{
 		{"larger model answers", true, act{confidence: 1, events: -1}, http.StatusOK, false},
 		{"larger model breaks off", true, act{reset: true}, http.StatusOK, true},
+		{"larger model fails", true, act{status: http.StatusInternalServerError, events: -1}, http.StatusOK, true},
 		{"answer is not at hand", false, act{reset: true}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -232,17 +232,18 @@
 }
 
 // giveUp ends the attempts at a model. It reports true if another model takes
-// its place; else the client has what the last attempt brought.
+// its place; else the client has the answer that was dropped, or what the last
+// attempt brought.
 func (r *run) giveUp(ctx context.Context, a *attempt) bool {
-	if a.verdict == verdictFailure && !r.begun {
-		a.passFailure()
-		return false
-	}
 	refusal := &Refusal{Reason: EndpointsFailed, RetryAfter: r.request.comeBack()}
-	if r.instead(ctx, refusal) {
+	switch {
+	case r.instead(ctx, refusal):
 		return true
+	case a.verdict == verdictFailure && !r.begun && r.fallback == nil:
+		a.passFailure()
+	default:
+		r.end(ctx, refusal)
 	}
-	r.end(ctx, refusal)
 	return false
 }
 
