--- a/node/caller/doc.go
+++ b/node/caller/doc.go
@@ -9,6 +9,6 @@
 //   - Chat requests: chatPlan chooses the versions, chatPlaces the endpoints,
 //     with a slot of the pool and the suspects' verdict, chatEndpoints calls
 //     engines, chatWriter writes the answer.
-//   - Calls of plain services: serviceCall, and atMostOnce over it for calls
-//     that must not be repeated.
+//   - Calls of plain services: serviceCall; those that must not be repeated run
+//     under an intent of package once.
 package caller
