--- a/node/entry/budgets.go
+++ b/node/entry/budgets.go
@@ -4,14 +4,11 @@
 	"sync"
 	"time"
 
-	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-func endpointID(key string) platform.EndpointID { return platform.EndpointID(key) }
-
 const (
 	// retryPart is the part of the fleet's retry ratio that an instance uses.
 	retryPart = 0.95
--- a/node/entry/follow.go
+++ b/node/entry/follow.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/tailer"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
@@ -85,7 +86,7 @@
 		e.pools.Regained(now)
 	}
 	for _, change := range batch.Changes {
-		id := endpointID(change.Key)
+		id := platform.EndpointID(change.Key)
 		if change.Value == nil {
 			e.pools.Remove(now, id)
 			continue
