--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -48,8 +48,7 @@
 }
 
 // answer runs the request and bills what it used before the last byte of the
-// answer goes out. The deadline is the relay's to keep: the bill may need
-// longer.
+// answer goes out. The relay sets the request's deadline by itself.
 func (s *Server) answer(ctx context.Context, e *exchange, work *chatWork) error {
 	writer := &chatWriter{exchange: e, streamed: work.request.body.Stream}
 	for _, step := range work.plan {
--- a/node/caller/work.go
+++ b/node/caller/work.go
@@ -84,6 +84,8 @@
 	}, client)
 }
 
+// permission describes the request to the relay. Its priority goes to the pool's
+// queue and to the engine, which rank by the caller's header: the higher first.
 func (w *chatWork) permission() relay.Permission {
 	kind := route.Idempotent
 	if w.request.body.Stream {
@@ -91,7 +93,6 @@
 	}
 	return relay.Permission{
 		Account:  route.AccountName(w.request.account),
-		Priority: w.request.priority,
 		Revision: int64(w.server.Policies.Policy().Revision),
 		Route: &route.Route{
 			Name:        string(chatService),
