--- a/coord/keyed/state.go
+++ b/coord/keyed/state.go
@@ -11,7 +11,7 @@
 // State folds one topic. It is a pure state machine and not safe for
 // concurrent use. The zero value has read nothing.
 type State struct {
-	keys   map[string]Offset
+	keys   map[string]struct{}
 	next   Offset
 	loaded bool
 }
@@ -26,7 +26,7 @@
 // of the snapshot and for each known key that it lacks.
 func (s *State) Load(page Page) []Change {
 	gone := maps.Clone(s.keys)
-	s.keys = make(map[string]Offset, len(page.Records))
+	s.keys = make(map[string]struct{}, len(page.Records))
 	s.next, s.loaded = page.Next, true
 	var changes []Change
 	for _, record := range page.Records {
@@ -57,6 +57,6 @@
 		delete(s.keys, record.Key)
 		return Change{Key: record.Key}
 	}
-	s.keys[record.Key] = record.Offset
+	s.keys[record.Key] = struct{}{}
 	return Change{Key: record.Key, Value: record.Value}
 }
--- a/node/caller/answer.go
+++ b/node/caller/answer.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/policy/route"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
 
@@ -16,8 +17,8 @@
 // come, and its end marker after the bill.
 type chatWriter struct {
 	exchange *exchange
-	// refs names the versions that the request may be answered by.
-	refs []document.Ref
+	// plan holds the versions that the request may be answered by.
+	plan chatPlan
 	// streamed tells that the caller asked for frames.
 	streamed bool
 
@@ -58,13 +59,7 @@
 	if w.head == nil {
 		return document.Ref{}
 	}
-	answered := w.head.Header.Get(HeaderModel)
-	for _, ref := range w.refs {
-		if ref.String() == answered {
-			return ref
-		}
-	}
-	return document.Ref{}
+	return w.plan[w.plan.step(route.ModelName(w.head.Header.Get(HeaderModel)))].Ref
 }
 
 // Write implements [relay.Client].
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -50,10 +50,7 @@
 // answer runs the request and bills what it used before the last byte of the
 // answer goes out. The relay sets the request's deadline by itself.
 func (s *Server) answer(ctx context.Context, e *exchange, work *chatWork) error {
-	writer := &chatWriter{exchange: e, streamed: work.request.body.Stream}
-	for _, step := range work.plan {
-		writer.refs = append(writer.refs, step.Ref)
-	}
+	writer := &chatWriter{exchange: e, plan: work.plan, streamed: work.request.body.Stream}
 	work.run(e.echo.Request().Context(), writer)
 	s.bill(ctx, e, work, writer)
 	return writer.finish(work.used.frames == 0)
--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -26,11 +26,12 @@
 
 // Reload puts other settings in force. Name, zone, addresses and the length of
 // the retry window stay as they were at the start; it is logged if they differ.
-func (e *Entry) Reload(settings Settings) {
+func (e *Entry) Reload(read Settings) {
 	former := e.live.Load()
-	kept := keptAtStart(&settings, former)
+	settings := withStart(read, former)
+	needRestart := changed(settings, read)
 	if reflect.DeepEqual(&settings, former) {
-		e.log.WithField("needs_restart", kept).Info("settings read again; nothing to take over")
+		e.log.WithField("needs_restart", needRestart).Info("settings read again; nothing to take over")
 		return
 	}
 	e.live.Store(&settings)
@@ -38,30 +39,16 @@
 	e.budgets.rebound(time.Now(), settings.Bounds)
 	e.versions.SetTuning(settings.Bounds.canary())
 	e.cluster.SetSeeds(e.seeds())
-	e.log.WithFields(logrus.Fields{"changed": changed(*former, settings), "needs_restart": kept}).Info("settings read again and in force")
+	e.log.WithFields(logrus.Fields{"changed": changed(*former, settings), "needs_restart": needRestart}).Info("settings read again and in force")
 }
 
-// keptAtStart sets what cannot change while the instance runs as it was, and
-// returns the names of what differed.
-func keptAtStart(settings, former *Settings) []string {
-	kept := []string{}
-	keep := func(name string, differs bool) {
-		if differs {
-			kept = append(kept, name)
-		}
-	}
-	keep("name", settings.Name != former.Name)
-	keep("zone", settings.Zone != former.Zone)
-	keep("client_address", settings.ClientAddress != former.ClientAddress)
-	keep("health_address", settings.HealthAddress != former.HealthAddress)
-	keep("peer_address", settings.PeerAddress != former.PeerAddress)
-	keep("store_address", settings.StoreAddress != former.StoreAddress)
-	keep("bounds/retry_window_ms", settings.Bounds.RetryWindowMillis != former.Bounds.RetryWindowMillis)
+// withStart returns settings with what cannot change while the instance runs.
+func withStart(settings Settings, former *Settings) Settings {
 	settings.Name, settings.Zone = former.Name, former.Zone
 	settings.ClientAddress, settings.HealthAddress = former.ClientAddress, former.HealthAddress
 	settings.PeerAddress, settings.StoreAddress = former.PeerAddress, former.StoreAddress
 	settings.Bounds.RetryWindowMillis = former.Bounds.RetryWindowMillis
-	return kept
+	return settings
 }
 
 // changed returns the names of the settings that differ.
@@ -70,7 +57,7 @@
 }
 
 func differing(prefix string, former, settings reflect.Value) []string {
-	var names []string
+	names := []string{}
 	for i := range former.NumField() {
 		name := prefix + former.Type().Field(i).Tag.Get("json")
 		one, other := former.Field(i), settings.Field(i)
--- a/node/logsink/logsink.go
+++ b/node/logsink/logsink.go
@@ -35,9 +35,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines left out.
-func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
-
 // Run writes lines until the context ends, then those that wait.
 func (s *Sink) Run(ctx context.Context) error {
 	for {
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -51,7 +51,7 @@
 	known := p.members[record.ID]
 	switch {
 	case known == nil || known.record.Born < record.Born:
-		added := &member{record: record}
+		added := &member{record: record, longRank: longRank(record.ID)}
 		added.sign.Store(time.Now().UnixNano())
 		p.members[record.ID] = added
 		return true
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -24,6 +24,8 @@
 // member is one endpoint of a pool.
 type member struct {
 	record Record
+	// longRank orders the endpoints for long prompts, alike on all instances.
+	longRank uint64
 	// inFlight counts this instance's requests at the endpoint.
 	inFlight int
 	// reported is what the endpoint last reported of running and waiting requests,
--- a/node/pool/separate.go
+++ b/node/pool/separate.go
@@ -42,7 +42,7 @@
 	}
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b *member) int {
-		return cmp.Compare(longRank(a), longRank(b))
+		return cmp.Compare(a.longRank, b.longRank)
 	})
 	reading := p.reading(query.Model, query.Tokens)
 	long = float64(reading) > longShare*float64(query.GapTarget)
@@ -78,7 +78,9 @@
 	return w.long / w.all
 }
 
-func longRank(m *member) uint64 { return xxhash.Sum64String("long prompts\x00" + string(m.record.ID)) }
+func longRank(id platform.EndpointID) uint64 {
+	return xxhash.Sum64String("long prompts\x00" + string(id))
+}
 
 func meanCost(members []*member) float64 {
 	total := 0.0
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -29,11 +29,10 @@
 	arrivals int
 	// unsent counts attempts of which no byte left.
 	unsent int
-	runs   int
+	// runs counts attempts that may have run the request.
+	runs int
 	// overdue tells that the planner knows that the request is late.
 	overdue atomic.Bool
-	// mayHaveRun tells that some attempt may have run the request.
-	mayHaveRun bool
 	// escalated tells that an answer was dropped for a better one, and fallback
 	// is that answer if it is at hand as a whole.
 	escalated bool
@@ -150,6 +149,9 @@
 	if ctx.Err() != nil || time.Until(r.deadline) < leastLeft {
 		return &Refusal{Reason: TimeIsUp}
 	}
+	if r.arrivals+r.unsent == 0 {
+		return nil // it has just been admitted
+	}
 	permission, refusal := r.relay.Gate.Admit(r.request)
 	if refusal != nil {
 		return refusal
@@ -171,7 +173,6 @@
 func (r *run) next(ctx context.Context, a *attempt) bool {
 	if a.ran() {
 		r.runs++
-		r.mayHaveRun = true
 	}
 	r.observe(a)
 	switch a.verdict {
@@ -275,7 +276,7 @@
 		refusal = &Refusal{Reason: TimeIsUp}
 	}
 	final := *refusal
-	final.NotRun = !r.mayHaveRun
+	final.NotRun = r.runs == 0
 	r.refuse(&final)
 }
 
--- a/policy/experiment/overload.go
+++ b/policy/experiment/overload.go
@@ -1,13 +1,11 @@
 package experiment
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/policy/latency"
-	"github.com/wigeonusher/wigeonusher/policy/route"
 	"github.com/wigeonusher/wigeonusher/policy/sizes"
 )
 
@@ -23,8 +21,6 @@
 	// times the usual time, an engine may be silent before it is given up.
 	overloadStuck, overloadUsual = 2, 6
 	overloadAccounts             = 10
-	// overloadRate is the load of calm times, in requests per second.
-	overloadRate = 18
 )
 
 // overloadPattern is a disturbance.
@@ -75,9 +71,10 @@
 	random   *rand.Rand
 	engines  []*overloadEngine
 	pressure sizes.Pressure
-	lines    map[route.ModelName]*latency.Line
-	retries  *retry.Window
-	record   overloadRecord
+	// lines tells how long first events take, by model.
+	lines   []latency.Line
+	retries *retry.Window
+	record  overloadRecord
 }
 
 // overloadEngine reads prompts one after the other.
@@ -111,7 +108,7 @@
 	r := &overloadRun{
 		agenda: newAgenda(), pattern: pattern, policy: policy,
 		random:  rand.New(rand.NewPCG(uint64(seed), 23)),
-		lines:   make(map[route.ModelName]*latency.Line),
+		lines:   make([]latency.Line, len(sizesModels)),
 		retries: retry.NewWindow(retry.WindowConfig{Length: 10 * time.Second, Ratio: 0.9, Slack: 40}),
 	}
 	for range sizesEngines {
@@ -135,19 +132,16 @@
 // arrive makes requests come, one after the other.
 func (r *overloadRun) arrive() {
 	weights := make([]float64, overloadAccounts)
-	total := 0.0
+	calm, total := 0.0, 0.0
 	for account := range weights {
 		weights[account] = 1 / float64(account+1)
+		calm += weights[account]
 		if account == overloadAccounts/2 && r.disturbed() {
 			weights[account] *= r.pattern.hot
 		}
 		total += weights[account]
 	}
-	calm := 0.0
-	for account := range overloadAccounts {
-		calm += 1 / float64(account+1)
-	}
-	rate := overloadRate * total / calm
+	rate := sizesRate * total / calm
 	if r.disturbed() {
 		rate *= r.pattern.load
 	}
@@ -159,7 +153,7 @@
 	}
 	r.begin(&overloadRequest{
 		account:  account,
-		tokens:   sizesMeanTokens * math.Exp(sizesSpread*r.random.NormFloat64()-sizesSpread*sizesSpread/2),
+		tokens:   sizesTokens(r.random),
 		hardness: r.random.Float64(),
 	})
 	r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), r.arrive)
@@ -186,19 +180,11 @@
 		described.Relief = r.pressure.Relief()
 	}
 	for model := range sizesModels {
-		described.Models = append(described.Models, sizes.Model{FirstEvent: r.line(model).Expect(int(request.tokens))})
+		described.Models = append(described.Models, sizes.Model{FirstEvent: r.lines[model].Expect(int(request.tokens))})
 	}
 	return described
 }
 
-func (r *overloadRun) line(model int) *latency.Line {
-	name := route.ModelName(rune('0' + model))
-	if r.lines[name] == nil {
-		r.lines[name] = &latency.Line{}
-	}
-	return r.lines[name]
-}
-
 // send puts the request at the engine with the shortest queue.
 func (r *overloadRun) send(request *overloadRequest, model int) {
 	var best *overloadEngine
@@ -213,7 +199,7 @@
 	if best.reading == nil {
 		r.read(best)
 	}
-	usual := r.line(model).Expect(int(request.tokens))
+	usual := r.lines[model].Expect(int(request.tokens))
 	r.after(max(overloadStuck*sizesTarget, overloadUsual*usual), func() { r.giveUp(call) })
 }
 
@@ -239,7 +225,7 @@
 	}
 	if !call.ended {
 		call.ended = true
-		r.line(call.model).Add(int(call.request.tokens), r.elapsed()-call.sent)
+		r.lines[call.model].Add(int(call.request.tokens), r.elapsed()-call.sent)
 		r.answer(call)
 	}
 	r.read(engine)
@@ -252,7 +238,7 @@
 	if r.policy.eases {
 		accept = r.pressure.Accept(accept)
 	}
-	confidence := 0.5 + sizesModels[call.model].quality - request.hardness + sizesNoise*r.random.NormFloat64()
+	confidence := sizesConfidence(r.random, call.model, request.hardness)
 	r.record.spent(request, sizesModels[call.model].cost)
 	next, ok := sizes.Next(r.describe(request), call.model, confidence, accept)
 	if ok && r.retries.Withdraw(r.now) {
@@ -278,7 +264,7 @@
 func (r *overloadRun) abandon(call *overloadCall) {
 	call.ended = true
 	waited := r.elapsed() - call.sent
-	line := r.line(call.model)
+	line := &r.lines[call.model]
 	if r.policy.censored && waited > line.Expect(int(call.request.tokens)) {
 		line.Add(int(call.request.tokens), waited)
 	}
--- a/policy/experiment/overload_record.go
+++ b/policy/experiment/overload_record.go
@@ -66,14 +66,7 @@
 			o.accounts[request.account].onTime++
 		}
 	}
-	switch {
-	case good && onTime:
-		figures.worth++
-	case good:
-		figures.worth += sizesLate
-	default:
-		figures.worth += sizesPoor
-	}
+	figures.worth += sizesWorth(good, onTime)
 }
 
 // sample closes a second.
@@ -173,12 +166,12 @@
 	return all
 }
 
-func runOverload(seeds int) ([]Row, []Series) {
+func runOverload(seeds int) ([]Row, []Series, error) {
 	var rows []Row
 	var series []Series
 	for _, pattern := range overloadPatterns() {
 		more, drawn := overloadRows(pattern, seeds)
 		rows, series = append(rows, more...), append(series, drawn...)
 	}
-	return rows, series
+	return rows, series, nil
 }
--- a/policy/experiment/registry.go
+++ b/policy/experiment/registry.go
@@ -12,30 +12,27 @@
 // experiment measures with the given number of seeds.
 type experiment struct {
 	name string
-	run  func(seeds int) ([]Row, error)
-	// draws is set in place of run by experiments that also give series.
-	draws func(seeds int) ([]Row, []Series)
+	run  func(seeds int) ([]Row, []Series, error)
 }
 
-func (e experiment) measure(seeds int) ([]Row, []Series, error) {
-	if e.draws != nil {
-		rows, series := e.draws(seeds)
-		return rows, series, nil
+// withoutSeries makes a run of one that gives rows only.
+func withoutSeries(run func(seeds int) ([]Row, error)) func(seeds int) ([]Row, []Series, error) {
+	return func(seeds int) ([]Row, []Series, error) {
+		rows, err := run(seeds)
+		return rows, nil, err
 	}
-	rows, err := e.run(seeds)
-	return rows, nil, err
 }
 
 // experiments lists all experiments.
 func experiments() []experiment {
 	return []experiment{
-		{name: "cascade", run: runCascade},
-		{name: "rollout", run: runRollout},
-		{name: "placement", run: runPlacement},
-		{name: "admission", run: runAdmission},
-		{name: "quota", run: runQuota},
-		{name: "sizes", run: runSizes},
-		{name: "overload", draws: runOverload},
+		{name: "cascade", run: withoutSeries(runCascade)},
+		{name: "rollout", run: withoutSeries(runRollout)},
+		{name: "placement", run: withoutSeries(runPlacement)},
+		{name: "admission", run: withoutSeries(runAdmission)},
+		{name: "quota", run: withoutSeries(runQuota)},
+		{name: "sizes", run: withoutSeries(runSizes)},
+		{name: "overload", run: runOverload},
 	}
 }
 
@@ -59,7 +56,7 @@
 	if at < 0 {
 		return Report{}, eris.Wrapf(ErrUnknown, "%q", name)
 	}
-	rows, series, err := all[at].measure(seeds)
+	rows, series, err := all[at].run(seeds)
 	if err != nil {
 		return Report{}, eris.Wrapf(err, "experiment %s", name)
 	}
--- a/policy/experiment/sizes.go
+++ b/policy/experiment/sizes.go
@@ -121,7 +121,7 @@
 // request plays one request: a first model, and a larger one if its answer is
 // not confident.
 func (r *sizesRun) request(arrived time.Duration) (worth float64, onTime bool, cost float64) {
-	tokens := sizesMeanTokens * math.Exp(sizesSpread*r.random.NormFloat64()-sizesSpread*sizesSpread/2)
+	tokens := sizesTokens(r.random)
 	hardness := r.random.Float64()
 	request := sizes.Request{Target: sizesTarget, Retries: sizesRetries}
 	for _, model := range sizesModels {
@@ -135,7 +135,7 @@
 		accept = r.pressure.Accept(accept)
 	}
 	request.Elapsed = now - arrived
-	confidence := 0.5 + sizesModels[asked].quality - hardness + sizesNoise*r.random.NormFloat64()
+	confidence := sizesConfidence(r.random, asked, hardness)
 	if next, ok := r.policy.next(request, asked, confidence, accept); ok {
 		asked = next
 		now = r.run(now, tokens, asked)
@@ -143,13 +143,29 @@
 	}
 	onTime = now-arrived <= sizesTarget
 	r.pressure.Add(!onTime)
-	switch good := hardness <= sizesModels[asked].quality; {
+	return sizesWorth(hardness <= sizesModels[asked].quality, onTime), onTime, cost
+}
+
+// sizesTokens draws the length of a prompt.
+func sizesTokens(random *rand.Rand) float64 {
+	return sizesMeanTokens * math.Exp(sizesSpread*random.NormFloat64()-sizesSpread*sizesSpread/2)
+}
+
+// sizesConfidence draws the confidence of a model's answer to a request of a
+// hardness in [0, 1].
+func sizesConfidence(random *rand.Rand, model int, hardness float64) float64 {
+	return 0.5 + sizesModels[model].quality - hardness + sizesNoise*random.NormFloat64()
+}
+
+// sizesWorth is what an answer is worth to its caller.
+func sizesWorth(good, onTime bool) float64 {
+	switch {
 	case good && onTime:
-		return 1, onTime, cost
+		return 1
 	case good:
-		return sizesLate, onTime, cost
+		return sizesLate
 	default:
-		return sizesPoor, onTime, cost
+		return sizesPoor
 	}
 }
 
