--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -11,9 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/node/versions"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
+	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
 var order = canary.Order{Service: "s", Target: "v2", Duration: 20 * time.Second}
@@ -52,6 +55,34 @@
 	f.versions.ApplyStatuses(1, canary.Status{Service: order.Service, Target: order.Target, Phase: phase})
 }
 
+// newPicker returns a picker for three endpoints of each version.
+func (f *fixture) newPicker(versions ...string) *relay.PooledPicker {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	pools := pool.New("z", logrus.NewEntry(logger))
+	for _, version := range versions {
+		for n := range 3 {
+			pools.Put(pool.Record{
+				ID: platform.EndpointID(version + "-" + strconv.Itoa(n)), Service: order.Service, Zone: "z",
+				Address: "127.0.0.1:1", Version: version, Slots: 8,
+			})
+		}
+	}
+	return &relay.PooledPicker{Pools: pools, Versions: f.versions, Suspects: noSuspects{}}
+}
+
+type noSuspects struct{}
+
+func (noSuspects) Refused(uint64) bool        { return false }
+func (noSuspects) ReportCrash(uint64, string) {}
+
+// testQuery returns the query of a request whose first attempt used the version.
+func testQuery(version string) *relay.Query {
+	return &relay.Query{
+		Request: &relay.Request{ID: "1"}, Permission: &relay.Permission{Route: &route.Route{}}, Service: order.Service, Version: version,
+	}
+}
+
 // choose reports whether a request of the session is assigned to the candidate
 // version, and whether it is assigned to the incumbent.
 func (f *fixture) choose(session, id string) (candidate, incumbent bool) {
@@ -144,6 +175,20 @@
 	}
 }
 
+// All endpoints of the old version stop together when the roll-out is completed, so a
+// request that began on one of them must not look for another.
+func TestRetryAfterTheMoveUsesTheNewVersion(t *testing.T) {
+	for _, phase := range []canary.Phase{canary.Full, canary.Completed} {
+		f := newFixture()
+		f.versions.Order(order)
+		f.agree(phase)
+		picker := f.newPicker("v1", "v2")
+		lease, refusal := picker.Pick(context.Background(), testQuery("v1"))
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, lease.Endpoint().Version, "v2", "%s", phase)
+	}
+}
+
 func TestRolledBackVersionIsNeverAllowed(t *testing.T) {
 	f := newFixture()
 	f.versions.Order(order)
