--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -226,6 +226,7 @@
 	choice := relay.Choice{
 		Assigned: func(version string) bool { return (version == target) == onTarget && !bad[version] },
 		Allowed:  func(version string) bool { return !bad[version] },
+		Moved:    current.Phase == canary.Full || current.Phase == canary.Completed,
 	}
 	if !onTarget && current.Phase != canary.Canary {
 		choice.Allowed = choice.Assigned
