Versions before the last completed roll-out are not preferred in the next one

The new roll-out knew two sides only, its target and everything else, so requests that began on the stopped version stayed on it and others were assigned to it.

TestSupersededVersionIsNotPreferredAfterTheNextOrder failed 3 of 3 before the change (v1 instead of v2 in phase ordered) and passes after it. A version that is not the last target stays allowed: endpoints of another version may be all that there is (TestEndpointsOfAnUnknownVersionAreUsedIfThereAreNoOthers).

--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -30,9 +30,9 @@
 	// Allowed reports whether a version may run the request if no endpoint of an
 	// assigned version is available.
 	Allowed func(version string) bool
-	// Moved reports that further attempts use the assigned version even if the request
-	// began on another one, whose endpoints may stop all at once.
-	Moved bool
+	// Keeps reports whether a request whose first attempt used the version stays on it:
+	// if not, the endpoints of that version may stop all at once.
+	Keeps func(version string) bool
 }
 
 // VersionOutcome describes one answer by an endpoint of a version.
@@ -66,8 +66,8 @@
 	Suspects Suspects
 }
 
-// Pick implements [EndpointPicker]. It prefers the version of the first attempt
-// unless [Choice.Moved] is set, then the assigned versions, then any allowed one.
+// Pick implements [EndpointPicker]. It prefers the version of the first attempt if
+// [Choice.Keeps] holds for it, then the assigned versions, then any allowed one.
 // Endpoints of failed attempts
 // are used only if there is no other; an answer of low confidence does not count as
 // a failure. The versions are chosen for each attempt, because the roll-out may
@@ -102,7 +102,7 @@
 // first is the version of the first attempt, empty before it.
 func (c Choice) preferences(first string) []func(version string) bool {
 	filters := []func(string) bool{c.Assigned, c.Allowed}
-	if first == "" || c.Moved {
+	if first == "" || c.Keeps != nil && !c.Keeps(first) {
 		return filters
 	}
 	isFirst := func(version string) bool { return version == first && (c.Allowed == nil || c.Allowed(version)) }
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -82,6 +82,9 @@
 type service struct {
 	rollout  *canary.Rollout
 	sessions *simplelru.LRU[string, sessionState]
+	// incumbent is the target of the last completed roll-out, empty if none is known.
+	// The endpoints of the versions before it have stopped.
+	incumbent string
 	// bad holds the versions that were rolled back. Their endpoints may still run
 	// when the next roll-out is ordered. The map is replaced, never modified,
 	// because choices refer to it.
@@ -149,7 +152,7 @@
 	s.rollout = canary.New(order, v.tuning, v.now())
 	if status, ok := v.statuses[order.Service]; ok {
 		s.rollout.ApplyStatus(status)
-		s.recordRollback()
+		s.recordEnd()
 	}
 	v.log.WithFields(logrus.Fields{
 		"service": order.Service, "target": order.Target, "duration_s": order.Duration.Seconds(), "phase": s.rollout.Phase.String(),
@@ -170,7 +173,7 @@
 		}
 		before := s.rollout.Phase
 		s.rollout.ApplyStatus(status)
-		s.recordRollback()
+		s.recordEnd()
 		if before != s.rollout.Phase {
 			answers, paces := s.rollout.TotalEvidence().Answers, s.rollout.TotalEvidence().Paces
 			v.log.WithFields(logrus.Fields{
@@ -203,10 +206,15 @@
 	return s.choice(current, state.target != "")
 }
 
-// recordRollback marks the target version as bad if it was rolled back.
-func (s *service) recordRollback() {
-	if s.rollout.Phase == canary.RolledBack {
+// recordEnd marks the target version as bad if it was rolled back, and as the
+// incumbent of the next roll-out if this one is completed.
+func (s *service) recordEnd() {
+	switch s.rollout.Phase {
+	case canary.RolledBack:
 		s.setBad(s.rollout.Order.Target, true)
+	case canary.Completed:
+		s.incumbent = s.rollout.Order.Target
+	default:
 	}
 }
 
@@ -222,14 +230,19 @@
 // known to be bad belong to neither side. Outside the canary phase, a request on
 // the incumbent side may not fall back to the candidate.
 func (s *service) choice(current *canary.Rollout, onTarget bool) relay.Choice {
-	target, bad := current.Order.Target, s.bad
+	target, incumbent, bad := current.Order.Target, s.incumbent, s.bad
+	onSide := func(version string) bool { return (version == target) == onTarget && !bad[version] }
+	superseded := func(version string) bool { return incumbent != "" && version != incumbent && version != target }
 	choice := relay.Choice{
-		Assigned: func(version string) bool { return (version == target) == onTarget && !bad[version] },
+		Assigned: func(version string) bool { return onSide(version) && !superseded(version) },
 		Allowed:  func(version string) bool { return !bad[version] },
-		Moved:    current.Phase == canary.Full || current.Phase == canary.Completed,
+		Keeps:    func(version string) bool { return !superseded(version) },
 	}
-	if !onTarget && current.Phase != canary.Canary {
-		choice.Allowed = choice.Assigned
+	switch {
+	case current.Phase == canary.Full || current.Phase == canary.Completed:
+		choice.Keeps = choice.Assigned
+	case !onTarget && current.Phase != canary.Canary:
+		choice.Allowed = onSide
 	}
 	return choice
 }
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -106,6 +106,19 @@
 	return ""
 }
 
+// incumbentSession returns a session that the hash assigns to the incumbent.
+func incumbentSession(t *testing.T, order canary.Order) string {
+	t.Helper()
+	r := canary.New(order, canary.Tuning{Share: 0.2}, 0)
+	for i := range 1000 {
+		if session := "session-" + strconv.Itoa(i); !r.IsInCanary(session) {
+			return session
+		}
+	}
+	t.Fatal("the hash assigns no session to the incumbent")
+	return ""
+}
+
 func TestSessionStartedOnTheIncumbentStaysOnIt(t *testing.T) {
 	f := newFixture()
 	session := chosenSession(t)
@@ -189,6 +202,41 @@
 	}
 }
 
+// The endpoints of the version before the last one have stopped, but may still be
+// listed when the next roll-out is ordered.
+func TestSupersededVersionIsNotPreferredAfterTheNextOrder(t *testing.T) {
+	for _, phase := range []canary.Phase{canary.Ordered, canary.Canary, canary.RolledBack} {
+		f := newFixture()
+		f.versions.Order(order)
+		f.agree(canary.Completed)
+		next := order
+		next.Target = "v3"
+		f.versions.Order(next)
+		f.versions.ApplyStatuses(4, canary.Status{Service: order.Service, Target: "v3", Phase: phase})
+		picker := f.newPicker("v1", "v2", "v3")
+		for _, first := range []string{"v1", "v2", ""} {
+			query := testQuery(first)
+			query.Request.Session = incumbentSession(t, next)
+			lease, refusal := picker.Pick(context.Background(), query)
+			assert.Assert(t, refusal == nil)
+			assert.Equal(t, lease.Endpoint().Version, "v2", "%s, first attempt on %q", phase, first)
+		}
+	}
+}
+
+// A version that is neither the target of the last completed roll-out nor that of
+// the next one is used if it is the only one.
+func TestEndpointsOfAnUnknownVersionAreUsedIfThereAreNoOthers(t *testing.T) {
+	f := newFixture()
+	f.versions.Order(order)
+	f.agree(canary.Completed)
+	next := order
+	next.Target = "v3"
+	f.versions.Order(next)
+	_, refusal := f.newPicker("v2-hotfix").Pick(context.Background(), testQuery(""))
+	assert.Assert(t, refusal == nil)
+}
+
 func TestRolledBackVersionIsNeverAllowed(t *testing.T) {
 	f := newFixture()
 	f.versions.Order(order)
