--- a/node/entry/prober.go
+++ b/node/entry/prober.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/node/relay"
 )
 
 const (
@@ -25,18 +27,20 @@
 
 type probeOutcome struct {
 	checkedAt time.Time
-	reachable bool
+	result    relay.ProbeResult
 }
 
 func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]probeOutcome)} }
 
-// Reachable implements [relay.Prober]. An endpoint that refuses the connection has
-// lost the requests it ran and does not count as reachable.
-func (p *dialProber) Reachable(ctx context.Context, address string) bool {
-	if reachable, ok := p.lookup(address); ok {
-		return reachable
+// Probe implements [relay.Prober]. An inconclusive result is not reused.
+func (p *dialProber) Probe(ctx context.Context, address string) relay.ProbeResult {
+	if result, ok := p.lookup(address); ok {
+		return result
+	}
+	result := p.connect(ctx, address)
+	if result == relay.ProbeInconclusive {
+		return result
 	}
-	reachable := p.connect(ctx, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for cached, outcome := range p.outcomes {
@@ -44,25 +48,35 @@
 			delete(p.outcomes, cached)
 		}
 	}
-	p.outcomes[address] = probeOutcome{checkedAt: time.Now(), reachable: reachable}
-	return reachable
+	p.outcomes[address] = probeOutcome{checkedAt: time.Now(), result: result}
+	return result
 }
 
-func (p *dialProber) lookup(address string) (reachable, ok bool) {
+func (p *dialProber) lookup(address string) (result relay.ProbeResult, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	outcome, found := p.outcomes[address]
-	return outcome.reachable, found && time.Since(outcome.checkedAt) <= probeCacheTTL
+	return outcome.result, found && time.Since(outcome.checkedAt) <= probeCacheTTL
 }
 
-func (p *dialProber) connect(ctx context.Context, address string) bool {
+func (p *dialProber) connect(ctx context.Context, address string) relay.ProbeResult {
 	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		// An endpoint without room for another connection resets it; it still
-		// counts as reachable.
-		return errors.Is(err, syscall.ECONNRESET)
+	if err == nil {
+		conn.Close()
+		return relay.ProbeAccepted
+	}
+	var netErr net.Error
+	switch {
+	case ctx.Err() != nil:
+		return relay.ProbeInconclusive
+	case errors.Is(err, syscall.ECONNRESET):
+		return relay.ProbeAccepted // an endpoint without room for another connection resets it
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return relay.ProbeRefused
+	case errors.As(err, &netErr) && netErr.Timeout(), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return relay.ProbeUnanswered
+	default:
+		return relay.ProbeInconclusive
 	}
-	conn.Close()
-	return true
 }
--- a/node/entry/suspects.go
+++ b/node/entry/suspects.go
@@ -50,12 +50,15 @@
 }
 
 // ReportCrash implements [relay.Suspects]. An endpoint that still accepts
-// connections lost a response but has not crashed.
+// connections lost a response but has not crashed, and an inconclusive probe shows
+// no crash.
 func (s *suspects) ReportCrash(fingerprint uint64, address string) {
 	go func() {
 		time.Sleep(crashProbeDelay)
-		if !s.prober.Reachable(context.Background(), address) {
+		switch s.prober.Probe(context.Background(), address) {
+		case relay.ProbeRefused, relay.ProbeUnanswered:
 			s.reportCrash(fingerprint, address)
+		default:
 		}
 	}()
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -191,6 +191,23 @@
 
 // Prober probes endpoints.
 type Prober interface {
-	// Reachable reports whether an endpoint accepts connections now.
-	Reachable(ctx context.Context, address string) bool
+	// Probe tries to connect to an endpoint.
+	Probe(ctx context.Context, address string) ProbeResult
 }
+
+// ProbeResult is the outcome of an attempt to connect to an endpoint.
+type ProbeResult int
+
+// Results of a probe. The zero value is [ProbeInconclusive].
+const (
+	// ProbeInconclusive: the probe was canceled or failed locally.
+	ProbeInconclusive ProbeResult = iota
+	// ProbeAccepted: the endpoint accepts connections, or has no room for another
+	// one.
+	ProbeAccepted
+	// ProbeRefused: the host is reachable, but the endpoint does not accept
+	// connections. It may still serve those that it has.
+	ProbeRefused
+	// ProbeUnanswered: nothing answered.
+	ProbeUnanswered
+)
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -28,9 +28,9 @@
 	stuckTargetFactor = 2
 	stuckGapFactor    = 3
 	stuckUsualFactor  = 6
-	// maxMissedProbes is the number of consecutive failed probes after which the
+	// maxMissedProbes is the number of consecutive unanswered probes after which the
 	// endpoint counts as unreachable: a single probe may be lost on the network.
-	// probePause is the time from a failed probe to the next one.
+	// probePause is the time from an unanswered probe to the next one.
 	maxMissedProbes = 2
 	probePause      = 60 * time.Millisecond
 	// The allowed silence of an attempt is halved if the endpoint has sent nothing to
@@ -58,7 +58,7 @@
 	timer      *time.Timer
 	// progress is the request's progress at the start of the attempt.
 	progress *Progress
-	// missed counts the consecutive probes that did not reach the endpoint.
+	// missed counts the consecutive unanswered probes.
 	missed int
 }
 
@@ -103,8 +103,10 @@
 		w.cancel(errStuck)
 		return
 	}
-	reached := w.prober.Reachable(ctx, w.attempt.endpoint.Address)
-	if reached || !lastActivity.Equal(w.attempt.lastActivityAt()) {
+	result := w.prober.Probe(ctx, w.attempt.endpoint.Address)
+	// A refused connection does not end an attempt: a host resets the connections of a
+	// process that has ended, so this one is still served.
+	if result != ProbeUnanswered || !lastActivity.Equal(w.attempt.lastActivityAt()) {
 		w.missed = 0
 		w.timer.Reset(w.probeAfter)
 		return
