--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -130,6 +130,19 @@
 	}, true
 }
 
+// HasUsable reports whether an endpoint that may run the request is neither leaving
+// nor paused. It may be full.
+func (p *Pool) HasUsable(now time.Time, query Query) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, m := range p.members {
+		if m.isUsable(now) && !slices.Contains(query.Avoid, id) && (query.Version == nil || query.Version(m.record.Version)) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the endpoints that may run the request: those that are
 // neither full nor paused or, if there are none, the full ones, or else the paused
 // ones.
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -61,6 +61,9 @@
 	// has arrived.
 	lastActivity  atomic.Int64
 	hasFirstEvent atomic.Bool
+	// retryWithdrawn reports that the watchdog has taken the retry that follows from
+	// the budget.
+	retryWithdrawn atomic.Bool
 	// crashed reports that the endpoint broke the connection.
 	crashed     bool
 	misdirected bool
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,12 @@
 	return t.table, t.verifiedAt
 }
 
+func (t *tables) set(table *route.Table) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table = table
+}
+
 type singleBudget struct{ *retry.Window }
 
 func (b singleBudget) Budget(route.ServiceName) Budget { return b }
@@ -55,6 +62,22 @@
 func (anyVersion) Choose(context.Context, route.ServiceName, string, string) Choice { return Choice{} }
 func (anyVersion) Observe(route.ServiceName, string, VersionOutcome)                {}
 
+// fixedChoice returns the same choice for each request.
+type fixedChoice struct{ choice Choice }
+
+func (f fixedChoice) Choose(context.Context, route.ServiceName, string, string) Choice {
+	return f.choice
+}
+func (fixedChoice) Observe(route.ServiceName, string, VersionOutcome) {}
+
+// slowUnanswered is a [Prober] that reaches nobody and reports it after a while.
+type slowUnanswered struct{}
+
+func (slowUnanswered) Probe(context.Context, string) ProbeResult {
+	time.Sleep(150 * time.Millisecond)
+	return ProbeUnanswered
+}
+
 // unreachableEndpoints is a [Prober] that reaches all addresses but those listed.
 type unreachableEndpoints struct{ addresses map[string]bool }
 
@@ -158,6 +181,62 @@
 	return answer, nil
 }
 
+// pausingEndpoints is an [Endpoints] whose first executed call sends two events,
+// pauses, and then sends the rest of the stream unless it is canceled.
+type pausingEndpoints struct {
+	pause time.Duration
+	// rejections is the number of calls that are not executed before the first one
+	// that is.
+	rejections int
+	// onFirstCall runs in the first executed call; nil does nothing.
+	onFirstCall func()
+	// resumable makes further calls send the rest of the stream; otherwise their
+	// connections are refused.
+	resumable bool
+	// calls counts the calls that were not rejected.
+	calls int
+}
+
+func (p *pausingEndpoints) Send(ctx context.Context, call *Call, _ time.Time) (*Answer, error) {
+	if p.rejections > 0 {
+		p.rejections--
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Authentic: true, Body: body("")}, nil
+	}
+	p.calls++
+	answer := &Answer{Status: http.StatusOK, Header: http.Header{}, Authentic: true}
+	switch {
+	case p.calls == 1:
+		if p.onFirstCall != nil {
+			p.onFirstCall()
+		}
+		whole := wholeStream(0)
+		rest := wholeStream(2)
+		answer.Body = &fakeBody{reader: io.MultiReader(
+			strings.NewReader(strings.TrimSuffix(whole, rest)), &pause{ctx: ctx, length: p.pause}, strings.NewReader(rest),
+		)}
+	case p.resumable:
+		answer.Body = streamBody(call, behavior{events: -1})
+	default:
+		return nil, &SendError{Err: errors.New("connection refused")}
+	}
+	return answer, nil
+}
+
+// pause is a reader that ends after a time, or fails when the context ends first.
+type pause struct {
+	ctx    context.Context
+	length time.Duration
+}
+
+func (p *pause) Read([]byte) (int, error) {
+	select {
+	case <-p.ctx.Done():
+		return 0, io.ErrUnexpectedEOF
+	case <-time.After(p.length):
+		return 0, io.EOF
+	}
+}
+
 func (s *scriptedEndpoints) runs() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -127,6 +128,15 @@
 
 func (p *pooledLease) RecordNoEvent(waited time.Duration) { p.lease.RecordNoEvent(waited) }
 
+// HasAlternative implements [Lease]. The versions are chosen anew, because the
+// roll-out may have advanced during the attempt.
+func (p *pooledLease) HasAlternative(ctx context.Context) bool {
+	request := p.query.Request
+	choice := p.picker.Versions.Choose(ctx, p.query.Service, request.Session, request.ID)
+	avoid := append(slices.Clone(p.query.Avoid), p.lease.Endpoint.ID)
+	return p.endpoints.HasUsable(time.Now(), pool.Query{Version: choice.Allowed, Avoid: avoid})
+}
+
 func (p *pooledLease) UsualFirstEvent() time.Duration {
 	return p.endpoints.UsualFirstEvent(p.query.Model, p.query.Request.PromptTokens)
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -114,6 +114,8 @@
 	// UsualFirstEvent returns the usual time to the first event of such requests,
 	// 0 if unknown.
 	UsualFirstEvent() time.Duration
+	// HasAlternative reports whether another endpoint could run the request now.
+	HasAlternative(ctx context.Context) bool
 	// RecordActivity records that the endpoint sent something. LastActivity
 	// returns when it last did so to this instance.
 	RecordActivity()
@@ -130,8 +132,8 @@
 }
 
 // NopLease implements the methods of [Lease] other than Endpoint and End: it
-// discards measurements, knows no usual time to the first event and counts the
-// endpoint as active now. It is meant to be embedded.
+// discards measurements, knows no usual time to the first event, counts the endpoint
+// as active now and assumes that there are others. It is meant to be embedded.
 type NopLease struct{}
 
 // LongPrompt implements [Lease].
@@ -140,6 +142,9 @@
 // UsualFirstEvent implements [Lease].
 func (NopLease) UsualFirstEvent() time.Duration { return 0 }
 
+// HasAlternative implements [Lease].
+func (NopLease) HasAlternative(context.Context) bool { return true }
+
 // RecordActivity implements [Lease].
 func (NopLease) RecordActivity() {}
 
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -242,6 +243,87 @@
 	})
 }
 
+// An endpoint that nobody reaches may still answer. Its attempt must not be ended if
+// no other can follow.
+func TestWatchdogKeepsAnAnswerThatNothingCanContinue(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// change runs while the first call is in progress; nil makes the stream
+		// restartable only.
+		change func(h *harness, rt *route.Route)
+	}{
+		{"the key was revoked", func(h *harness, rt *route.Route) {
+			h.tables.set(route.NewTable(2, route.Limits{}, []*route.Route{rt}, nil, map[string]*route.Account{}))
+		}},
+		{"no other endpoint is listed", func(h *harness, _ *route.Route) {
+			h.pools.Remove(time.Now(), "e1")
+			h.pools.Remove(time.Now(), "e0")
+		}},
+		{"all other endpoints are paused", func(h *harness, _ *route.Route) {
+			for range 2 {
+				lease, ok := h.pools.Service(testService).Choose(time.Now(), pool.Query{})
+				assert.Assert(t, ok)
+				lease.End(time.Now(), pool.Broken)
+			}
+		}},
+		{"the other endpoints are of a version that is not allowed", func(h *harness, _ *route.Route) {
+			isOther := func(version string) bool { return version == "v2" }
+			h.picker.Versions = fixedChoice{Choice{Assigned: isOther, Allowed: isOther}}
+		}},
+		{"the stream can only be restarted", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := testRoute(route.Stream)
+				h := newHarness(testTable(rt), 2, nil)
+				h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+				endpoints := &pausingEndpoints{pause: 2 * time.Second}
+				if c.change == nil {
+					rt.Resumable, rt.Restartable = false, true
+				} else {
+					endpoints.onFirstCall = func() { c.change(h, rt) }
+				}
+				h.relay.Endpoints = endpoints
+				h.serve(testRequest())
+				assert.Equal(t, h.client.body.String(), wholeStream(0))
+				assert.Equal(t, endpoints.calls, 1)
+			})
+		})
+	}
+}
+
+func TestWatchdogKeepsAnAnswerWhoseTriesAreUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 2*maxTries, nil)
+		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.relay.Endpoints = &pausingEndpoints{pause: time.Second, rejections: maxTries - 1}
+		h.serve(testRequest())
+		assert.Equal(t, h.client.body.String(), wholeStream(0))
+	})
+}
+
+// Several attempts share one retry budget: the watchdogs must not end more of them
+// than the budget lets continue.
+func TestWatchdogsEndNoMoreAnswersThanTheBudgetCovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 8, nil)
+		h.budget = retry.NewWindow(retry.WindowConfig{Length: 10 * time.Second, Slack: 1})
+		h.relay.Budgets = singleBudget{h.budget}
+		h.relay.Prober = slowUnanswered{}
+		clients := make([]recordingClient, 4)
+		var served sync.WaitGroup
+		for i := range clients {
+			relay := New(h.relay.Config)
+			relay.Endpoints = &pausingEndpoints{pause: 900 * time.Millisecond, resumable: true}
+			served.Go(func() { relay.Serve(context.Background(), testRequest(), &clients[i]) })
+		}
+		served.Wait()
+		for i := range clients {
+			assert.Equal(t, clients[i].body.String(), wholeStream(0), "client %d", i)
+		}
+	})
+}
+
 func TestBrokenStreamGoesOnWithAnEmptyBudget(t *testing.T) {
 	h := newHarness(testTable(testRoute(route.Stream)), 2, func(_ *Call, number int) behavior {
 		if number == 0 {
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -200,7 +200,7 @@
 		r.unsent++
 		return r.unsent < maxTries || r.giveUp(ctx, a)
 	}
-	if a.mayHaveRun() && !r.mayRetry() || !r.withdrawRetry() {
+	if a.mayHaveRun() && !r.mayRetry() || !r.withdrawRetry(a) {
 		return r.giveUp(ctx, a)
 	}
 	return true
@@ -230,13 +230,16 @@
 	return rt.Repeatable() && r.runs < rt.MaxAttempts
 }
 
-// withdrawRetry takes one retry from the budget and reports whether another
-// attempt may follow. If the client has already received a part of the answer,
-// the reserve of the budget may be used.
-func (r *run) withdrawRetry() bool {
+// withdrawRetry takes one retry from the budget, unless the watchdog of the attempt
+// has done so, and reports whether another attempt may follow. If the client has
+// already received a part of the answer, the reserve of the budget may be used.
+func (r *run) withdrawRetry(a *attempt) bool {
 	if r.sent >= maxTries {
 		return false
 	}
+	if a.retryWithdrawn.Load() {
+		return true
+	}
 	if r.headSent {
 		return r.budget.WithdrawUrgent(time.Now())
 	}
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -47,10 +47,14 @@
 	cancel  context.CancelCauseFunc
 	// The fields below are copied at the start of the attempt: a check may still
 	// run while the request has moved to its next attempt.
+	gate    Gate
 	prober  Prober
 	planner Planner
 	route   *route.Route
 	budget  Budget
+	// headSent reports that the client had a part of the answer when the attempt
+	// started, and triesLeft that the request may be sent again after it.
+	headSent, triesLeft bool
 	// usualFirstEvent is the usual time to the first event.
 	usualFirstEvent time.Duration
 	// probeAfter is the silence after which the endpoint is probed.
@@ -66,7 +70,8 @@
 func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) *watchdog {
 	r := a.run
 	w := &watchdog{
-		attempt: a, cancel: cancel, prober: r.relay.Prober, planner: r.relay.Planner, route: r.permission.Route, budget: r.budget,
+		attempt: a, cancel: cancel, gate: r.relay.Gate, prober: r.relay.Prober, planner: r.relay.Planner,
+		route: r.permission.Route, budget: r.budget, headSent: r.headSent, triesLeft: r.sent < maxTries,
 		usualFirstEvent: a.lease.UsualFirstEvent(), progress: r.progress(),
 		probeAfter: silenceBeforeProbe,
 	}
@@ -94,13 +99,12 @@
 		return
 	}
 	w.reportLate()
-	if !w.canAffordRetry() {
-		// No other endpoint could be asked, so giving this one up gains nothing.
+	if !w.canContinueElsewhere(ctx) {
 		w.timer.Reset(w.probeAfter)
 		return
 	}
 	if silence > w.maxSilence() {
-		w.cancel(errStuck)
+		w.giveUp(errStuck)
 		return
 	}
 	result := w.prober.Probe(ctx, w.attempt.endpoint.Address)
@@ -113,12 +117,38 @@
 	}
 	w.missed++
 	if w.missed >= maxMissedProbes {
-		w.cancel(errUnreachable)
+		w.giveUp(errUnreachable)
 		return
 	}
 	w.timer.Reset(probePause)
 }
 
+// giveUp cancels the attempt if the budget still covers the next one: other attempts
+// may have used it during the probe.
+func (w *watchdog) giveUp(cause error) {
+	if !w.withdrawRetry() {
+		w.timer.Reset(w.probeAfter)
+		return
+	}
+	w.attempt.retryWithdrawn.Store(true)
+	w.cancel(cause)
+}
+
+// canContinueElsewhere reports whether another attempt could follow this one. If
+// not, giving up this one gains nothing, and its endpoint may still answer.
+func (w *watchdog) canContinueElsewhere(ctx context.Context) bool {
+	if !w.triesLeft || w.hasBegun() && !w.route.Resumable || !w.canAffordRetry() {
+		return false
+	}
+	if _, refusal := w.gate.Admit(w.progress.Request); refusal != nil {
+		return false
+	}
+	return w.attempt.lease.HasAlternative(ctx)
+}
+
+// hasBegun reports whether the client has a part of the answer.
+func (w *watchdog) hasBegun() bool { return w.headSent || w.attempt.hasFirstEvent.Load() }
+
 // reportLate reports a first event that is already late to the planner, without
 // waiting for the event or for the client to disconnect.
 func (w *watchdog) reportLate() {
@@ -134,12 +164,20 @@
 
 // canAffordRetry reports whether the retry budget allows another attempt.
 func (w *watchdog) canAffordRetry() bool {
-	if w.attempt.hasFirstEvent.Load() {
+	if w.hasBegun() {
 		return w.budget.AllowsUrgent(time.Now())
 	}
 	return w.budget.Available(time.Now()) >= 1
 }
 
+// withdrawRetry takes one retry from the budget and reports whether it covered it.
+func (w *watchdog) withdrawRetry() bool {
+	if w.hasBegun() {
+		return w.budget.WithdrawUrgent(time.Now())
+	}
+	return w.budget.Withdraw(time.Now())
+}
+
 // maxSilence returns the silence after which an endpoint is given up even if it
 // can be reached.
 func (w *watchdog) maxSilence() time.Duration {
