Logs: who ended an attempt, and why no other followed a broken-off answer

Cause: the last line of a request said only "broken off", and the line of a broken attempt told the watchdog from the endpoint by the text of its error alone.

Attempt line: ended_by (endpoint, watchdog, deadline, proof check, client) and, for the watchdog, watchdog_cause and silence_ms. Final line: unsent on each; where no attempt completed the answer, stop_reason, last_* (the last attempt) and broken_* (the last one that was sent and broken, with who ended it, why, and when). New counters wigeonusher_answers_broken_off_total{reason} and wigeonusher_attempts_canceled_total{service,cause}; all values are constants. Existing fields, values and messages stay; there is still one line per attempt and request.

relay.Prober returns the outcome of a probe instead of whether the endpoint was reached. Routing is unchanged: the conditions for a further attempt are the same, and now return the reason.

--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -48,12 +48,37 @@
 	o.Observe(`wigeonusher_request_seconds`, event.Took.Seconds())
 	fields := logrus.Fields{
 		"request": event.RequestID, "route": event.Route, "account": event.Account, "revision": event.Revision,
-		"config_age_ms": event.ConfigAge.Milliseconds(), "arrivals": event.Attempts, "outcome": outcome,
+		"config_age_ms": event.ConfigAge.Milliseconds(), "arrivals": event.Attempts, "unsent": event.Unsent, "outcome": outcome,
 		"status": event.Status, "took_ms": event.Took.Milliseconds(),
 	}
 	if event.Refusal != nil {
 		fields["not_run"] = event.Refusal.NotRun
 		fields["retry_after_ms"] = event.Refusal.RetryAfter.Milliseconds()
 	}
+	if event.Aborted {
+		o.Count(fmt.Sprintf(`wigeonusher_answers_broken_off_total{reason=%q}`, event.Stopped))
+	}
+	if event.Stopped != "" {
+		addStop(fields, event)
+	}
 	o.log.WithFields(fields).Info("request")
 }
+
+// addStop adds the reason why no further attempt was made, the last attempt, and
+// the last one whose answer is not complete. The lines of the attempts may be lost.
+func addStop(fields logrus.Fields, event *relay.DoneEvent) {
+	fields["stop_reason"] = event.Stopped
+	if last := event.Last; last != nil {
+		fields["last_endpoint"], fields["last_version"], fields["last_verdict"] = last.Endpoint, last.Version, last.Verdict
+		if last.Err != nil {
+			fields["last_error"] = last.Err.Error()
+		}
+	}
+	if broken := event.Broken; broken != nil {
+		fields["broken_endpoint"], fields["broken_version"], fields["broken_by"] = broken.Endpoint, broken.Version, broken.EndedBy
+		fields["broken_after_ms"] = (broken.SinceArrival + broken.Took).Milliseconds()
+		if broken.EndedBy == relay.EndedByWatchdog {
+			fields["broken_cause"], fields["broken_silence_ms"] = broken.WatchdogCause, broken.Silence.Milliseconds()
+		}
+	}
+}
--- a/node/entry/prober.go
+++ b/node/entry/prober.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/node/relay"
 )
 
 const (
@@ -20,49 +22,63 @@
 // dialProber checks whether endpoints accept TCP connections.
 type dialProber struct {
 	mu       sync.Mutex
-	outcomes map[string]probeOutcome
+	outcomes map[string]cachedProbe
 }
 
-type probeOutcome struct {
+type cachedProbe struct {
 	checkedAt time.Time
-	reachable bool
+	outcome   relay.ProbeOutcome
 }
 
-func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]probeOutcome)} }
+func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]cachedProbe)} }
 
-// Reachable implements [relay.Prober]. An endpoint that refuses the connection has
-// lost the requests it ran and does not count as reachable.
-func (p *dialProber) Reachable(ctx context.Context, address string) bool {
-	if reachable, ok := p.lookup(address); ok {
-		return reachable
+// Probe implements [relay.Prober]. An endpoint that refuses the connection has
+// lost the requests it ran and does not count as reached.
+func (p *dialProber) Probe(ctx context.Context, address string) relay.ProbeOutcome {
+	if outcome, ok := p.lookup(address); ok {
+		return outcome
 	}
-	reachable := p.connect(ctx, address)
+	outcome := p.connect(ctx, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for cached, outcome := range p.outcomes {
-		if time.Since(outcome.checkedAt) > probeCacheTTL {
-			delete(p.outcomes, cached)
+	for address, cached := range p.outcomes {
+		if time.Since(cached.checkedAt) > probeCacheTTL {
+			delete(p.outcomes, address)
 		}
 	}
-	p.outcomes[address] = probeOutcome{checkedAt: time.Now(), reachable: reachable}
-	return reachable
+	p.outcomes[address] = cachedProbe{checkedAt: time.Now(), outcome: outcome}
+	return outcome
 }
 
-func (p *dialProber) lookup(address string) (reachable, ok bool) {
+func (p *dialProber) lookup(address string) (relay.ProbeOutcome, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	outcome, found := p.outcomes[address]
-	return outcome.reachable, found && time.Since(outcome.checkedAt) <= probeCacheTTL
+	cached, found := p.outcomes[address]
+	return cached.outcome, found && time.Since(cached.checkedAt) <= probeCacheTTL
 }
 
-func (p *dialProber) connect(ctx context.Context, address string) bool {
+func (p *dialProber) connect(ctx context.Context, address string) relay.ProbeOutcome {
 	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		// An endpoint without room for another connection resets it; it still
-		// counts as reachable.
-		return errors.Is(err, syscall.ECONNRESET)
+		return outcomeOfDialError(err)
 	}
 	conn.Close()
-	return true
+	return relay.ProbeReached
+}
+
+func outcomeOfDialError(err error) relay.ProbeOutcome {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		// An endpoint without room for another connection resets it; it still
+		// counts as reached.
+		return relay.ProbeReached
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return relay.ProbeRefused
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return relay.ProbeTimedOut
+	default:
+		return relay.ProbeFailed
+	}
 }
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/node/loop"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 )
 
 // Run serves until the context ends, then drains and returns. If a server or a
@@ -122,7 +123,7 @@
 		e.pools.Expire(now)
 		e.budgets.setLiveInstances(now, e.cluster.LiveCount())
 		for _, probe := range e.pools.Probes(now) {
-			go func() { probe.Done(time.Now(), e.prober.Reachable(ctx, probe.Address)) }()
+			go func() { probe.Done(time.Now(), e.prober.Probe(ctx, probe.Address) == relay.ProbeReached) }()
 		}
 	})
 }
--- a/node/entry/suspects.go
+++ b/node/entry/suspects.go
@@ -54,7 +54,7 @@
 func (s *suspects) ReportCrash(fingerprint uint64, address string) {
 	go func() {
 		time.Sleep(crashProbeDelay)
-		if !s.prober.Reachable(context.Background(), address) {
+		if s.prober.Probe(context.Background(), address) != relay.ProbeReached {
 			s.reportCrash(fingerprint, address)
 		}
 	}()
--- a/node/entry/suspects_test.go
+++ b/node/entry/suspects_test.go
@@ -8,15 +8,14 @@
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/node/relay"
 )
 
 // crashBroadcasts collects the fingerprints of crashes broadcast to peers.
 type crashBroadcasts chan uint64
 
-func newTestSuspects(prober interface {
-	Reachable(ctx context.Context, address string) bool
-},
-) (*suspects, crashBroadcasts) {
+func newTestSuspects(prober relay.Prober) (*suspects, crashBroadcasts) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	crashes := make(crashBroadcasts, 16)
@@ -46,9 +45,9 @@
 // probeSignal receives a value for each probe of an endpoint.
 type probeSignal chan struct{}
 
-func (l probeSignal) Reachable(context.Context, string) bool {
+func (l probeSignal) Probe(context.Context, string) relay.ProbeOutcome {
 	l <- struct{}{}
-	return true
+	return relay.ProbeReached
 }
 
 func TestLostAnswerIsNoCrash(t *testing.T) {
@@ -62,11 +61,11 @@
 	assert.Assert(t, !s.Refused(7))
 }
 
-func TestReachableReportsWhetherConnectionsAreAccepted(t *testing.T) {
+func TestProbeReportsWhetherConnectionsAreAccepted(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := listener.Addr().String()
-	assert.Assert(t, newDialProber().Reachable(context.Background(), address))
+	assert.Equal(t, newDialProber().Probe(context.Background(), address), relay.ProbeReached)
 	listener.Close()
-	assert.Assert(t, !newDialProber().Reachable(context.Background(), address))
+	assert.Equal(t, newDialProber().Probe(context.Background(), address), relay.ProbeRefused)
 }
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -44,6 +44,24 @@
 
 func (v verdict) String() string { return verdictNames[v] }
 
+// EndedBy is who ended an attempt before its answer was complete.
+type EndedBy string
+
+// Values of [EndedBy].
+const (
+	// EndedByEndpoint: the endpoint closed the connection, or the connection failed.
+	EndedByEndpoint EndedBy = "endpoint"
+	// EndedByWatchdog: this instance gave up the silent endpoint.
+	EndedByWatchdog EndedBy = "watchdog"
+	// EndedByDeadline: the request's deadline or the time limit of a read passed.
+	EndedByDeadline EndedBy = "deadline"
+	// EndedByProofCheck: this instance rejected the answer, see [Answer.Authentic].
+	EndedByProofCheck EndedBy = "proof check"
+	EndedByClient     EndedBy = "client"
+)
+
+var errNoProof = eris.New("answer does not carry the endpoint's proof for this call")
+
 // attempt is one call of a request to one endpoint.
 type attempt struct {
 	run      *run
@@ -103,7 +121,7 @@
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
 	case !answer.Authentic:
-		a.verdict, a.err = verdictBroken, eris.New("answer does not carry the endpoint's proof for this call")
+		a.verdict, a.err = verdictBroken, errNoProof
 	case answer.Status >= http.StatusInternalServerError:
 		a.readFailure(ctx)
 	case a.shouldEscalate():
@@ -180,7 +198,7 @@
 	switch {
 	case cause == nil:
 		a.crashed = !errors.Is(err, os.ErrDeadlineExceeded)
-	case errors.Is(cause, errUnreachable) || errors.Is(cause, errStuck):
+	case errors.As(cause, new(*watchdogError)):
 		a.err = cause
 	case errors.Is(cause, context.Canceled):
 		a.verdict = verdictClientGone
@@ -284,6 +302,25 @@
 	}
 }
 
+// endedBy returns who ended the attempt, empty if it was not sent or its answer
+// was complete.
+func (a *attempt) endedBy() EndedBy {
+	switch {
+	case a.verdict == verdictClientGone:
+		return EndedByClient
+	case a.verdict != verdictBroken:
+		return ""
+	case errors.As(a.err, new(*watchdogError)):
+		return EndedByWatchdog
+	case errors.Is(a.err, errNoProof):
+		return EndedByProofCheck
+	case a.crashed:
+		return EndedByEndpoint
+	default:
+		return EndedByDeadline
+	}
+}
+
 func (a *attempt) event() *AttemptEvent {
 	event := &AttemptEvent{
 		RequestID:    a.run.request.ID,
@@ -300,8 +337,13 @@
 		FirstEvent:   a.firstEvent,
 		SinceArrival: a.started.Sub(a.run.request.Received),
 		LongestGap:   a.longestGap,
+		EndedBy:      a.endedBy(),
 		Err:          a.err,
 	}
+	var watchdogErr *watchdogError
+	if errors.As(a.err, &watchdogErr) {
+		event.WatchdogCause, event.Silence = watchdogErr.cause, watchdogErr.silence
+	}
 	if a.answer != nil {
 		event.Status, event.Confidence = a.answer.Status, a.answer.Confidence
 	}
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -58,8 +58,11 @@
 // unreachableEndpoints is a [Prober] that reaches all addresses but those listed.
 type unreachableEndpoints struct{ addresses map[string]bool }
 
-func (u unreachableEndpoints) Reachable(_ context.Context, address string) bool {
-	return !u.addresses[address]
+func (u unreachableEndpoints) Probe(_ context.Context, address string) ProbeOutcome {
+	if u.addresses[address] {
+		return ProbeRefused
+	}
+	return ProbeReached
 }
 
 type noSuspects struct{}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -191,6 +191,20 @@
 
 // Prober probes endpoints.
 type Prober interface {
-	// Reachable reports whether an endpoint accepts connections now.
-	Reachable(ctx context.Context, address string) bool
+	// Probe tries to connect to an endpoint.
+	Probe(ctx context.Context, address string) ProbeOutcome
 }
+
+// ProbeOutcome is the outcome of a probe.
+type ProbeOutcome string
+
+// Outcomes of a probe.
+const (
+	// ProbeReached: the endpoint accepts connections.
+	ProbeReached ProbeOutcome = "reached"
+	// ProbeRefused: nothing listens at the endpoint's address.
+	ProbeRefused  ProbeOutcome = "refused"
+	ProbeTimedOut ProbeOutcome = "timed out"
+	// ProbeFailed: the probe ended with another error.
+	ProbeFailed ProbeOutcome = "failed"
+)
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -34,22 +34,59 @@
 	SinceArrival time.Duration
 	// LongestGap is the longest pause between two events.
 	LongestGap time.Duration
-	Err        error
+	// EndedBy is who ended the attempt, empty if it was not sent or its answer was
+	// complete.
+	EndedBy EndedBy
+	// WatchdogCause and Silence, the time for which the endpoint had sent nothing,
+	// are set if the watchdog ended the attempt.
+	WatchdogCause WatchdogCause
+	Silence       time.Duration
+	Err           error
 }
 
+// StopReason is the reason for which no further attempt was made: one of the values
+// below or the [Reason] for which the gate or the picker refused another attempt.
+type StopReason string
+
+// Reasons for which a request's attempts end, other than those of a refusal.
+const (
+	// StopUnsent: [maxTries] attempts could not connect.
+	StopUnsent StopReason = "no endpoint could be connected to"
+	// StopTries: [maxTries] attempts were sent.
+	StopTries StopReason = "calls used up"
+	// StopRuns: the request may have run as often as its route allows.
+	StopRuns StopReason = "attempts used up"
+	// StopBudget: the retry budget is empty.
+	StopBudget StopReason = "retry budget empty"
+	// StopNotRepeatable: the route does not allow a second run.
+	StopNotRepeatable StopReason = "not repeatable"
+	// StopNotResumable: the answer has begun, and the route cannot resume it.
+	StopNotResumable StopReason = "not resumable"
+	StopClientGone   StopReason = "client gone"
+)
+
 // DoneEvent describes the outcome of a request.
 type DoneEvent struct {
-	RequestID  string
-	Route      string
-	Account    route.AccountName
-	Revision   int64
-	ConfigAge  time.Duration
-	Attempts   int
-	Refusal    *Refusal
-	Status     int
-	ClientGone bool
-	Aborted    bool
-	Took       time.Duration
+	RequestID string
+	Route     string
+	Account   route.AccountName
+	Revision  int64
+	ConfigAge time.Duration
+	// Attempts counts the attempts that were sent, Unsent those that were not.
+	Attempts int
+	Unsent   int
+	// Stopped is the reason why no attempt followed the last one. It is empty if the
+	// answer is complete, the client ended the last attempt, or the gate refused the
+	// first.
+	Stopped StopReason
+	// Last is the last attempt, Broken the last one that was sent and has no complete
+	// answer; nil if there is none.
+	Last, Broken *AttemptEvent
+	Refusal      *Refusal
+	Status       int
+	ClientGone   bool
+	Aborted      bool
+	Took         time.Duration
 }
 
 // Config lists the ports that a relay uses.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,9 @@
 	status    int
 	refusal   *Refusal
 	aborted   bool
+	// stopped, last and broken are described at [DoneEvent].
+	stopped      StopReason
+	last, broken *AttemptEvent
 }
 
 func (r *run) serve(ctx context.Context) {
@@ -120,13 +124,21 @@
 		attempt := r.newAttempt(lease)
 		attempt.execute(ctx)
 		lease.End(attempt.attemptResult())
-		r.relay.Observer.RecordAttempt(attempt.event())
+		r.recordAttempt(attempt)
 		if !r.continueAfter(ctx, attempt) {
 			return
 		}
 	}
 }
 
+func (r *run) recordAttempt(a *attempt) {
+	r.last = a.event()
+	if a.verdict == verdictBroken {
+		r.broken = r.last
+	}
+	r.relay.Observer.RecordAttempt(r.last)
+}
+
 func (r *run) pickEndpoint(ctx context.Context) (Lease, *Refusal) {
 	return r.relay.Picker.Pick(ctx, &Query{
 		Request:    r.request,
@@ -153,7 +165,7 @@
 // the route no longer allows the current one, and returns a refusal if there is
 // none. Otherwise it returns nil.
 func (r *run) checkAdmission(ctx context.Context) *Refusal {
-	if ctx.Err() != nil || time.Until(r.deadline) < minRemaining {
+	if r.isTimeUp(ctx) {
 		return &Refusal{Reason: DeadlineExceeded}
 	}
 	if r.sent+r.unsent == 0 {
@@ -175,6 +187,11 @@
 	return nil
 }
 
+// isTimeUp reports whether too little time remains for another attempt.
+func (r *run) isTimeUp(ctx context.Context) bool {
+	return ctx.Err() != nil || time.Until(r.deadline) < minRemaining
+}
+
 // continueAfter processes the verdict of an attempt. It reports whether another
 // attempt follows; otherwise the request has its final answer or the client has
 // disconnected.
@@ -198,14 +215,25 @@
 		// Nothing reached the endpoint, so the attempt costs no retry.
 		r.sent--
 		r.unsent++
-		return r.unsent < maxTries || r.giveUp(ctx, a)
+		return r.unsent < maxTries || r.giveUp(ctx, a, StopUnsent)
 	}
-	if a.mayHaveRun() && !r.mayRetry() || !r.withdrawRetry() {
-		return r.giveUp(ctx, a)
+	if stop := r.checkRetry(a); stop != "" {
+		return r.giveUp(ctx, a, stop)
 	}
 	return true
 }
 
+// checkRetry takes one retry from the budget. It returns a reason if no other
+// attempt may follow the given one.
+func (r *run) checkRetry(a *attempt) StopReason {
+	if a.mayHaveRun() {
+		if stop := r.checkRuns(); stop != "" {
+			return stop
+		}
+	}
+	return r.withdrawRetry()
+}
+
 // reportDelivery reports to the planner what the client saw of an attempt that was
 // delivered, broken or abandoned by the client, unless the watchdog has already
 // reported the request as late.
@@ -220,40 +248,51 @@
 	}
 }
 
-// mayRetry reports whether another attempt is allowed after one that may have
+// checkRuns returns a reason if no other attempt is allowed after one that may have
 // run the request.
-func (r *run) mayRetry() bool {
+func (r *run) checkRuns() StopReason {
 	rt := r.permission.Route
-	if r.headSent && !rt.Resumable {
-		return false
+	switch {
+	case r.headSent && !rt.Resumable:
+		return StopNotResumable
+	case !rt.Repeatable():
+		return StopNotRepeatable
+	case r.runs >= rt.MaxAttempts:
+		return StopRuns
+	default:
+		return ""
 	}
-	return rt.Repeatable() && r.runs < rt.MaxAttempts
 }
 
-// withdrawRetry takes one retry from the budget and reports whether another
-// attempt may follow. If the client has already received a part of the answer,
-// the reserve of the budget may be used.
-func (r *run) withdrawRetry() bool {
+// withdrawRetry takes one retry from the budget. It returns a reason if no other
+// attempt may follow. If the client has already received a part of the answer, the
+// reserve of the budget may be used.
+func (r *run) withdrawRetry() StopReason {
 	if r.sent >= maxTries {
-		return false
+		return StopTries
 	}
+	withdraw := r.budget.Withdraw
 	if r.headSent {
-		return r.budget.WithdrawUrgent(time.Now())
+		withdraw = r.budget.WithdrawUrgent
+	}
+	if !withdraw(time.Now()) {
+		return StopBudget
 	}
-	return r.budget.Withdraw(time.Now())
+	return ""
 }
 
-// giveUp ends the attempts with the current model. It reports true if another
-// model replaces it. Otherwise the client has its final answer: an aborted stream,
-// the fallback, the endpoint's failure or a refusal.
-func (r *run) giveUp(ctx context.Context, a *attempt) bool {
+// giveUp ends the attempts with the current model for the given reason. It reports
+// true if another model replaces it. Otherwise the client has its final answer: an
+// aborted stream, the fallback, the endpoint's failure or a refusal.
+func (r *run) giveUp(ctx context.Context, a *attempt, stop StopReason) bool {
 	refusal := &Refusal{Reason: EndpointsFailed, RetryAfter: r.request.retryAfter()}
-	switch {
-	case r.switchModel(ctx, refusal):
+	if r.switchModel(ctx, refusal) {
 		return true
-	case a.verdict == verdictFailure && !r.headSent && r.fallback == nil:
+	}
+	r.stopped = stop
+	if a.verdict == verdictFailure && !r.headSent && r.fallback == nil {
 		a.sendFailure()
-	default:
+	} else {
 		r.finish(ctx, refusal)
 	}
 	return false
@@ -277,6 +316,7 @@
 // finish ends a request for which no further attempt is made: it aborts an answer
 // that has begun, sends the fallback, or refuses the request.
 func (r *run) finish(ctx context.Context, refusal *Refusal) {
+	r.stopped = r.stopReason(ctx, refusal)
 	if r.headSent {
 		r.aborted = true
 		r.client.Abort()
@@ -294,6 +334,22 @@
 	r.refuse(&final)
 }
 
+// stopReason returns the reason for [run.finish]: the client has disconnected, the
+// time is up, the reason that giveUp has set, or the refusal of the gate or the
+// picker.
+func (r *run) stopReason(ctx context.Context, refusal *Refusal) StopReason {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return StopClientGone
+	case r.isTimeUp(ctx):
+		return StopReason(DeadlineExceeded)
+	case r.stopped != "":
+		return r.stopped
+	default:
+		return StopReason(refusal.Reason)
+	}
+}
+
 func (r *run) refuse(refusal *Refusal) {
 	r.refusal = refusal
 	r.client.Refuse(refusal)
@@ -318,6 +374,10 @@
 		Revision:   r.permission.Revision,
 		ConfigAge:  r.permission.Age,
 		Attempts:   r.sent,
+		Unsent:     r.unsent,
+		Stopped:    r.stopped,
+		Last:       r.last,
+		Broken:     r.broken,
 		Refusal:    r.refusal,
 		Status:     r.status,
 		ClientGone: ctx.Err() != nil,
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -4,17 +4,47 @@
 	"context"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// Causes for which the watchdog cancels an attempt.
-var (
-	errUnreachable = eris.New("endpoint is silent and cannot be reached")
-	errStuck       = eris.New("endpoint was silent for too long")
+// WatchdogCause is the cause for which the watchdog canceled an attempt.
+type WatchdogCause string
+
+// Causes for which the watchdog cancels an attempt: the outcome of the last probe
+// of a silent endpoint, or a silence that is too long even for an endpoint that can
+// be reached.
+const (
+	CauseProbeRefused  WatchdogCause = "probe refused"
+	CauseProbeTimedOut WatchdogCause = "probe timed out"
+	CauseProbeFailed   WatchdogCause = "probe failed"
+	CauseSilence       WatchdogCause = "silent too long"
 )
 
+func causeOfProbe(outcome ProbeOutcome) WatchdogCause {
+	switch outcome {
+	case ProbeRefused:
+		return CauseProbeRefused
+	case ProbeTimedOut:
+		return CauseProbeTimedOut
+	default:
+		return CauseProbeFailed
+	}
+}
+
+// watchdogError is the error with which the watchdog cancels an attempt.
+type watchdogError struct {
+	cause WatchdogCause
+	// silence is how long the endpoint had sent nothing.
+	silence time.Duration
+}
+
+func (e *watchdogError) Error() string {
+	if e.cause == CauseSilence {
+		return "endpoint was silent for too long"
+	}
+	return "endpoint is silent and cannot be reached"
+}
+
 const (
 	// silenceBeforeProbe is the silence after which the endpoint is probed. For a
 	// short latency objective, silenceTargetRatio times the objective is used
@@ -100,18 +130,18 @@
 		return
 	}
 	if silence > w.maxSilence() {
-		w.cancel(errStuck)
+		w.cancel(&watchdogError{cause: CauseSilence, silence: silence})
 		return
 	}
-	reached := w.prober.Reachable(ctx, w.attempt.endpoint.Address)
-	if reached || !lastActivity.Equal(w.attempt.lastActivityAt()) {
+	outcome := w.prober.Probe(ctx, w.attempt.endpoint.Address)
+	if outcome == ProbeReached || !lastActivity.Equal(w.attempt.lastActivityAt()) {
 		w.missed = 0
 		w.timer.Reset(w.probeAfter)
 		return
 	}
 	w.missed++
 	if w.missed >= maxMissedProbes {
-		w.cancel(errUnreachable)
+		w.cancel(&watchdogError{cause: causeOfProbe(outcome), silence: time.Since(lastActivity)})
 		return
 	}
 	w.timer.Reset(probePause)
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -80,6 +80,9 @@
 // RecordAttempt records and logs an attempt at an endpoint.
 func (t *Telemetry) RecordAttempt(event *relay.AttemptEvent) {
 	t.set.GetOrCreateCounter(fmt.Sprintf(`wigeonusher_attempts_total{service=%q,verdict=%q}`, event.Service, event.Verdict)).Inc()
+	if event.EndedBy == relay.EndedByWatchdog {
+		t.Count(fmt.Sprintf(`wigeonusher_attempts_canceled_total{service=%q,cause=%q}`, event.Service, event.WatchdogCause))
+	}
 	if event.FirstEvent > 0 {
 		t.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_first_event_seconds{service=%q,model=%q}`, event.Service, event.Model)).Update(event.FirstEvent.Seconds())
 	}
@@ -90,6 +93,12 @@
 		"took_ms": event.Took.Milliseconds(), "first_event_ms": event.FirstEvent.Milliseconds(),
 		"after_ms": event.SinceArrival.Milliseconds(), "longest_gap_ms": event.LongestGap.Milliseconds(),
 	}
+	if event.EndedBy != "" {
+		fields["ended_by"] = event.EndedBy
+	}
+	if event.EndedBy == relay.EndedByWatchdog {
+		fields["watchdog_cause"], fields["silence_ms"] = event.WatchdogCause, event.Silence.Milliseconds()
+	}
 	if event.Err != nil {
 		fields["error"] = event.Err.Error()
 	}
