explain: why a request ended, who ended its attempts, phases of roll-outs

The attempt lines name who ended the attempt; below the final line stand the reason why nothing followed, the last broken and the last attempt. Lines of roll-outs show service, target and phase. Endpoints that only the final line names select context lines too, so that a request whose attempts are lost is still shown with their removal.

--- a/cmd/internal/tool/explain.go
+++ b/cmd/internal/tool/explain.go
@@ -55,6 +55,26 @@
 	FirstMs  int     `json:"first_event_ms"`
 	GapMs    int     `json:"longest_gap_ms"`
 	AgeMs    int     `json:"config_age_ms"`
+	Phase    string  `json:"phase"`
+	Target   string  `json:"target"`
+
+	EndedBy       string `json:"ended_by"`
+	WatchdogCause string `json:"watchdog_cause"`
+	SilenceMs     int    `json:"silence_ms"`
+
+	Arrivals        int    `json:"arrivals"`
+	Unsent          int    `json:"unsent"`
+	StopReason      string `json:"stop_reason"`
+	LastEndpoint    string `json:"last_endpoint"`
+	LastVersion     string `json:"last_version"`
+	LastVerdict     string `json:"last_verdict"`
+	LastError       string `json:"last_error"`
+	BrokenEndpoint  string `json:"broken_endpoint"`
+	BrokenVersion   string `json:"broken_version"`
+	BrokenBy        string `json:"broken_by"`
+	BrokenAfterMs   int    `json:"broken_after_ms"`
+	BrokenCause     string `json:"broken_cause"`
+	BrokenSilenceMs int    `json:"broken_silence_ms"`
 }
 
 // explanation is the JSON output of the explain command.
@@ -145,6 +165,7 @@
 			continue
 		}
 		found.Outcomes = append(found.Outcomes, line)
+		endpoints = append(endpoints, line.LastEndpoint, line.BrokenEndpoint)
 	}
 	for _, line := range lines {
 		if !slices.Contains(contextMessages, line.Message) || !slices.Contains(instances, line.Instance) {
@@ -163,9 +184,8 @@
 	for _, a := range e.Attempts {
 		fmt.Fprintf(out, "  %s %s: arrival %d after %d ms at %s (%s %s, model %s): %s, status %d, %d events, first after %d ms, longest gap %d ms, took %d ms",
 			a.Time, a.Instance, a.Arrival, a.AfterMs, a.Endpoint, a.Service, a.Version, a.Model, a.Verdict, a.Status, a.Events, a.FirstMs, a.GapMs, a.TookMs)
-		if a.Error != "" {
-			fmt.Fprintf(out, "; %s", a.Error)
-		}
+		writeEnd(out, "ended by", a.EndedBy, a.WatchdogCause, a.SilenceMs)
+		writeError(out, a.Error)
 		out.WriteByte('\n')
 	}
 	for _, outcome := range e.Outcomes {
@@ -174,13 +194,54 @@
 			fmt.Fprintf(out, ", not run: %t", *outcome.NotRun)
 		}
 		fmt.Fprintf(out, ", took %d ms\n", outcome.TookMs)
+		outcome.writeStop(out)
 	}
 	if len(e.Context) > 0 {
 		out.WriteString("around it\n")
 	}
 	for _, line := range e.Context {
-		fmt.Fprintf(out, "  %s %s: %s %s %s %s\n", line.Time, line.Instance, line.Message, line.Endpoint, line.Reason, line.Error)
+		fmt.Fprintf(out, "  %s %s: %s %s %s %s", line.Time, line.Instance, line.Message, line.Endpoint, line.Reason, line.Error)
+		if line.Phase != "" {
+			fmt.Fprintf(out, "%s to %s: %s", line.Service, line.Target, line.Phase)
+		}
+		out.WriteByte('\n')
 	}
 	_, err := io.WriteString(w, out.String())
 	return err
 }
+
+// writeStop writes why no further attempt was made, with the last attempt and the
+// last one that was broken.
+func (l *logLine) writeStop(out *strings.Builder) {
+	if l.StopReason == "" {
+		return
+	}
+	fmt.Fprintf(out, "    no further attempt: %s, %d sent, %d unsent\n", l.StopReason, l.Arrivals, l.Unsent)
+	if l.BrokenEndpoint != "" {
+		fmt.Fprintf(out, "    last broken attempt: %s (%s), ended after %d ms", l.BrokenEndpoint, l.BrokenVersion, l.BrokenAfterMs)
+		writeEnd(out, "by", l.BrokenBy, l.BrokenCause, l.BrokenSilenceMs)
+		out.WriteByte('\n')
+	}
+	if l.LastEndpoint != "" {
+		fmt.Fprintf(out, "    last attempt: %s (%s), %s", l.LastEndpoint, l.LastVersion, l.LastVerdict)
+		writeError(out, l.LastError)
+		out.WriteByte('\n')
+	}
+}
+
+func writeError(out *strings.Builder, text string) {
+	if text != "" {
+		fmt.Fprintf(out, "; %s", text)
+	}
+}
+
+// writeEnd writes who ended an attempt and, for the watchdog, why.
+func writeEnd(out *strings.Builder, label, by, cause string, silenceMs int) {
+	if by == "" {
+		return
+	}
+	fmt.Fprintf(out, ", %s %s", label, by)
+	if cause != "" {
+		fmt.Fprintf(out, " (%s; silence of %d ms)", cause, silenceMs)
+	}
+}
--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -250,6 +250,49 @@
 	assert.Assert(t, code != tool.ExitOK)
 }
 
+// The lines of the attempts may be lost.
+func TestExplainTellsWhyAnAnswerWasBrokenOffFromItsLastLineAlone(t *testing.T) {
+	log := `
+{"msg":"roll-out phase agreed","instance":"entry-1","service":"s","target":"v2","phase":"completed","time":"T1"}
+{"msg":"request","instance":"entry-1","request":"id-1","outcome":"broken off","status":200,"arrivals":2,"unsent":6,"stop_reason":"no endpoint could be connected to","broken_endpoint":"i-1","broken_version":"v1","broken_by":"watchdog","broken_after_ms":6240,"broken_cause":"probe refused","broken_silence_ms":776,"last_endpoint":"i-2","last_version":"v1","last_verdict":"not sent","last_error":"connection refused","time":"T2"}
+{"msg":"endpoint removed","instance":"entry-1","endpoint":"i-1","reason":"not listed any more","time":"T3"}
+{"msg":"request","instance":"entry-1","request":"id-2","outcome":"broken off","arrivals":1,"unsent":0,"stop_reason":"unknown key","broken_endpoint":"i-3","broken_version":"v1","broken_by":"endpoint","last_endpoint":"i-3","last_version":"v1","last_verdict":"broken","time":"T4"}
+`
+	o := &operator{t: t}
+	for id, parts := range map[string][]string{
+		"id-1": {
+			"no further attempt: no endpoint could be connected to, 2 sent, 6 unsent\n",
+			"last broken attempt: i-1 (v1), ended after 6240 ms, by watchdog (probe refused; silence of 776 ms)\n",
+			"last attempt: i-2 (v1), not sent; connection refused\n",
+			"s to v2: completed\n", "endpoint removed i-1",
+		},
+		"id-2": {
+			"no further attempt: unknown key, 1 sent, 0 unsent\n", "i-3 (v1), ended after 0 ms, by endpoint\n",
+			"last attempt: i-3 (v1), broken\n",
+		},
+	} {
+		code, out := o.runWith(log, "explain", id)
+		assert.Equal(t, code, tool.ExitOK)
+		for _, part := range parts {
+			assert.Assert(t, strings.Contains(out, part), "%s in\n%s", part, out)
+		}
+	}
+}
+
+func TestExplainTellsWhoEndedAnAttempt(t *testing.T) {
+	log := `
+{"msg":"attempt","instance":"entry-1","request":"id-1","endpoint":"i-1","verdict":"broken","took_ms":5,"ended_by":"watchdog","watchdog_cause":"probe timed out","silence_ms":410,"error":"endpoint is silent and cannot be reached"}
+{"msg":"attempt","instance":"entry-1","request":"id-1","endpoint":"i-2","verdict":"broken","took_ms":6,"ended_by":"endpoint","error":"unexpected EOF"}
+`
+	code, out := (&operator{t: t}).runWith(log, "explain", "id-1")
+	assert.Equal(t, code, tool.ExitOK)
+	for _, part := range []string{
+		"took 5 ms, ended by watchdog (probe timed out; silence of 410 ms); endpoint is silent", "took 6 ms, ended by endpoint; unexpected EOF",
+	} {
+		assert.Assert(t, strings.Contains(out, part), "%s in\n%s", part, out)
+	}
+}
+
 func TestExperimentWritesPlots(t *testing.T) {
 	directory := filepath.Join(t.TempDir(), "plots")
 	var out, errOut bytes.Buffer
