--- a/node/entry/prober.go
+++ b/node/entry/prober.go
@@ -22,61 +22,70 @@
 // dialProber checks whether endpoints accept TCP connections.
 type dialProber struct {
 	mu       sync.Mutex
-	outcomes map[string]probeOutcome
+	outcomes map[string]cachedProbe
 }
 
-type probeOutcome struct {
+type cachedProbe struct {
 	checkedAt time.Time
-	result    relay.ProbeResult
+	outcome   relay.ProbeOutcome
 }
 
-func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]probeOutcome)} }
+func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]cachedProbe)} }
 
-// Probe implements [relay.Prober]. An inconclusive result is not reused.
-func (p *dialProber) Probe(ctx context.Context, address string) relay.ProbeResult {
-	if result, ok := p.lookup(address); ok {
-		return result
+// Probe implements [relay.Prober]. A failed probe is not reused: it says nothing
+// about the endpoint.
+func (p *dialProber) Probe(ctx context.Context, address string) relay.ProbeOutcome {
+	if outcome, ok := p.lookup(address); ok {
+		return outcome
 	}
-	result := p.connect(ctx, address)
-	if result == relay.ProbeInconclusive {
-		return result
+	outcome := p.connect(ctx, address)
+	if outcome == relay.ProbeFailed {
+		return outcome
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for cached, outcome := range p.outcomes {
-		if time.Since(outcome.checkedAt) > probeCacheTTL {
-			delete(p.outcomes, cached)
+	for address, cached := range p.outcomes {
+		if time.Since(cached.checkedAt) > probeCacheTTL {
+			delete(p.outcomes, address)
 		}
 	}
-	p.outcomes[address] = probeOutcome{checkedAt: time.Now(), result: result}
-	return result
+	p.outcomes[address] = cachedProbe{checkedAt: time.Now(), outcome: outcome}
+	return outcome
 }
 
-func (p *dialProber) lookup(address string) (result relay.ProbeResult, ok bool) {
+func (p *dialProber) lookup(address string) (relay.ProbeOutcome, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	outcome, found := p.outcomes[address]
-	return outcome.result, found && time.Since(outcome.checkedAt) <= probeCacheTTL
+	cached, found := p.outcomes[address]
+	return cached.outcome, found && time.Since(cached.checkedAt) <= probeCacheTTL
 }
 
-func (p *dialProber) connect(ctx context.Context, address string) relay.ProbeResult {
+func (p *dialProber) connect(ctx context.Context, address string) relay.ProbeOutcome {
 	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
+	switch {
+	case err == nil:
 		conn.Close()
-		return relay.ProbeAccepted
+		return relay.ProbeReached
+	case ctx.Err() != nil:
+		return relay.ProbeFailed
+	default:
+		return outcomeOfDialError(err)
 	}
+}
+
+func outcomeOfDialError(err error) relay.ProbeOutcome {
 	var netErr net.Error
 	switch {
-	case ctx.Err() != nil:
-		return relay.ProbeInconclusive
 	case errors.Is(err, syscall.ECONNRESET):
-		return relay.ProbeAccepted // an endpoint without room for another connection resets it
+		// An endpoint without room for another connection resets it; it still
+		// counts as reached.
+		return relay.ProbeReached
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return relay.ProbeRefused
 	case errors.As(err, &netErr) && netErr.Timeout(), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
-		return relay.ProbeUnanswered
+		return relay.ProbeTimedOut
 	default:
-		return relay.ProbeInconclusive
+		return relay.ProbeFailed
 	}
 }
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -124,8 +124,8 @@
 		e.budgets.setLiveInstances(now, e.cluster.LiveCount())
 		for _, probe := range e.pools.Probes(now) {
 			go func() {
-				if result := e.prober.Probe(ctx, probe.Address); result != relay.ProbeInconclusive {
-					probe.Done(time.Now(), result == relay.ProbeAccepted)
+				if outcome := e.prober.Probe(ctx, probe.Address); outcome != relay.ProbeFailed {
+					probe.Done(time.Now(), outcome == relay.ProbeReached)
 				}
 			}()
 		}
--- a/node/entry/suspects.go
+++ b/node/entry/suspects.go
@@ -50,13 +50,12 @@
 }
 
 // ReportCrash implements [relay.Suspects]. An endpoint that still accepts
-// connections lost a response but has not crashed, and an inconclusive probe shows
-// no crash.
+// connections lost a response but has not crashed, and a failed probe shows no crash.
 func (s *suspects) ReportCrash(fingerprint uint64, address string) {
 	go func() {
 		time.Sleep(crashProbeDelay)
 		switch s.prober.Probe(context.Background(), address) {
-		case relay.ProbeRefused, relay.ProbeUnanswered:
+		case relay.ProbeRefused, relay.ProbeTimedOut:
 			s.reportCrash(fingerprint, address)
 		default:
 		}
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -197,22 +197,21 @@
 // Prober probes endpoints.
 type Prober interface {
 	// Probe tries to connect to an endpoint.
-	Probe(ctx context.Context, address string) ProbeResult
+	Probe(ctx context.Context, address string) ProbeOutcome
 }
 
-// ProbeResult is the outcome of an attempt to connect to an endpoint.
-type ProbeResult int
+// ProbeOutcome is the outcome of a probe.
+type ProbeOutcome string
 
-// Results of a probe. The zero value is [ProbeInconclusive].
+// Outcomes of a probe.
 const (
-	// ProbeInconclusive: the probe was canceled or failed locally.
-	ProbeInconclusive ProbeResult = iota
-	// ProbeAccepted: the endpoint accepts connections, or has no room for another
-	// one.
-	ProbeAccepted
-	// ProbeRefused: the host is reachable, but the endpoint does not accept
-	// connections. It may still serve those that it has.
-	ProbeRefused
-	// ProbeUnanswered: nothing answered.
-	ProbeUnanswered
+	// ProbeReached: the endpoint accepts connections, or has no room for another one.
+	ProbeReached ProbeOutcome = "reached"
+	// ProbeRefused: the host is reachable, but nothing listens at the endpoint's
+	// address. The endpoint may still serve the connections that it has.
+	ProbeRefused ProbeOutcome = "refused"
+	// ProbeTimedOut: nothing answered.
+	ProbeTimedOut ProbeOutcome = "timed out"
+	// ProbeFailed: the probe was canceled or failed locally.
+	ProbeFailed ProbeOutcome = "failed"
 )
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -4,17 +4,34 @@
 	"context"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// Causes for which the watchdog cancels an attempt.
-var (
-	errUnreachable = eris.New("endpoint is silent and cannot be reached")
-	errStuck       = eris.New("endpoint was silent for too long")
+// WatchdogCause is the cause for which the watchdog canceled an attempt.
+type WatchdogCause string
+
+// Causes for which the watchdog cancels an attempt: probes of its silent endpoint
+// got no answer, or the silence was too long even for an endpoint that can be
+// reached.
+const (
+	CauseProbeTimedOut WatchdogCause = "probe timed out"
+	CauseSilence       WatchdogCause = "silent too long"
 )
 
+// watchdogError is the error with which the watchdog cancels an attempt.
+type watchdogError struct {
+	cause WatchdogCause
+	// silence is how long the endpoint had sent nothing.
+	silence time.Duration
+}
+
+func (e *watchdogError) Error() string {
+	if e.cause == CauseSilence {
+		return "endpoint was silent for too long"
+	}
+	return "endpoint is silent and cannot be reached"
+}
+
 const (
 	// silenceBeforeProbe is the silence after which the endpoint is probed. For a
 	// short latency objective, silenceTargetRatio times the objective is used
@@ -104,20 +121,20 @@
 		return
 	}
 	if silence > w.maxSilence() {
-		w.giveUp(errStuck)
+		w.giveUp(&watchdogError{cause: CauseSilence, silence: silence})
 		return
 	}
-	result := w.prober.Probe(ctx, w.attempt.endpoint.Address)
+	outcome := w.prober.Probe(ctx, w.attempt.endpoint.Address)
 	// A refused connection does not end an attempt: a host resets the connections of a
 	// process that has ended, so this one is still served.
-	if result != ProbeUnanswered || !lastActivity.Equal(w.attempt.lastActivityAt()) {
+	if outcome != ProbeTimedOut || !lastActivity.Equal(w.attempt.lastActivityAt()) {
 		w.missed = 0
 		w.timer.Reset(w.probeAfter)
 		return
 	}
 	w.missed++
 	if w.missed >= maxMissedProbes {
-		w.giveUp(errUnreachable)
+		w.giveUp(&watchdogError{cause: CauseProbeTimedOut, silence: time.Since(lastActivity)})
 		return
 	}
 	w.timer.Reset(probePause)
