--- a/node/broadcast/broadcast.go
+++ b/node/broadcast/broadcast.go
@@ -27,9 +27,6 @@
 	batchDelay = 40 * time.Millisecond
 	// evidenceInterval is the time between broadcasts of roll-out evidence.
 	evidenceInterval = time.Second
-	// sessionLookupTimeout bounds the lookup of a session at peers. It is short
-	// because the lookup delays a request.
-	sessionLookupTimeout = 60 * time.Millisecond
 	// maxPerKind bounds the notices of long prompts, and those of crashes, in one
 	// call.
 	maxPerKind = 256
@@ -151,32 +148,6 @@
 	return alive
 }
 
-// AskSession asks all live peers whether a session runs on the target version of a
-// roll-out, and returns the first reply of a peer that knows. known is false if no
-// peer gives such a reply within sessionLookupTimeout.
-func (b *Broadcaster) AskSession(ctx context.Context, service, target, session string) (onTarget, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, sessionLookupTimeout)
-	defer cancel()
-	peers := b.livePeers()
-	replies := make(chan *peerpb.SessionVersionReply, len(peers))
-	for _, other := range peers {
-		go func() {
-			reply, err := b.client.SessionVersion(ctx, other.Address, &peerpb.SessionVersionRequest{Service: service, Target: target, Session: session})
-			if err != nil {
-				// A peer that fails or does not reply in time counts as not knowing.
-				reply = &peerpb.SessionVersionReply{}
-			}
-			replies <- reply
-		}()
-	}
-	for range peers {
-		if reply := <-replies; reply.Known {
-			return reply.OnTarget, true
-		}
-	}
-	return false, false
-}
-
 // Exchange handles a heartbeat of a peer.
 func (b *Broadcaster) Exchange(ctx context.Context, digest *peerpb.Digest) (*peerpb.Digest, error) {
 	handler := cluster.Handler{Cluster: b.cluster}
@@ -196,9 +167,3 @@
 	}
 	return &peerpb.NoticeReply{}, nil
 }
-
-// SessionVersion handles a peer's lookup of a session.
-func (b *Broadcaster) SessionVersion(_ context.Context, request *peerpb.SessionVersionRequest) (*peerpb.SessionVersionReply, error) {
-	onTarget, known := b.listener.SessionVersion(request.Service, request.Target, request.Session)
-	return &peerpb.SessionVersionReply{Known: known, OnTarget: onTarget}, nil
-}
