Endpoints that fail together do not use up the attempts of an answer

Callers lost an answer although live endpoints could continue it: six unsent attempts ended a request, and dead endpoints look idle, so a zone or a rack of six or more takes all six within a few milliseconds.

An unsent attempt costs nothing but its time. Another one now follows as long as a usable endpoint of an allowed version is untried, up to 50 attempts; a paused endpoint does not count as usable, so the unsent attempts of all requests together are about one for each dead endpoint and pause. Once no such endpoint is left, the bound of six holds as before, so what cannot be served is refused as early as before.

--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -50,7 +50,8 @@
 
 // Reasons for which a request's attempts end, other than those of a refusal.
 const (
-	// StopUnsent: [maxTries] attempts could not connect.
+	// StopUnsent: the last attempt could not connect, and neither could those at all
+	// other usable endpoints or at [maxUnsent] of them.
 	StopUnsent StopReason = "no endpoint could be connected to"
 	// StopTries: [maxTries] attempts were sent.
 	StopTries StopReason = "calls used up"
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -210,12 +211,14 @@
 		r.escalated, r.model = true, a.nextModel
 		return true
 	}
+	failedBefore := slices.Contains(r.avoid, a.endpoint.ID)
 	r.avoid = append(r.avoid, a.endpoint.ID)
 	if a.verdict == verdictNotSent {
 		// Nothing reached the endpoint, so the attempt costs no retry.
 		r.sent--
 		r.unsent++
-		return r.unsent < maxTries || r.giveUp(ctx, a, StopUnsent)
+		hasUntried := !failedBefore && a.lease.HasAlternative(ctx)
+		return mayFollowUnsent(r.unsent, hasUntried) || r.giveUp(ctx, a, StopUnsent)
 	}
 	if stop := r.checkRetry(a); stop != "" {
 		return r.giveUp(ctx, a, stop)
@@ -223,6 +226,14 @@
 	return true
 }
 
+// mayFollowUnsent reports whether another attempt may follow after the given number of
+// unsent ones. Endpoints that fail together must not use up the attempts while others
+// are usable. hasUntried reports that there is a usable endpoint that the request has
+// not tried.
+func mayFollowUnsent(unsent int, hasUntried bool) bool {
+	return unsent < maxTries || hasUntried && unsent < maxUnsent
+}
+
 // checkRetry takes one retry from the budget. It returns a reason if no other
 // attempt may follow the given one.
 func (r *run) checkRetry(a *attempt) StopReason {
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -20,8 +20,10 @@
 	escalationReserve = 1
 	// maxTries bounds the calls of one request that reach an endpoint, including
 	// those that the endpoint rejects. The calls that could not be sent are counted
-	// separately and have the same bound.
+	// separately and have the same bound once no untried endpoint is usable.
 	maxTries = 6
+	// maxUnsent bounds the calls of one request that could not be sent.
+	maxUnsent = 50
 	// minPaceEvents is the least number of events for which a stream's pace is
 	// computed.
 	minPaceEvents = 5
