An answer that has begun waits while no endpoint takes it

Callers lost an answer because all endpoints refused connections or were full for a moment: all attempts were made within 0 s, without a pause, and the answer was cut off although its client would have waited for seconds. A restart of all engines or a short overload is enough.

Once no usable endpoint is untried, an answer that has begun and can be resumed now pauses before the next attempt, for 100, 200 and then 400 ms, until its client has left (2 s, four times the latency objective or eight times the allowed pause without an event, whichever is longest) or the deadline is near. After a call that was not executed the first retry follows at once and the next ones after the same pauses; each still takes a retry and counts as a try, so the budget and the bound of six calls hold. Attempts that follow each other go round the endpoints: the list of failed ones starts anew when all have failed. A request whose answer has not begun is refused at once as before, with the statement that it has not run.

--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -28,4 +28,10 @@
 // request has not run: only if every attempt either ended before a byte was
 // sent or was answered by the endpoint with the statement that it did not run
 // the request.
+//
+// An attempt that could not be sent costs no retry, so each usable endpoint is tried.
+// If all of them refuse connections or are full, a request whose answer has not begun
+// is refused without delay, so that the client can retry elsewhere. An answer that has
+// begun and can be resumed waits for an endpoint, with growing pauses, for as long as
+// its client waits for the next event (see [run.waitForEndpoint]).
 package relay
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -50,8 +50,9 @@
 
 // Reasons for which a request's attempts end, other than those of a refusal.
 const (
-	// StopUnsent: the last attempt could not connect, and neither could those at all
-	// other usable endpoints or at [maxUnsent] of them.
+	// StopUnsent: the last attempt could not connect, no untried endpoint was usable, and
+	// the request was not worth holding any longer (see [run.waitForEndpoint]); or
+	// [maxUnsent] attempts could not connect.
 	StopUnsent StopReason = "no endpoint could be connected to"
 	// StopTries: [maxTries] attempts were sent.
 	StopTries StopReason = "calls used up"
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -40,11 +40,14 @@
 	// fallback is that answer if it is complete.
 	escalated bool
 	fallback  *Answer
-	avoid     []platform.EndpointID
+	// avoid lists the endpoints whose attempts have failed, since the last time that
+	// there was no other.
+	avoid []platform.EndpointID
 	// headSent reports that the head of an answer was sent to the client.
 	headSent bool
 	// lastEvent is the ID of the last event that the client has.
 	lastEvent string
+	backoff   backoff
 	status    int
 	refusal   *Refusal
 	aborted   bool
@@ -201,6 +204,9 @@
 		r.runs++
 	}
 	r.reportDelivery(a)
+	if a.events > 0 {
+		r.backoff.recordEvent(a.lastEventAt)
+	}
 	switch a.verdict {
 	case verdictDelivered:
 		return false
@@ -212,26 +218,41 @@
 		return true
 	}
 	failedBefore := slices.Contains(r.avoid, a.endpoint.ID)
+	if failedBefore {
+		r.avoid = nil
+	}
 	r.avoid = append(r.avoid, a.endpoint.ID)
 	if a.verdict == verdictNotSent {
 		// Nothing reached the endpoint, so the attempt costs no retry.
 		r.sent--
 		r.unsent++
-		hasUntried := !failedBefore && a.lease.HasAlternative(ctx)
-		return mayFollowUnsent(r.unsent, hasUntried) || r.giveUp(ctx, a, StopUnsent)
+		return r.continueAfterUnsent(ctx, a, failedBefore) || r.giveUp(ctx, a, StopUnsent)
 	}
 	if stop := r.checkRetry(a); stop != "" {
 		return r.giveUp(ctx, a, stop)
 	}
+	if a.verdict == verdictNotExecuted && !a.misdirected {
+		r.backoff.rejections++
+		if r.backoff.rejections > 1 {
+			r.waitForEndpoint(ctx)
+		}
+	}
 	return true
 }
 
-// mayFollowUnsent reports whether another attempt may follow after the given number of
-// unsent ones. Endpoints that fail together must not use up the attempts while others
-// are usable. hasUntried reports that there is a usable endpoint that the request has
-// not tried.
-func mayFollowUnsent(unsent int, hasUntried bool) bool {
-	return unsent < maxTries || hasUntried && unsent < maxUnsent
+// continueAfterUnsent reports whether another attempt follows an unsent one, and waits
+// before it if necessary. Endpoints that fail together must not use up the attempts
+// while others are usable: each of these is tried. failedBefore reports that the
+// endpoint was tried again because no other was left.
+func (r *run) continueAfterUnsent(ctx context.Context, a *attempt, failedBefore bool) bool {
+	switch {
+	case r.unsent >= maxUnsent:
+		return false
+	case !failedBefore && (r.unsent < maxTries || a.lease.HasAlternative(ctx)):
+		return true
+	default:
+		return r.waitForEndpoint(ctx) || r.unsent < maxTries
+	}
 }
 
 // checkRetry takes one retry from the budget. It returns a reason if no other
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -20,7 +20,8 @@
 	escalationReserve = 1
 	// maxTries bounds the calls of one request that reach an endpoint, including
 	// those that the endpoint rejects. The calls that could not be sent are counted
-	// separately and have the same bound once no untried endpoint is usable.
+	// separately and have the same bound once no untried endpoint is usable, unless the
+	// request waits for one.
 	maxTries = 6
 	// maxUnsent bounds the calls of one request that could not be sent.
 	maxUnsent = 50
--- a/node/relay/unsent_test.go
+++ b/node/relay/unsent_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"strconv"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
@@ -106,3 +108,116 @@
 		}
 	}
 }
+
+// No endpoint takes an answer that has begun for a moment. Its client still waits.
+func TestAnswerThatHasBegunIsCutOffWhileAllEndpointsAreBusyForAMoment(t *testing.T) {
+	const busyFor = 300 * time.Millisecond
+	always := func(*Call) bool { return true }
+	for _, c := range []struct {
+		name      string
+		endpoints int
+		busy      behavior
+		// back reports whether the endpoint of the call accepts it after busyFor.
+		back func(call *Call) bool
+		// within is the time within which the answer must be complete.
+		within time.Duration
+	}{
+		{"all refuse connections", 3, behavior{refused: true}, always, busyFor},
+		{"all of many refuse connections", 20, behavior{refused: true}, always, busyFor},
+		{"one that refused accepts connections again", 4, behavior{refused: true}, func(call *Call) bool { return call.isAt("e2") }, 1200 * time.Millisecond},
+		{"all are full", 12, behavior{notExecuted: true}, always, busyFor},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				started := time.Now()
+				h := newHarness(testTable(testRoute(route.Stream)), c.endpoints, func(call *Call, number int) behavior {
+					switch {
+					case number == 0:
+						return behavior{events: 2}
+					case time.Since(started) < busyFor || !c.back(call):
+						return c.busy
+					default:
+						return behavior{events: -1}
+					}
+				})
+				request := testRequest()
+				request.Prompt = []PromptPart{{ID: "shared"}, {ID: "own"}}
+				h.serve(request)
+				t.Logf("%d calls, %v, stopped: %q", len(h.endpoints.calls), time.Since(started), h.observer.done[0].Stopped)
+				assert.Equal(t, h.client.body.String(), wholeStream(0))
+				assert.Assert(t, time.Since(started) <= c.within)
+				assert.Equal(t, h.endpoints.runs(), 2)
+			})
+		})
+	}
+}
+
+// An answer that has begun waits for an endpoint only as long as its client does, and
+// without a storm of connections.
+func TestAnswerThatHasBegunWaitsNoLongerThanItsClient(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(rt *route.Route)
+		begun  bool
+		// A client leaves after longest. At least shortest of it is used.
+		shortest, longest time.Duration
+	}{
+		{"the objectives are short", func(rt *route.Route) { rt.TargetLatency, rt.TargetGap = 300*time.Millisecond, 100*time.Millisecond }, true, 1500 * time.Millisecond, 2 * time.Second},
+		{"the latency objective is long", func(rt *route.Route) { rt.TargetLatency, rt.TargetGap = 800*time.Millisecond, 100*time.Millisecond }, true, 2700 * time.Millisecond, 3200 * time.Millisecond},
+		{"long pauses are allowed", func(rt *route.Route) { rt.TargetLatency, rt.TargetGap = 300*time.Millisecond, 500*time.Millisecond }, true, 3500 * time.Millisecond, 4 * time.Second},
+		{"the deadline is near", func(*route.Route) {}, true, 4500 * time.Millisecond, 5*time.Second - minRemaining},
+		{"the stream can only be restarted", func(rt *route.Route) { rt.Resumable, rt.Restartable = false, true }, true, 0, 0},
+		{"the answer has not begun", func(*route.Route) {}, false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := testRoute(route.Stream)
+				c.change(rt)
+				started := time.Now()
+				h := newHarness(testTable(rt), 8, func(_ *Call, number int) behavior {
+					return behavior{refused: number > 0 || !c.begun, events: 2}
+				})
+				h.serve(testRequest())
+				took, done := time.Since(started), h.observer.done[0]
+				t.Logf("%d calls, %v, stopped: %q", len(h.endpoints.calls), took, done.Stopped)
+				assert.Assert(t, took >= c.shortest && took <= c.longest, "%v", took)
+				assert.Assert(t, len(h.endpoints.calls) <= 9+10*int(took/time.Second+1))
+				if c.begun && rt.Resumable || !c.begun {
+					assert.Equal(t, done.Stopped, StopUnsent)
+				}
+				if !c.begun {
+					assert.Assert(t, h.client.refusal.NotRun)
+					assert.Assert(t, h.client.refusal.RetryAfter > 0)
+				}
+			})
+		})
+	}
+}
+
+func TestWaitingAnswerEndsWhenItsClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, leave := context.WithCancel(t.Context())
+		started := time.Now()
+		time.AfterFunc(time.Second, leave)
+		h := newHarness(testTable(testRoute(route.Stream)), 3, func(_ *Call, number int) behavior {
+			return behavior{refused: number > 0, events: 2}
+		})
+		h.relay.Serve(ctx, testRequest(), h.client)
+		assert.Equal(t, time.Since(started), time.Second)
+		assert.Equal(t, h.observer.done[0].Stopped, StopClientGone)
+	})
+}
+
+// A rejected call costs a retry, waiting or not.
+func TestWaitingAnswerTakesARetryForEachRejection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 12, func(_ *Call, number int) behavior {
+			return behavior{notExecuted: number > 0, events: 2}
+		})
+		h.budget = retry.NewWindow(retry.WindowConfig{Length: 10 * time.Second, Slack: 3})
+		h.relay.Budgets = singleBudget{h.budget}
+		h.serve(testRequest())
+		assert.Equal(t, len(h.endpoints.calls), 4)
+		assert.Equal(t, h.observer.done[0].Stopped, StopBudget)
+	})
+}
