An answer that has begun waits while no endpoint is listed

Callers lost an answer if no endpoint of an allowed version was listed at the moment at which its endpoint ended, for instance between the end of the old engines and the listing of the new ones: the refusal of the picker ended it at once. It now waits as it does while all endpoints refuse connections. Other refusals (of the gate, of a request that crashes endpoints) still end it at once, and a request whose answer has not begun is refused at once.

TestAnswerThatHasBegunIsCutOffBetweenTwoListsOfEndpoints: before, cut off after 0 s ("no endpoint"); after, complete at 300 ms, after an endpoint was listed at 250 ms.

--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -30,8 +30,9 @@
 // the request.
 //
 // An attempt that could not be sent costs no retry, so each usable endpoint is tried.
-// If all of them refuse connections or are full, a request whose answer has not begun
-// is refused without delay, so that the client can retry elsewhere. An answer that has
-// begun and can be resumed waits for an endpoint, with growing pauses, for as long as
-// its client waits for the next event (see [run.waitForEndpoint]).
+// If all of them refuse connections or are full, or none is listed, a request whose
+// answer has not begun is refused without delay, so that the client can retry
+// elsewhere. An answer that has begun and can be resumed waits for an endpoint, with
+// growing pauses, for as long as its client waits for the next event (see
+// [run.waitForEndpoint]).
 package relay
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -118,7 +118,7 @@
 		}
 		lease, refusal := r.pickEndpoint(ctx)
 		if refusal != nil {
-			if r.switchModel(ctx, refusal) {
+			if r.switchModel(ctx, refusal) || refusal.Reason == NoEndpoint && r.waitForEndpoint(ctx) {
 				continue
 			}
 			r.finish(ctx, refusal)
--- a/node/relay/unsent_test.go
+++ b/node/relay/unsent_test.go
@@ -221,3 +221,23 @@
 		assert.Equal(t, h.observer.done[0].Stopped, StopBudget)
 	})
 }
+
+// For a moment, no endpoint that may continue an answer is listed.
+func TestAnswerThatHasBegunIsCutOffBetweenTwoListsOfEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		var h *harness
+		h = newHarness(testTable(testRoute(route.Stream)), 1, func(_ *Call, number int) behavior {
+			if number > 0 {
+				return behavior{events: -1}
+			}
+			h.pools.Remove(time.Now(), "e0")
+			time.AfterFunc(250*time.Millisecond, func() { h.put("new", 1, "zone", "v1") })
+			return behavior{events: 2}
+		})
+		h.serve(testRequest())
+		t.Logf("%v, stopped: %q", time.Since(started), h.observer.done[0].Stopped)
+		assert.Equal(t, h.client.body.String(), wholeStream(0))
+		assert.Equal(t, time.Since(started), 300*time.Millisecond)
+	})
+}
