--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -50,7 +50,9 @@
 
 // Reasons for which a request's attempts end, other than those of a refusal.
 const (
-	// StopUnsent: [maxTries] attempts could not connect.
+	// StopUnsent: the last attempt could not connect, no untried endpoint was usable, and
+	// the request was not worth holding any longer (see [run.waitForEndpoint]); or
+	// [maxUnsent] attempts could not connect.
 	StopUnsent StopReason = "no endpoint could be connected to"
 	// StopTries: [maxTries] attempts were sent.
 	StopTries StopReason = "calls used up"
