node/relay: plan the model anew when the configuration drops it

A change of the configuration may move a route to another service, or give it other models, while a request runs. checkAdmission picked the new service but kept the model planned for the old route. The endpoints answer such a request with 421 and do not run it; each 421 counts as a replaced endpoint, so that it pauses a healthy one, until all tries are used.

- If the route has other models than before and does not list the planned one, the model is planned anew.
If it still lists it, the model is kept, so that a request that was escalated to a larger model is not sent to the small one again.
- After a discarded answer, SizePlanner.First returns the largest model: Next lets no second answer be discarded, so a small model's answer would be final.
The discarded answer stays the fallback.
- The version of the first attempt is forgotten with its service.
Versions of two services may have the same name; it came before the versions that the roll-out of the new service assigns.

--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -114,8 +114,8 @@
 // behavior is what an endpoint does with one call.
 type behavior struct {
 	// refused rejects the connection; notExecuted answers that the call did not
-	// run.
-	refused, notExecuted bool
+	// run, and misdirected that the address belongs to another endpoint.
+	refused, notExecuted, misdirected bool
 	// silent runs the call and never answers.
 	silent bool
 	// reset breaks the connection after the call was received.
@@ -167,7 +167,7 @@
 			return nil, &SendError{MayBeSent: true, Err: os.ErrDeadlineExceeded}
 		}
 	case b.notExecuted:
-		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Authentic: true, Body: body("")}, nil
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Body: body("")}, nil
 	}
 	status := b.status
 	if status == 0 {
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -30,8 +30,8 @@
 
 // Planner selects the models that run a request.
 type Planner interface {
-	// First returns the model for the first attempt, empty if the planner does not
-	// choose one.
+	// First returns the model for the first attempt, or for a further one if the route
+	// no longer lists the planned model; empty if the planner does not choose one.
 	First(progress *Progress) route.ModelName
 	// Next returns the larger model to ask after an answer with the given
 	// confidence in [0, 1]. If it reports false, the answer is sent to the client.
@@ -97,7 +97,8 @@
 	Permission *Permission
 	Service    route.ServiceName
 	Model      route.ModelName
-	// Version is the version that the first attempt used, empty before it.
+	// Version is the version that the first attempt at the service used, empty before
+	// it.
 	Version string
 	// Avoid lists endpoints whose attempts have failed: they are used only if no
 	// other endpoint is available.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +23,7 @@
 	deadline   time.Time
 	service    route.ServiceName
 	budget     Budget
-	// version is the version that the first attempt used.
+	// version is the version that the first attempt at the service used.
 	version string
 	// model is the model planned for the next attempt.
 	model route.ModelName
@@ -87,9 +88,9 @@
 }
 
 // useService sets the service of the request and counts the request in its retry
-// budget.
+// budget. The versions of an earlier service mean nothing at this one.
 func (r *run) useService(service route.ServiceName) {
-	r.service = service
+	r.service, r.version = service, ""
 	r.budget = r.relay.Budgets.Budget(service)
 	r.budget.RecordRequest(time.Now())
 }
@@ -161,9 +162,9 @@
 }
 
 // checkAdmission returns a refusal if the request's time is up or, after the first
-// attempt, if the gate no longer admits the request. It picks another service if
-// the route no longer allows the current one, and returns a refusal if there is
-// none. Otherwise it returns nil.
+// attempt, if the gate no longer admits the request. It picks another service or
+// model if the route no longer allows the current one, and returns a refusal if there
+// is no service. Otherwise it returns nil.
 func (r *run) checkAdmission(ctx context.Context) *Refusal {
 	if r.isTimeUp(ctx) {
 		return &Refusal{Reason: DeadlineExceeded}
@@ -175,18 +176,30 @@
 	if refusal != nil {
 		return refusal
 	}
+	previous := r.permission.Route
 	r.permission = permission
-	if permission.Route.Allows(r.service) {
-		return nil
-	}
-	service, ok := permission.Route.Pick(r.draw)
-	if !ok {
-		return &Refusal{Reason: NoEndpoint, RetryAfter: r.request.retryAfter()}
+	if !permission.Route.Allows(r.service) {
+		service, ok := permission.Route.Pick(r.draw)
+		if !ok {
+			return &Refusal{Reason: NoEndpoint, RetryAfter: r.request.retryAfter()}
+		}
+		r.useService(service)
 	}
-	r.useService(service)
+	r.replaceUnlistedModel(previous)
 	return nil
 }
 
+// replaceUnlistedModel plans the model anew if the route had other models before, and
+// does not list the planned one now: endpoints reject such a request, with an answer
+// that makes them look replaced. A fallback from an earlier model is kept.
+func (r *run) replaceUnlistedModel(previous *route.Route) {
+	models := r.permission.Route.Models
+	if slices.Equal(models, previous.Models) || slices.Contains(models, r.model) {
+		return
+	}
+	r.model = r.relay.Planner.First(r.progress())
+}
+
 // isTimeUp reports whether too little time remains for another attempt.
 func (r *run) isTimeUp(ctx context.Context) bool {
 	return ctx.Err() != nil || time.Until(r.deadline) < minRemaining
--- a/node/relay/sizing.go
+++ b/node/relay/sizing.go
@@ -23,18 +23,23 @@
 	pressures map[route.ServiceName]*sizes.Pressure
 }
 
-// First implements [Planner].
+// First implements [Planner]. After a discarded answer it returns the largest model,
+// because no further answer is discarded.
 func (s *SizePlanner) First(p *Progress) route.ModelName {
-	if !p.Request.AnyModel || len(p.Route.Models) == 0 {
+	models := p.Route.Models
+	if !p.Request.AnyModel || len(models) == 0 {
 		return ""
 	}
+	if p.Escalated {
+		return models[len(models)-1]
+	}
 	plan := s.sizingRequest(p)
 	plan.Retries -= escalationReserve
 	plan.Relief = s.relief(p.Service)
 	if p.Route.MaxAttempts < 2 || !p.Route.Repeatable() {
 		plan.Retries = 0
 	}
-	return p.Route.Models[sizes.First(plan)]
+	return models[sizes.First(plan)]
 }
 
 // Next implements [Planner]. At most one answer of a request is discarded.
