node/relay: a blocked write to the client is no silence of the endpoint

While a client reads slowly, the write to it blocks and the relay does not read from the endpoint. The watchdog counted this time as silence, and ended attempts whose endpoint was healthy and had sent everything: after 3 times the allowed pause if the endpoint could be reached, after about 0.4 s if not. That cost a run and a retry, and paused the endpoint.

The silence now counts from the end of the write, and not at all during one. The pool's time of the endpoint's last activity is left as it is: a write that has ended is no sign of the endpoint, and would hide a dead one from the watchdogs of other attempts there.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -74,10 +74,13 @@
 	verdict verdict
 	// nextModel is the larger model to ask after an answer of low confidence.
 	nextModel route.ModelName
-	// lastActivity is when the endpoint last sent something, in Unix nanoseconds;
-	// initially the start of the attempt. hasFirstEvent reports that the first event
-	// has arrived.
+	// lastActivity is the time, in Unix nanoseconds, from which on the silence of the
+	// endpoint is measured: the start of the attempt, or the last time at which the
+	// endpoint sent something or a write to the client ended. isWriting reports that
+	// such a write is in progress. hasFirstEvent reports that the first event has
+	// arrived.
 	lastActivity  atomic.Int64
+	isWriting     atomic.Bool
 	hasFirstEvent atomic.Bool
 	// retryWithdrawn reports that the watchdog has taken the retry that follows from
 	// the budget.
@@ -174,9 +177,27 @@
 	return rt.Repeatable() && a.run.runs+1 < rt.MaxAttempts
 }
 
-// lastActivityAt returns when the endpoint last sent something, or when the
-// attempt started if it has sent nothing.
-func (a *attempt) lastActivityAt() time.Time { return time.Unix(0, a.lastActivity.Load()) }
+// lastActivityAt returns the time from which on the silence of the endpoint is
+// measured. It is the current time during a write to the client: a client that reads
+// slowly keeps the attempt from reading what the endpoint sends.
+func (a *attempt) lastActivityAt() time.Time {
+	if a.isWriting.Load() {
+		return time.Now()
+	}
+	return time.Unix(0, a.lastActivity.Load())
+}
+
+// write sends a part of the body to the client. The lease does not learn of it, because
+// it is no sign of the endpoint.
+func (a *attempt) write(p []byte) error {
+	a.isWriting.Store(true)
+	defer func() {
+		// In this order, a check of the watchdog never sees the old time.
+		a.lastActivity.Store(time.Now().UnixNano())
+		a.isWriting.Store(false)
+	}()
+	return a.run.client.Write(p)
+}
 
 // recordActivity records that the endpoint sent something.
 func (a *attempt) recordActivity() {
@@ -245,7 +266,7 @@
 	a.recordFirstEvent()
 	a.sendHead()
 	a.verdict = verdictDelivered
-	if err := a.run.client.Write(body); err != nil {
+	if err := a.write(body); err != nil {
 		a.verdict, a.err = verdictClientGone, err
 	}
 }
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -53,7 +53,7 @@
 	a.recordFirstEvent()
 	a.recordGap()
 	a.sendHead()
-	if err := a.run.client.Write(events); err != nil {
+	if err := a.write(events); err != nil {
 		a.verdict, a.err = verdictClientGone, err
 		return false
 	}
@@ -80,7 +80,7 @@
 	a.sendHead()
 	a.verdict = verdictDelivered
 	if len(rest) > 0 {
-		if err := a.run.client.Write(rest); err != nil {
+		if err := a.write(rest); err != nil {
 			a.verdict, a.err = verdictClientGone, err
 		}
 	}
