node/relay: an endpoint is not paused because the request ended

An attempt that ended by the request's deadline, or whose client left while the connection was made, counted as broken: a healthy endpoint was paused for 0.25 s or more (twice as long with each further one) and its failure rate rose.

Such an attempt now counts as abandoned, which says nothing about the endpoint, if the request ended before the endpoint was silent for an unusual time: for longer than it takes to be probed (0.35 s, or half of a short objective) and, before the first event, for longer than such an event usually takes.

All else counts as before: a longer silence up to the deadline (the endpoint may well be dead, and on routes that are not repeatable no watchdog would find out), a refused connection or a connect timeout even as the request ends, a failure whose body does not arrive within its own limit, and an end by the watchdog. Verdict, `ended_by` and the outcome for the client do not change.

TestEndpointIsNotPausedBecauseTheRequestEnded: the cases of a client that leaves or a deadline while connecting, of a short silence at the deadline (two), before the usual time, during the answer and during a failure's body failed before (endpoint paused) and pass now; the others guard what has to count as before. TestEndpointThatTheWatchdogGaveUpIsPaused: before 2 endpoints paused, after 1, the one that the watchdog gave up. TestConnectionThatItsRequestEndedIsNotTakenForARefusedOne (package platform) passes before and after; it guards the errors by which the relay tells these apart.

--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -28,8 +28,8 @@
 const (
 	// Succeeded: the request got a complete answer.
 	Succeeded Result = iota
-	// Abandoned: the client disconnected before the answer was complete, which does
-	// not count against the endpoint.
+	// Abandoned: the request ended before its answer was complete, because the client
+	// disconnected or the time was up, which does not count against the endpoint.
 	Abandoned
 	// Failed: the endpoint answered with a failure.
 	Failed
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -85,16 +85,18 @@
 	// retryWithdrawn reports that the watchdog has taken the retry that follows from
 	// the budget.
 	retryWithdrawn atomic.Bool
-	// crashed reports that the endpoint broke the connection.
-	crashed     bool
-	misdirected bool
-	answer      *Answer
-	failureBody []byte
-	events      int
-	firstEvent  time.Duration
-	lastEventAt time.Time
-	longestGap  time.Duration
-	err         error
+	// crashed reports that the endpoint broke the connection, and inconclusive that
+	// the failed attempt says nothing about its endpoint, see [attempt.isInconclusive].
+	crashed      bool
+	inconclusive bool
+	misdirected  bool
+	answer       *Answer
+	failureBody  []byte
+	events       int
+	firstEvent   time.Duration
+	lastEventAt  time.Time
+	longestGap   time.Duration
+	err          error
 }
 
 // mayHaveRun reports whether the endpoint may have run the request.
@@ -209,6 +211,8 @@
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.MayBeSent {
 		a.verdict, a.err = verdictNotSent, err
+		// A refused connection counts even if the request ends at the same time.
+		a.inconclusive = isContextError(err) && a.isInconclusive(ctx)
 		return
 	}
 	a.markBroken(ctx, err)
@@ -227,6 +231,29 @@
 	case errors.Is(cause, context.Canceled):
 		a.verdict = verdictClientGone
 	}
+	a.inconclusive = !a.crashed && a.isInconclusive(ctx)
+}
+
+// isInconclusive reports whether a failed attempt says nothing about its endpoint,
+// because the request ended before the endpoint was silent for an unusual time: for
+// longer than it takes to be probed and, before the first event, for longer than such
+// an event usually takes. After a longer silence the endpoint may well be dead.
+func (a *attempt) isInconclusive(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	if errors.As(cause, new(*watchdogError)) || cause == nil && time.Now().Before(a.run.deadline) {
+		return false
+	}
+	usual := probeAfter(a.run.permission.Route)
+	if a.verdict != verdictNotSent && !a.hasFirstEvent.Load() {
+		usual = max(usual, a.lease.UsualFirstEvent())
+	}
+	return time.Since(a.lastActivityAt()) <= usual
+}
+
+// isContextError reports whether a connection failed because its context was canceled
+// or its time was up.
+func isContextError(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // shouldEscalate reports whether the answer is discarded to ask a larger model.
@@ -309,6 +336,9 @@
 }
 
 func (a *attempt) poolResult() pool.Result {
+	if a.inconclusive {
+		return pool.Abandoned
+	}
 	switch a.verdict {
 	case verdictDelivered, verdictLowConfidence:
 		return pool.Succeeded
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -90,10 +90,7 @@
 		attempt: a, cancel: cancel, gate: r.relay.Gate, prober: r.relay.Prober, planner: r.relay.Planner,
 		route: r.permission.Route, budget: r.budget, headSent: r.headSent, triesLeft: r.sent < maxTries,
 		usualFirstEvent: a.lease.UsualFirstEvent(), progress: r.progress(),
-		probeAfter: silenceBeforeProbe,
-	}
-	if target := w.route.TargetLatency; target > 0 {
-		w.probeAfter = min(w.probeAfter, time.Duration(silenceTargetRatio*float64(target)))
+		probeAfter: probeAfter(r.permission.Route),
 	}
 	// w.timer is set before the timer can fire, because check uses w.timer.
 	w.timer = time.AfterFunc(time.Hour, func() { w.check(ctx) })
@@ -101,6 +98,14 @@
 	return w
 }
 
+// probeAfter returns the silence after which an endpoint is probed.
+func probeAfter(rt *route.Route) time.Duration {
+	if rt.TargetLatency <= 0 {
+		return silenceBeforeProbe
+	}
+	return min(silenceBeforeProbe, time.Duration(silenceTargetRatio*float64(rt.TargetLatency)))
+}
+
 func (w *watchdog) stop() { w.timer.Stop() }
 
 // check cancels the attempt if its endpoint was silent for too long or cannot be
