--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -74,24 +74,29 @@
 	verdict verdict
 	// nextModel is the larger model to ask after an answer of low confidence.
 	nextModel route.ModelName
-	// lastActivity is when the endpoint last sent something, in Unix nanoseconds;
-	// initially the start of the attempt. hasFirstEvent reports that the first event
-	// has arrived.
+	// lastActivity is the time, in Unix nanoseconds, from which on the silence of the
+	// endpoint is measured: the start of the attempt, or the last time at which the
+	// endpoint sent something or a write to the client ended. isWriting reports that
+	// such a write is in progress. hasFirstEvent reports that the first event has
+	// arrived.
 	lastActivity  atomic.Int64
+	isWriting     atomic.Bool
 	hasFirstEvent atomic.Bool
 	// retryWithdrawn reports that the watchdog has taken the retry that follows from
 	// the budget.
 	retryWithdrawn atomic.Bool
-	// crashed reports that the endpoint broke the connection.
-	crashed     bool
-	misdirected bool
-	answer      *Answer
-	failureBody []byte
-	events      int
-	firstEvent  time.Duration
-	lastEventAt time.Time
-	longestGap  time.Duration
-	err         error
+	// crashed reports that the endpoint broke the connection, and inconclusive that
+	// the failed attempt says nothing about its endpoint, see [attempt.isInconclusive].
+	crashed      bool
+	inconclusive bool
+	misdirected  bool
+	answer       *Answer
+	failureBody  []byte
+	events       int
+	firstEvent   time.Duration
+	lastEventAt  time.Time
+	longestGap   time.Duration
+	err          error
 }
 
 // mayHaveRun reports whether the endpoint may have run the request.
@@ -174,9 +179,27 @@
 	return rt.Repeatable() && a.run.runs+1 < rt.MaxAttempts
 }
 
-// lastActivityAt returns when the endpoint last sent something, or when the
-// attempt started if it has sent nothing.
-func (a *attempt) lastActivityAt() time.Time { return time.Unix(0, a.lastActivity.Load()) }
+// lastActivityAt returns the time from which on the silence of the endpoint is
+// measured. It is the current time during a write to the client: a client that reads
+// slowly keeps the attempt from reading what the endpoint sends.
+func (a *attempt) lastActivityAt() time.Time {
+	if a.isWriting.Load() {
+		return time.Now()
+	}
+	return time.Unix(0, a.lastActivity.Load())
+}
+
+// write sends a part of the body to the client. The lease does not learn of it, because
+// it is no sign of the endpoint.
+func (a *attempt) write(p []byte) error {
+	a.isWriting.Store(true)
+	defer func() {
+		// In this order, a check of the watchdog never sees the old time.
+		a.lastActivity.Store(time.Now().UnixNano())
+		a.isWriting.Store(false)
+	}()
+	return a.run.client.Write(p)
+}
 
 // recordActivity records that the endpoint sent something.
 func (a *attempt) recordActivity() {
@@ -188,6 +211,8 @@
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.MayBeSent {
 		a.verdict, a.err = verdictNotSent, err
+		// A refused connection counts even if the request ends at the same time.
+		a.inconclusive = isContextError(err) && a.isInconclusive(ctx)
 		return
 	}
 	a.markBroken(ctx, err)
@@ -206,6 +231,29 @@
 	case errors.Is(cause, context.Canceled):
 		a.verdict = verdictClientGone
 	}
+	a.inconclusive = !a.crashed && a.isInconclusive(ctx)
+}
+
+// isInconclusive reports whether a failed attempt says nothing about its endpoint,
+// because the request ended before the endpoint was silent for an unusual time: for
+// longer than it takes to be probed and, before the first event, for longer than such
+// an event usually takes. After a longer silence the endpoint may well be dead.
+func (a *attempt) isInconclusive(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	if errors.As(cause, new(*watchdogError)) || cause == nil && time.Now().Before(a.run.deadline) {
+		return false
+	}
+	usual := probeAfter(a.run.permission.Route)
+	if a.verdict != verdictNotSent && !a.hasFirstEvent.Load() {
+		usual = max(usual, a.lease.UsualFirstEvent())
+	}
+	return time.Since(a.lastActivityAt()) <= usual
+}
+
+// isContextError reports whether a connection failed because its context was canceled
+// or its time was up.
+func isContextError(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // shouldEscalate reports whether the answer is discarded to ask a larger model.
@@ -245,7 +293,7 @@
 	a.recordFirstEvent()
 	a.sendHead()
 	a.verdict = verdictDelivered
-	if err := a.run.client.Write(body); err != nil {
+	if err := a.write(body); err != nil {
 		a.verdict, a.err = verdictClientGone, err
 	}
 }
@@ -288,6 +336,9 @@
 }
 
 func (a *attempt) poolResult() pool.Result {
+	if a.inconclusive {
+		return pool.Abandoned
+	}
 	switch a.verdict {
 	case verdictDelivered, verdictLowConfidence:
 		return pool.Succeeded
