A completion is known whatever is read first

Orders and statuses are read from two topics.

TestCompletionIsKnownWhateverOrderIsReadFirst failed before the change (v1 instead of v2, after the next order) and passes after it: any completed status of the service names its incumbent.

--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -152,7 +152,7 @@
 	s.rollout = canary.New(order, v.tuning, v.now())
 	if status, ok := v.statuses[order.Service]; ok {
 		s.rollout.ApplyStatus(status)
-		s.recordEnd()
+		s.recordRollback()
 	}
 	v.log.WithFields(logrus.Fields{
 		"service": order.Service, "target": order.Target, "duration_s": order.Duration.Seconds(), "phase": s.rollout.Phase.String(),
@@ -168,12 +168,15 @@
 	for _, status := range statuses {
 		v.statuses[status.Service] = status
 		s := v.service(status.Service)
+		if status.Phase == canary.Completed {
+			s.incumbent = status.Target
+		}
 		if s.rollout == nil {
 			continue
 		}
 		before := s.rollout.Phase
 		s.rollout.ApplyStatus(status)
-		s.recordEnd()
+		s.recordRollback()
 		if before != s.rollout.Phase {
 			answers, paces := s.rollout.TotalEvidence().Answers, s.rollout.TotalEvidence().Paces
 			v.log.WithFields(logrus.Fields{
@@ -206,15 +209,10 @@
 	return s.choice(current, state.target != "")
 }
 
-// recordEnd marks the target version as bad if it was rolled back, and as the
-// incumbent of the next roll-out if this one is completed.
-func (s *service) recordEnd() {
-	switch s.rollout.Phase {
-	case canary.RolledBack:
+// recordRollback marks the target version as bad if it was rolled back.
+func (s *service) recordRollback() {
+	if s.rollout.Phase == canary.RolledBack {
 		s.setBad(s.rollout.Order.Target, true)
-	case canary.Completed:
-		s.incumbent = s.rollout.Order.Target
-	default:
 	}
 }
 
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -224,6 +224,36 @@
 	}
 }
 
+// Orders and statuses are read from separate topics, so the final status of a roll-out
+// may be read after the next order, or by an instance that never saw the first one.
+func TestCompletionIsKnownWhateverOrderIsReadFirst(t *testing.T) {
+	next := order
+	next.Target = "v3"
+	for name, read := range map[string]func(f *fixture){
+		"after the next order": func(f *fixture) {
+			f.versions.Order(order)
+			f.agree(canary.Full)
+			f.versions.Order(next)
+			f.agree(canary.Completed)
+		},
+		"before its own order": func(f *fixture) {
+			f.agree(canary.Completed)
+			f.versions.Order(order)
+			f.versions.Order(next)
+		},
+		"without its own order": func(f *fixture) {
+			f.agree(canary.Completed)
+			f.versions.Order(next)
+		},
+	} {
+		f := newFixture()
+		read(f)
+		lease, refusal := f.newPicker("v1", "v2", "v3").Pick(context.Background(), testQuery("v1"))
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, lease.Endpoint().Version, "v2", name)
+	}
+}
+
 // A version that is neither the target of the last completed roll-out nor that of
 // the next one is used if it is the only one.
 func TestEndpointsOfAnUnknownVersionAreUsedIfThereAreNoOthers(t *testing.T) {
