--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -189,7 +189,7 @@
 	// that is.
 	rejections int
 	// onFirstCall runs in the first executed call; nil does nothing.
-	onFirstCall func()
+	onFirstCall func(call *Call)
 	// resumable makes further calls send the rest of the stream; otherwise their
 	// connections are refused.
 	resumable bool
@@ -207,7 +207,7 @@
 	switch {
 	case p.calls == 1:
 		if p.onFirstCall != nil {
-			p.onFirstCall()
+			p.onFirstCall(call)
 		}
 		whole := wholeStream(0)
 		rest := wholeStream(2)
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -69,10 +68,9 @@
 
 // Pick implements [EndpointPicker]. It prefers the version of the first attempt if
 // [Choice.Keeps] holds for it, then the assigned versions, then any allowed one.
-// Endpoints of failed attempts
-// are used only if there is no other; an answer of low confidence does not count as
-// a failure. The versions are chosen for each attempt, because the roll-out may
-// have advanced since the last one.
+// Endpoints of failed attempts are used only if there is no other; an answer of low
+// confidence does not count as a failure. The versions are chosen for each attempt,
+// because the roll-out may have advanced since the last one.
 func (p *PooledPicker) Pick(ctx context.Context, query *Query) (Lease, *Refusal) {
 	request := query.Request
 	fingerprint := request.Fingerprint(query.Permission.Account)
@@ -103,13 +101,19 @@
 // first is the version of the first attempt, empty before it.
 func (c Choice) preferences(first string) []func(version string) bool {
 	filters := []func(string) bool{c.Assigned, c.Allowed}
-	if first == "" || c.Keeps != nil && !c.Keeps(first) {
+	if first == "" || !c.mayContinue(first) {
 		return filters
 	}
-	isFirst := func(version string) bool { return version == first && (c.Allowed == nil || c.Allowed(version)) }
+	isFirst := func(version string) bool { return version == first }
 	return append([]func(string) bool{isFirst}, filters...)
 }
 
+// mayContinue reports whether endpoints of the version may go on with a request: they
+// may run it, and do not stop together.
+func (c Choice) mayContinue(version string) bool {
+	return (c.Allowed == nil || c.Allowed(version)) && (c.Keeps == nil || c.Keeps(version))
+}
+
 // pooledLease is a [Lease] at an endpoint of a pool.
 type pooledLease struct {
 	picker      *PooledPicker
@@ -130,11 +134,10 @@
 
 // HasAlternative implements [Lease]. The versions are chosen anew, because the
 // roll-out may have advanced during the attempt.
-func (p *pooledLease) HasAlternative(ctx context.Context) bool {
+func (p *pooledLease) HasAlternative(ctx context.Context, avoid []platform.EndpointID) bool {
 	request := p.query.Request
 	choice := p.picker.Versions.Choose(ctx, p.query.Service, request.Session, request.ID)
-	avoid := append(slices.Clone(p.query.Avoid), p.lease.Endpoint.ID)
-	return p.endpoints.HasUsable(time.Now(), pool.Query{Version: choice.Allowed, Avoid: avoid})
+	return p.endpoints.HasUsable(time.Now(), pool.Query{Version: choice.mayContinue, Avoid: avoid})
 }
 
 func (p *pooledLease) UsualFirstEvent() time.Duration {
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -115,8 +115,9 @@
 	// UsualFirstEvent returns the usual time to the first event of such requests,
 	// 0 if unknown.
 	UsualFirstEvent() time.Duration
-	// HasAlternative reports whether another endpoint could run the request now.
-	HasAlternative(ctx context.Context) bool
+	// HasAlternative reports whether an endpoint other than those to avoid could run
+	// the request now.
+	HasAlternative(ctx context.Context, avoid []platform.EndpointID) bool
 	// RecordActivity records that the endpoint sent something. LastActivity
 	// returns when it last did so to this instance.
 	RecordActivity()
@@ -144,7 +145,7 @@
 func (NopLease) UsualFirstEvent() time.Duration { return 0 }
 
 // HasAlternative implements [Lease].
-func (NopLease) HasAlternative(context.Context) bool { return true }
+func (NopLease) HasAlternative(context.Context, []platform.EndpointID) bool { return true }
 
 // RecordActivity implements [Lease].
 func (NopLease) RecordActivity() {}
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -250,26 +250,33 @@
 		name string
 		// change runs while the first call is in progress; nil makes the stream
 		// restartable only.
-		change func(h *harness, rt *route.Route)
+		change func(h *harness, rt *route.Route, call *Call)
 	}{
-		{"the key was revoked", func(h *harness, rt *route.Route) {
+		{"the key was revoked", func(h *harness, rt *route.Route, _ *Call) {
 			h.tables.set(route.NewTable(2, route.Limits{}, []*route.Route{rt}, nil, map[string]*route.Account{}))
 		}},
-		{"no other endpoint is listed", func(h *harness, _ *route.Route) {
-			h.pools.Remove(time.Now(), "e1")
-			h.pools.Remove(time.Now(), "e0")
+		{"no other endpoint is listed", func(h *harness, _ *route.Route, call *Call) {
+			for _, id := range []platform.EndpointID{"e0", "e1"} {
+				if id != call.Endpoint {
+					h.pools.Remove(time.Now(), id)
+				}
+			}
 		}},
-		{"all other endpoints are paused", func(h *harness, _ *route.Route) {
+		{"all other endpoints are paused", func(h *harness, _ *route.Route, _ *Call) {
 			for range 2 {
 				lease, ok := h.pools.Service(testService).Choose(time.Now(), pool.Query{})
 				assert.Assert(t, ok)
 				lease.End(time.Now(), pool.Broken)
 			}
 		}},
-		{"the other endpoints are of a version that is not allowed", func(h *harness, _ *route.Route) {
+		{"the other endpoints are of a version that is not allowed", func(h *harness, _ *route.Route, _ *Call) {
 			isOther := func(version string) bool { return version == "v2" }
 			h.picker.Versions = fixedChoice{Choice{Assigned: isOther, Allowed: isOther}}
 		}},
+		{"the other endpoints are of a replaced version", func(h *harness, _ *route.Route, _ *Call) {
+			isNew := func(version string) bool { return version == "v2" }
+			h.picker.Versions = fixedChoice{Choice{Assigned: isNew, Keeps: isNew}}
+		}},
 		{"the stream can only be restarted", nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -281,7 +288,7 @@
 				if c.change == nil {
 					rt.Resumable, rt.Restartable = false, true
 				} else {
-					endpoints.onFirstCall = func() { c.change(h, rt) }
+					endpoints.onFirstCall = func(call *Call) { c.change(h, rt, call) }
 				}
 				h.relay.Endpoints = endpoints
 				h.serve(testRequest())
@@ -311,16 +318,65 @@
 		h.relay.Budgets = singleBudget{h.budget}
 		h.relay.Prober = slowUnanswered{}
 		clients := make([]recordingClient, 4)
+		endpoints := make([]pausingEndpoints, len(clients))
 		var served sync.WaitGroup
 		for i := range clients {
 			relay := New(h.relay.Config)
-			relay.Endpoints = &pausingEndpoints{pause: 900 * time.Millisecond, resumable: true}
+			endpoints[i] = pausingEndpoints{pause: 900 * time.Millisecond, resumable: true}
+			relay.Endpoints = &endpoints[i]
 			served.Go(func() { relay.Serve(context.Background(), testRequest(), &clients[i]) })
 		}
 		served.Wait()
+		calls := 0
 		for i := range clients {
 			assert.Equal(t, clients[i].body.String(), wholeStream(0), "client %d", i)
+			calls += endpoints[i].calls
 		}
+		assert.Equal(t, calls, len(clients)+1, "the budget covers one retry")
+	})
+}
+
+func TestWatchdogMovesAnAnswerToAnEndpointThatRejectedItBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 2, func(_ *Call, number int) behavior {
+			return behavior{notExecuted: number == 0, silent: number == 1, events: -1}
+		})
+		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.serve(testRequest())
+		assert.Equal(t, h.client.body.String(), wholeStream(0))
+	})
+}
+
+// A connection may go silent for good while the endpoint answers on new ones.
+func TestOnlyEndpointIsAskedAgainOnANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 1, func(_ *Call, number int) behavior {
+			return behavior{silent: number == 0, events: -1}
+		})
+		h.serve(testRequest())
+		assert.Equal(t, h.client.body.String(), wholeStream(0))
+	})
+}
+
+// The reserve of the budget is for answers that have begun, also in their further
+// attempts.
+func TestWatchdogUsesTheReserveForAnAnswerThatHasBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(testTable(testRoute(route.Stream)), 4, func(_ *Call, number int) behavior {
+			switch number {
+			case 0:
+				return behavior{events: 2}
+			case 1:
+				return behavior{silent: true}
+			default:
+				return behavior{events: -1}
+			}
+		})
+		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.budget = retry.NewWindow(retry.WindowConfig{Length: time.Minute, Slack: 2, Reserve: 2})
+		h.relay.Budgets = singleBudget{h.budget}
+		h.serve(testRequest())
+		assert.Equal(t, h.client.body.String(), wholeStream(0))
 	})
 }
 
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -260,7 +260,7 @@
 	switch {
 	case r.unsent >= maxUnsent:
 		return false
-	case !failedBefore && (r.unsent < maxTries || a.lease.HasAlternative(ctx)):
+	case !failedBefore && (r.unsent < maxTries || a.lease.HasAlternative(ctx, r.avoid)):
 		return true
 	default:
 		return r.waitForEndpoint(ctx) || r.unsent < maxTries
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -72,6 +74,8 @@
 	// headSent reports that the client had a part of the answer when the attempt
 	// started, and triesLeft that the request may be sent again after it.
 	headSent, triesLeft bool
+	// avoid lists the endpoints of the failed attempts and of this one.
+	avoid []platform.EndpointID
 	// usualFirstEvent is the usual time to the first event.
 	usualFirstEvent time.Duration
 	// probeAfter is the silence after which the endpoint is probed.
@@ -89,6 +93,7 @@
 	w := &watchdog{
 		attempt: a, cancel: cancel, gate: r.relay.Gate, prober: r.relay.Prober, planner: r.relay.Planner,
 		route: r.permission.Route, budget: r.budget, headSent: r.headSent, triesLeft: r.sent < maxTries,
+		avoid:           append(slices.Clone(r.avoid), a.endpoint.ID),
 		usualFirstEvent: a.lease.UsualFirstEvent(), progress: r.progress(),
 		probeAfter: probeAfter(r.permission.Route),
 	}
@@ -165,7 +170,12 @@
 	if _, refusal := w.gate.Admit(w.progress.Request); refusal != nil {
 		return false
 	}
-	return w.attempt.lease.HasAlternative(ctx)
+	// Until the answer begins, the picker uses endpoints again that it has avoided.
+	var avoid []platform.EndpointID
+	if w.hasBegun() {
+		avoid = w.avoid
+	}
+	return w.attempt.lease.HasAlternative(ctx, avoid)
 }
 
 // hasBegun reports whether the client has a part of the answer.
