Reads of the operator topic no longer prolong the grace period after an outage

Requests were sent to an endpoint up to 2.8 s after the registry had accepted its leaving (DRAIN, bound 2 s).

The grace period in which a removal may be an expired registration began again - with each read of the registry while the response to the operator topic's read was overdue, and - with that response, which comes up to 1.5 s late as a read waits for a record.

Now the first counts only if the read of the registry was sent before the response became overdue, as a later read can't have waited through the outage; and the second only if the registry was not read since the operator topic's last failure. A removal within the period is still kept until its end, 2 s after the registry became readable, which is within the bound for endpoints that left after that. Endpoints known as leaving need no rule of their own: they are never chosen.

Both TestLateOperatorReadDoesNotProlongTheGracePeriod and TestOverdueOperatorReadDoesNotProlongTheGracePeriod failed with the former tailers.go (count 1, want 0). TestOutage... guard what the two conditions are for, and passed before too.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -109,10 +109,13 @@
 	// answeredAt is the boot time of the last successful read of the operator
 	// topic.
 	answeredAt atomic.Int64
-	pools      *pool.Pools
-	prober     *dialProber
-	suspects   *suspects
-	budgets    *budgets
+	// registryAnsweredAt is the boot time of the last successful read of the
+	// registry topic.
+	registryAnsweredAt atomic.Int64
+	pools              *pool.Pools
+	prober             *dialProber
+	suspects           *suspects
+	budgets            *budgets
 
 	cluster     *cluster.Cluster
 	peerClient  *peer.Client
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -1,14 +1,19 @@
 package entry
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/coord/finding"
+	"github.com/wigeonusher/wigeonusher/coord/keyed"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/tailer"
 )
 
 // TestWaitingReadIsNoDisturbance guards against treating a read that waits until
@@ -33,6 +38,68 @@
 	}
 }
 
+// TestLateOperatorReadDoesNotProlongTheGracePeriod guards against sending requests
+// to endpoints that left soon after an outage: the first read of the operator topic
+// after the outage may wait for a record long after the registry was readable.
+func TestLateOperatorReadDoesNotProlongTheGracePeriod(t *testing.T) {
+	e := newEntryWithEndpoint()
+	failed := boottime.Now()
+	e.applyRegistry(tailer.Batch{Sent: failed, Recovered: true, Failed: failed})
+	readable := time.Now()
+	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Changes: []keyed.Change{{Key: "e"}}})
+	assert.Equal(t, e.pools.Count(), 1, "the endpoint may register again")
+	time.Sleep(50 * time.Millisecond)
+	e.applyOperator(tailer.Batch{Recovered: true, Failed: failed})
+	e.pools.Expire(readable.Add(2 * time.Second))
+	assert.Equal(t, e.pools.Count(), 0)
+}
+
+// TestOutageThatARegistryReadOutlastsStartsTheGracePeriod guards against losing
+// endpoints whose registration expired in an outage that only the reads of the
+// operator topic noticed.
+func TestOutageThatARegistryReadOutlastsStartsTheGracePeriod(t *testing.T) {
+	e := newEntryWithEndpoint()
+	e.applyRegistry(tailer.Batch{})
+	time.Sleep(time.Millisecond)
+	e.applyOperator(tailer.Batch{Recovered: true, Failed: boottime.Now()})
+	e.applyRegistry(tailer.Batch{Changes: []keyed.Change{{Key: "e"}}})
+	assert.Equal(t, e.pools.Count(), 1)
+	e.pools.Expire(time.Now().Add(2 * time.Second))
+	assert.Equal(t, e.pools.Count(), 0)
+}
+
+// TestOverdueOperatorReadDoesNotProlongTheGracePeriod is the same for reads of the
+// registry before that read of the operator topic is answered.
+func TestOverdueOperatorReadDoesNotProlongTheGracePeriod(t *testing.T) {
+	e := newEntryWithEndpoint()
+	e.answeredAt.Store(int64(boottime.Now()) - int64(5*time.Second))
+	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Recovered: true, Failed: boottime.Now()})
+	readable := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Changes: []keyed.Change{{Key: "e"}}})
+	e.pools.Expire(readable.Add(2 * time.Second))
+	assert.Equal(t, e.pools.Count(), 0)
+}
+
+// TestOutageWithinARegistryReadStartsTheGracePeriod guards against losing endpoints
+// whose registration expired in an outage that no read has reported as a failure.
+func TestOutageWithinARegistryReadStartsTheGracePeriod(t *testing.T) {
+	e := newEntryWithEndpoint()
+	sent := boottime.Now() - boottime.Instant(4*time.Second)
+	e.answeredAt.Store(int64(sent))
+	e.applyRegistry(tailer.Batch{Sent: sent, Changes: []keyed.Change{{Key: "e"}}})
+	assert.Equal(t, e.pools.Count(), 1)
+}
+
+func newEntryWithEndpoint() *Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	e := &Entry{pools: pool.New("z", logrus.NewEntry(logger))}
+	e.answeredAt.Store(int64(boottime.Now()))
+	e.pools.Put(pool.Record{ID: "e", Service: "s", Address: "127.0.0.1:1", Zone: "z", Version: "v1", Slots: 1})
+	return e
+}
+
 func TestAllFindingsOfSettingsAreReported(t *testing.T) {
 	_, err := ParseSettings("file", []byte(`{
 		"name": "", "zone": 7, "client_address": "nowhere", "odd": 1,
--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -39,11 +39,20 @@
 // topic is overdue. A long read of the registry may not notice a short outage
 // during which registrations expire.
 func (e *Entry) isStoreUnresponsive() bool {
-	return boottime.Since(boottime.Instant(e.answeredAt.Load())) > operatorWait+lateAnswerTolerance
+	return boottime.Now() > e.operatorReadDue()
+}
+
+// operatorReadDue returns when the response to a read of the operator topic is
+// overdue.
+func (e *Entry) operatorReadDue() boottime.Instant {
+	return boottime.Instant(e.answeredAt.Load()) + boottime.Instant(operatorWait+lateAnswerTolerance)
 }
 
 func (e *Entry) applyOperator(batch tailer.Batch) {
-	if batch.Recovered {
+	// A read of the registry may wait through an outage without a failure. If the
+	// registry was read after the last failure, the outage ended for it earlier, and
+	// the wait of the operator read must not prolong the grace period.
+	if batch.Recovered && boottime.Instant(e.registryAnsweredAt.Load()) < batch.Failed {
 		e.pools.RegistryRestored(time.Now())
 	}
 	for _, change := range batch.Changes {
@@ -83,9 +92,11 @@
 
 func (e *Entry) applyRegistry(batch tailer.Batch) {
 	now := time.Now()
-	if batch.Recovered || e.isStoreUnresponsive() {
+	mayHaveMissedOutage := e.isStoreUnresponsive() && batch.Sent < e.operatorReadDue()
+	if batch.Recovered || mayHaveMissedOutage {
 		e.pools.RegistryRestored(now)
 	}
+	e.registryAnsweredAt.Store(int64(boottime.Now()))
 	for _, change := range batch.Changes {
 		id := platform.EndpointID(change.Key)
 		if change.Value == nil {
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -34,6 +34,8 @@
 	Next keyed.Offset
 	// Recovered reports that the read before this one failed.
 	Recovered bool
+	// Failed is when the last failed read ended, if there was one.
+	Failed boottime.Instant
 }
 
 // Config holds the topic to follow and the handler of its batches.
@@ -55,6 +57,7 @@
 	config   Config
 	state    keyed.State
 	failures int // failed calls since the last success
+	failed   boottime.Instant
 }
 
 // New returns a tailer that has not read the topic.
@@ -99,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	batch := Batch{Changes: changes, Sent: sent, Next: t.state.Next(), Recovered: t.failures > 0}
+	batch := Batch{Changes: changes, Sent: sent, Next: t.state.Next(), Recovered: t.failures > 0, Failed: t.failed}
 	if t.failures > 0 {
 		t.config.Logger.WithFields(logrus.Fields{"topic": t.config.Topic, "failed_calls": t.failures}).Info("topic is readable again")
 	}
@@ -110,6 +113,7 @@
 
 func (t *Tailer) recordFailure(err error) {
 	t.failures++
+	t.failed = boottime.Now()
 	if t.failures == 1 {
 		t.config.Logger.WithError(err).WithField("topic", t.config.Topic).Warn("topic is not readable")
 	}
