--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -11,9 +11,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
@@ -57,12 +59,7 @@
 func (b singleBudget) Budget(route.ServiceName) Budget { return b }
 func (b singleBudget) Escalate(now time.Time) bool     { return b.Withdraw(now) }
 
-type anyVersion struct{}
-
-func (anyVersion) Choose(context.Context, route.ServiceName, string, string) Choice { return Choice{} }
-func (anyVersion) Observe(route.ServiceName, string, VersionOutcome)                {}
-
-// fixedChoice returns the same choice for each request.
+// fixedChoice is a [Versions] that makes the same choice for each request.
 type fixedChoice struct{ choice Choice }
 
 func (f fixedChoice) Choose(context.Context, route.ServiceName, string, string) Choice {
@@ -70,7 +67,7 @@
 }
 func (fixedChoice) Observe(route.ServiceName, string, VersionOutcome) {}
 
-// slowUnanswered is a [Prober] that reaches nobody and reports it after a while.
+// slowUnanswered is a [Prober] whose probes take a while and get no answer.
 type slowUnanswered struct{}
 
 func (slowUnanswered) Probe(context.Context, string) ProbeOutcome {
@@ -78,15 +75,10 @@
 	return ProbeTimedOut
 }
 
-// unreachableEndpoints is a [Prober] that reaches all addresses but those listed.
-type unreachableEndpoints struct{ addresses map[string]bool }
+// probeResult is a [Prober] whose probes all have the same outcome.
+type probeResult ProbeOutcome
 
-func (u unreachableEndpoints) Probe(_ context.Context, address string) ProbeOutcome {
-	if u.addresses[address] {
-		return ProbeTimedOut
-	}
-	return ProbeReached
-}
+func (p probeResult) Probe(context.Context, string) ProbeOutcome { return ProbeOutcome(p) }
 
 type noSuspects struct{}
 
@@ -181,6 +173,19 @@
 	return answer, nil
 }
 
+// runs returns the number of calls that the endpoints ran.
+func (s *scriptedEndpoints) runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, a := range s.calls {
+		if a.ran {
+			count++
+		}
+	}
+	return count
+}
+
 // pausingEndpoints is an [Endpoints] whose first executed call sends two events,
 // pauses, and then sends the rest of the stream unless it is canceled.
 type pausingEndpoints struct {
@@ -237,17 +242,7 @@
 	}
 }
 
-func (s *scriptedEndpoints) runs() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	count := 0
-	for _, a := range s.calls {
-		if a.ran {
-			count++
-		}
-	}
-	return count
-}
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
 
 // streamBody returns the events after the one at which the call resumes.
 func streamBody(call *Call, b behavior) Body {
@@ -262,7 +257,7 @@
 			text.WriteString("id: " + strconv.Itoa(id) + "\nda")
 			return &fakeBody{reader: io.MultiReader(&text, failing{})}
 		}
-		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
+		text.WriteString(event(id))
 		sent++
 	}
 	return &fakeBody{reader: &text}
@@ -340,18 +335,13 @@
 		client:    &recordingClient{},
 		observer:  &eventLog{},
 	}
-	for i := range endpoints {
-		h.pools.Put(pool.Record{
-			ID: platform.EndpointID("e" + strconv.Itoa(i)), Service: testService, Zone: "zone",
-			Address: "127.0.0.1:1", Version: "v1", Slots: 8,
-		})
-	}
-	h.picker = &PooledPicker{Pools: h.pools, Versions: anyVersion{}, Suspects: noSuspects{}}
+	h.put("e", endpoints, "zone", "v1")
+	h.picker = &PooledPicker{Pools: h.pools, Versions: fixedChoice{}, Suspects: noSuspects{}}
 	h.relay = New(Config{
 		Gate:    &TableGate{Tables: h.tables, MaxAge: func() time.Duration { return 5 * time.Second }},
 		Planner: &SizePlanner{Pools: h.pools, Accept: func() []float64 { return []float64{0.6} }},
 		Picker:  h.picker, Endpoints: h.endpoints, Budgets: singleBudget{h.budget},
-		Prober: unreachableEndpoints{}, Observer: h.observer,
+		Prober: probeResult(ProbeReached), Observer: h.observer,
 	})
 	return h
 }
@@ -369,7 +359,42 @@
 func wholeStream(after int) string {
 	var text bytes.Buffer
 	for id := after + 1; id <= streamEvents; id++ {
-		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
+		text.WriteString(event(id))
 	}
 	return text.String()
 }
+
+// put lists endpoints of testService whose IDs start with the prefix.
+func (h *harness) put(prefix string, count int, zone platform.Zone, version string) {
+	h.putAt(testService, prefix, count, zone, version)
+}
+
+func (h *harness) putAt(service route.ServiceName, prefix string, count int, zone platform.Zone, version string) {
+	for i := range count {
+		h.pools.Put(pool.Record{
+			ID: platform.EndpointID(prefix + strconv.Itoa(i)), Service: service, Zone: zone,
+			Address: "127.0.0.1:1", Version: version, Slots: 8,
+		})
+	}
+}
+
+// load gives endpoints of the version requests in flight.
+func (h *harness) load(t *testing.T, version string, requests int) {
+	t.Helper()
+	isVersion := func(v string) bool { return v == version }
+	for range requests {
+		_, ok := h.pools.Service(testService).Choose(time.Now(), pool.Query{Version: isVersion})
+		assert.Assert(t, ok)
+	}
+}
+
+// paused returns the endpoints that are paused.
+func (h *harness) paused() []platform.EndpointID {
+	var paused []platform.EndpointID
+	for _, s := range h.pools.Snapshots() {
+		if s.Paused {
+			paused = append(paused, s.ID)
+		}
+	}
+	return paused
+}
--- a/node/relay/move_test.go
+++ b/node/relay/move_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"slices"
-	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wigeonusher/wigeonusher/coord/platform"
-	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -25,23 +22,7 @@
 
 // putOther lists n endpoints of otherService that run the version.
 func (h *harness) putOther(n int, version string) {
-	for i := range n {
-		h.pools.Put(pool.Record{
-			ID: platform.EndpointID(version + "-" + strconv.Itoa(i)), Service: otherService, Zone: "zone",
-			Address: "127.0.0.1:1", Version: version, Slots: 8,
-		})
-	}
-}
-
-// paused returns the endpoints that are paused.
-func (h *harness) paused() []platform.EndpointID {
-	var paused []platform.EndpointID
-	for _, s := range h.pools.Snapshots() {
-		if s.Paused {
-			paused = append(paused, s.ID)
-		}
-	}
-	return paused
+	h.putAt(otherService, version+"-", n, "zone", version)
 }
 
 // Endpoints reject a request for a model that is not one of its route. A request that
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -221,7 +221,7 @@
 		h := newHarness(testTable(testRoute(route.Stream)), 2, func(_ *Call, number int) behavior {
 			return behavior{silent: number == 0, events: -1}
 		})
-		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.relay.Prober = probeResult(ProbeTimedOut)
 		started := time.Now()
 		h.serve(testRequest())
 		assert.Equal(t, h.client.body.String(), wholeStream(0))
@@ -237,7 +237,7 @@
 			}
 			return behavior{silent: true}
 		})
-		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.relay.Prober = probeResult(ProbeTimedOut)
 		h.serve(testRequest())
 		assert.Equal(t, h.endpoints.runs(), 1)
 	})
@@ -283,7 +283,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				rt := testRoute(route.Stream)
 				h := newHarness(testTable(rt), 2, nil)
-				h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+				h.relay.Prober = probeResult(ProbeTimedOut)
 				endpoints := &pausingEndpoints{pause: 2 * time.Second}
 				if c.change == nil {
 					rt.Resumable, rt.Restartable = false, true
@@ -302,7 +302,7 @@
 func TestWatchdogKeepsAnAnswerWhoseTriesAreUsedUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(testTable(testRoute(route.Stream)), 2*maxTries, nil)
-		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.relay.Prober = probeResult(ProbeTimedOut)
 		h.relay.Endpoints = &pausingEndpoints{pause: time.Second, rejections: maxTries - 1}
 		h.serve(testRequest())
 		assert.Equal(t, h.client.body.String(), wholeStream(0))
@@ -341,7 +341,7 @@
 		h := newHarness(testTable(testRoute(route.Stream)), 2, func(_ *Call, number int) behavior {
 			return behavior{notExecuted: number == 0, silent: number == 1, events: -1}
 		})
-		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.relay.Prober = probeResult(ProbeTimedOut)
 		h.serve(testRequest())
 		assert.Equal(t, h.client.body.String(), wholeStream(0))
 	})
@@ -372,7 +372,7 @@
 				return behavior{events: -1}
 			}
 		})
-		h.relay.Prober = unreachableEndpoints{addresses: map[string]bool{"127.0.0.1:1": true}}
+		h.relay.Prober = probeResult(ProbeTimedOut)
 		h.budget = retry.NewWindow(retry.WindowConfig{Length: time.Minute, Slack: 2, Reserve: 2})
 		h.relay.Budgets = singleBudget{h.budget}
 		h.serve(testRequest())
--- a/node/relay/stop_test.go
+++ b/node/relay/stop_test.go
@@ -171,11 +171,6 @@
 	})
 }
 
-// probeResult is a [Prober] whose probes all have the same outcome.
-type probeResult ProbeOutcome
-
-func (p probeResult) Probe(context.Context, string) ProbeOutcome { return ProbeOutcome(p) }
-
 func TestEndByTheWatchdogIsToldFromAnEndByTheEndpoint(t *testing.T) {
 	for _, c := range []struct {
 		name     string
--- a/node/relay/unsent_test.go
+++ b/node/relay/unsent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,22 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
-	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// put adds endpoints whose IDs start with the prefix.
-func (h *harness) put(prefix string, count int, zone platform.Zone, version string) {
-	for i := range count {
-		h.pools.Put(pool.Record{
-			ID: platform.EndpointID(prefix + strconv.Itoa(i)), Service: testService, Zone: zone,
-			Address: "127.0.0.1:1", Version: version, Slots: 8,
-		})
-	}
-}
-
 func (c *Call) isAt(prefix string) bool { return strings.HasPrefix(string(c.Endpoint), prefix) }
 
 // A group of endpoints fails together, and its endpoints look idle, so they are tried
@@ -68,16 +55,6 @@
 	}
 }
 
-// load gives endpoints of the version requests in flight.
-func (h *harness) load(t *testing.T, version string, requests int) {
-	t.Helper()
-	isVersion := func(v string) bool { return v == version }
-	for range requests {
-		_, ok := h.pools.Service(testService).Choose(time.Now(), pool.Query{Version: isVersion})
-		assert.Assert(t, ok)
-	}
-}
-
 // A call that may not run twice may still be sent to another endpoint while no byte of
 // it was sent.
 func TestUnsentCallOfAtMostOnceRouteIsRefusedAlthoughOneEndpointIsAlive(t *testing.T) {
