Tests are named after the failure that they guard against

Names such as TestAnswerIsCutOffAlthoughOneEndpointIsAlive stated the failure as if it were expected, beside others that state its absence.

--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -250,8 +250,8 @@
 	assert.Assert(t, code != tool.ExitOK)
 }
 
-// The lines of the attempts may be lost.
-func TestExplainTellsWhyAnAnswerWasBrokenOffFromItsLastLineAlone(t *testing.T) {
+// The lines of the attempts may be lost, so the final line must do without them.
+func TestExplainSaysWhyAnAnswerWasBrokenOffFromItsFinalLineAlone(t *testing.T) {
 	log := `
 {"msg":"roll-out phase agreed","instance":"entry-1","service":"s","target":"v2","phase":"completed","time":"T1"}
 {"msg":"request","instance":"entry-1","request":"id-1","outcome":"broken off","status":200,"arrivals":2,"unsent":6,"stop_reason":"no endpoint could be connected to","broken_endpoint":"i-1","broken_version":"v1","broken_by":"watchdog","broken_after_ms":6240,"broken_cause":"probe refused","broken_silence_ms":776,"last_endpoint":"i-2","last_version":"v1","last_verdict":"not sent","last_error":"connection refused","time":"T2"}
@@ -279,7 +279,7 @@
 	}
 }
 
-func TestExplainTellsWhoEndedAnAttempt(t *testing.T) {
+func TestExplainSaysWhoEndedAnAttempt(t *testing.T) {
 	log := `
 {"msg":"attempt","instance":"entry-1","request":"id-1","endpoint":"i-1","verdict":"broken","took_ms":5,"ended_by":"watchdog","watchdog_cause":"probe timed out","silence_ms":410,"error":"endpoint is silent and cannot be reached"}
 {"msg":"attempt","instance":"entry-1","request":"id-1","endpoint":"i-2","verdict":"broken","took_ms":6,"ended_by":"endpoint","error":"unexpected EOF"}
--- a/node/broadcast/broadcast_test.go
+++ b/node/broadcast/broadcast_test.go
@@ -83,7 +83,7 @@
 }
 
 // isFound reports whether an instance finds a session at its peers. It repeats the
-// lookup, because a lookup on a busy machine may run out of time.
+// lookup, because a single lookup may time out on a busy host.
 func (i *instance) isFound(session string) bool {
 	for range 20 {
 		if _, known := i.broadcaster.AskSession(context.Background(), "s", "v2", session); known {
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -68,8 +68,9 @@
 	assert.Equal(t, e.pools.Count(), 0)
 }
 
-// TestOverdueOperatorReadDoesNotProlongTheGracePeriod is the same for reads of the
-// registry before that read of the operator topic is answered.
+// TestOverdueOperatorReadDoesNotProlongTheGracePeriod guards against sending requests
+// to endpoints that left soon after an outage: while the first read of the operator
+// topic after the outage is unanswered, reads of the registry are answered.
 func TestOverdueOperatorReadDoesNotProlongTheGracePeriod(t *testing.T) {
 	e := newEntryWithEndpoint()
 	e.answeredAt.Store(int64(boottime.Now()) - int64(5*time.Second))
--- a/node/entry/observer_test.go
+++ b/node/entry/observer_test.go
@@ -23,7 +23,7 @@
 	return newObserver(logrus.NewEntry(logger)), &log
 }
 
-// parseLine returns the only line of a log without the fields of every line.
+// parseLine returns the fields of a log's only line without its level and time.
 func parseLine(t *testing.T, log *bytes.Buffer) map[string]any {
 	t.Helper()
 	var fields map[string]any
@@ -48,8 +48,8 @@
 	assert.Assert(t, !strings.Contains(metrics.String(), name), metrics.String())
 }
 
-// The lines of the attempts may be lost.
-func TestLastLineOfABrokenOffAnswerTellsWhy(t *testing.T) {
+// The lines of the attempts may be lost, so the final line must do without them.
+func TestFinalLineOfABrokenOffAnswerSaysWhy(t *testing.T) {
 	o, log := newTestObserver()
 	broken := &relay.AttemptEvent{
 		Endpoint: "i-1", Version: "v1", Verdict: "broken", EndedBy: relay.EndedByWatchdog,
@@ -84,7 +84,7 @@
 	assertNoMetric(t, o, "wigeonusher_answers_broken_off_total")
 }
 
-func TestAttemptsOfTheWatchdogAreToldFromThoseOfTheEndpoint(t *testing.T) {
+func TestAttemptThatTheWatchdogCanceledIsNotCountedAsTheEndpoints(t *testing.T) {
 	o, log := newTestObserver()
 	o.RecordAttempt(&relay.AttemptEvent{Service: "s", Verdict: "broken", EndedBy: relay.EndedByEndpoint})
 	fields := parseLine(t, log)
--- a/node/relay/inconclusive_test.go
+++ b/node/relay/inconclusive_test.go
@@ -18,7 +18,7 @@
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// sendFunc is an [Endpoints] that answers all calls with the same function.
+// sendFunc is an [Endpoints] whose calls are all handled by the function.
 type sendFunc func(ctx context.Context, deadline time.Time) (*Answer, error)
 
 func (f sendFunc) Send(ctx context.Context, _ *Call, deadline time.Time) (*Answer, error) {
@@ -44,11 +44,11 @@
 	return nil, &SendError{Err: syscall.ECONNREFUSED}
 }
 
-// silent sends the call and gets no answer until the context or, if early is set, the
-// connection's deadline ends it.
-func silent(early bool) sendFunc {
+// silent sends the call and gets no answer. It fails at the connection's deadline if
+// untilDeadline is set, and when the context ends otherwise.
+func silent(untilDeadline bool) sendFunc {
 	return func(ctx context.Context, deadline time.Time) (*Answer, error) {
-		if early {
+		if untilDeadline {
 			time.Sleep(time.Until(deadline))
 			return nil, &SendError{MayBeSent: true, Err: os.ErrDeadlineExceeded}
 		}
@@ -90,7 +90,7 @@
 	}, nil
 }
 
-// learnFirstEvent makes a time the usual one to the first event.
+// learnFirstEvent makes the pool expect the first event after the given time.
 func (h *harness) learnFirstEvent(t *testing.T, usual time.Duration) {
 	t.Helper()
 	const enough = 16 // for an estimate
@@ -159,8 +159,8 @@
 	}
 }
 
-// The watchdog's verdict on an endpoint that no connection can be made to counts,
-// whatever the error of the connection says.
+// An attempt that the watchdog canceled while it was connecting fails with a context
+// error, which alone would be inconclusive.
 func TestEndpointThatTheWatchdogGaveUpIsPaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(testTable(testRoute(route.Stream)), 2, nil)
--- a/node/relay/move_test.go
+++ b/node/relay/move_test.go
@@ -110,7 +110,7 @@
 // Versions of two services may have the same name. The version that a request used at
 // one service must not take precedence over the versions assigned by the roll-out of
 // another.
-func TestVersionOfThePreviousServiceDoesNotBindTheRequest(t *testing.T) {
+func TestVersionOfThePreviousServiceIsNotPreferred(t *testing.T) {
 	var h *harness
 	h = newHarness(testTable(testRoute(route.Stream)), 2, func(_ *Call, number int) behavior {
 		if number == 0 {
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -243,8 +243,8 @@
 	})
 }
 
-// An endpoint that nobody reaches may still answer. Its attempt must not be ended if
-// no other can follow.
+// An endpoint that answers no probe may still answer the request. Its attempt must not
+// be canceled if no other can follow.
 func TestWatchdogKeepsAnAnswerThatNothingCanContinue(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/node/relay/stop_test.go
+++ b/node/relay/stop_test.go
@@ -13,18 +13,20 @@
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// TestAbortedAnswerTellsWhyNothingFollowed breaks a stream after two events and
-// prevents its continuation in different ways.
-func TestAbortedAnswerTellsWhyNothingFollowed(t *testing.T) {
+// Each case breaks a stream after two events and prevents its continuation in another
+// way.
+func TestAbortedAnswerHasAStopReason(t *testing.T) {
 	const endpoints = 8
 	for _, c := range []struct {
 		name string
-		// after is called when the first call arrives; next are the later calls.
-		after func(h *harness)
-		next  behavior
-		route func(rt *route.Route)
-		stop  StopReason
-		sent  int
+		// configure changes the route before the request, and onFirstCall the state of
+		// the relay when the first call arrives; nil changes nothing. next is what
+		// happens to the later calls.
+		configure   func(rt *route.Route)
+		onFirstCall func(h *harness)
+		next        behavior
+		stop        StopReason
+		sent        int
 		// unsent is the number of unsent attempts; lastVerdict and lastError are those
 		// of the last attempt.
 		unsent      int
@@ -38,19 +40,19 @@
 			sent: 1, unsent: endpoints - 1 + 13, lastVerdict: "not sent", lastError: "relay: no answer: connection refused",
 		},
 		{
-			name: "key revoked", after: func(h *harness) {
-				h.tables.table = route.NewTable(2, route.Limits{}, []*route.Route{testRoute(route.Stream)}, nil, map[string]*route.Account{})
+			name: "key revoked", onFirstCall: func(h *harness) {
+				h.tables.set(route.NewTable(2, route.Limits{}, []*route.Route{testRoute(route.Stream)}, nil, map[string]*route.Account{}))
 			},
 			stop: StopReason(UnknownKey), sent: 1, lastVerdict: "broken", lastError: "unexpected EOF",
 		},
 		{
-			name: "route removed", after: func(h *harness) {
-				h.tables.table = route.NewTable(2, route.Limits{}, nil, nil, nil)
+			name: "route removed", onFirstCall: func(h *harness) {
+				h.tables.set(route.NewTable(2, route.Limits{}, nil, nil, nil))
 			},
 			stop: StopReason(UnknownRoute), sent: 1, lastVerdict: "broken", lastError: "unexpected EOF",
 		},
 		{
-			name: "no endpoint left", after: func(h *harness) {
+			name: "no endpoint left", onFirstCall: func(h *harness) {
 				for i := range endpoints {
 					h.pools.Remove(time.Now(), platform.EndpointID("e"+strconv.Itoa(i)))
 				}
@@ -58,14 +60,14 @@
 			stop: StopReason(NoEndpoint), sent: 1, lastVerdict: "broken", lastError: "unexpected EOF",
 		},
 		{
-			name: "budget empty", after: func(h *harness) {
+			name: "budget empty", onFirstCall: func(h *harness) {
 				for h.budget.WithdrawUrgent(time.Now()) {
 				}
 			},
 			stop: StopBudget, sent: 1, lastVerdict: "broken", lastError: "unexpected EOF",
 		},
 		{
-			name: "not resumable", route: func(rt *route.Route) { rt.Resumable, rt.Restartable = false, true },
+			name: "not resumable", configure: func(rt *route.Route) { rt.Resumable, rt.Restartable = false, true },
 			stop: StopNotResumable, sent: 1, lastVerdict: "broken", lastError: "unexpected EOF",
 		},
 		{
@@ -77,23 +79,23 @@
 			sent: maxTries, lastVerdict: "not executed",
 		},
 		{
-			name: "deadline", next: behavior{silent: true}, route: func(rt *route.Route) { rt.MaxAttempts = 2 },
+			name: "deadline", next: behavior{silent: true}, configure: func(rt *route.Route) { rt.MaxAttempts = 2 },
 			stop: StopReason(DeadlineExceeded), sent: 2, lastVerdict: "broken", lastError: "i/o timeout",
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rt := testRoute(route.Stream)
-				if c.route != nil {
-					c.route(rt)
+				if c.configure != nil {
+					c.configure(rt)
 				}
 				var h *harness
 				h = newHarness(testTable(rt), endpoints, func(_ *Call, number int) behavior {
 					if number > 0 {
 						return c.next
 					}
-					if c.after != nil {
-						c.after(h)
+					if c.onFirstCall != nil {
+						c.onFirstCall(h)
 					}
 					return behavior{events: 2}
 				})
@@ -116,7 +118,7 @@
 	}
 }
 
-// An answer that is broken off after unsent attempts still names who broke it.
+// The unsent attempts after a broken one must not replace it in the final event.
 func TestBrokenAttemptIsKnownAfterUnsentOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(testTable(testRoute(route.Stream)), 8, func(_ *Call, number int) behavior {
@@ -171,7 +173,7 @@
 	})
 }
 
-func TestEndByTheWatchdogIsToldFromAnEndByTheEndpoint(t *testing.T) {
+func TestCancellationByTheWatchdogIsNotReportedAsTheEndpoints(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		behavior behavior
@@ -215,7 +217,7 @@
 	}
 }
 
-func TestEndByTheClientOrTheDeadlineIsNotTakenForTheEndpoints(t *testing.T) {
+func TestEndByTheClientOrTheDeadlineIsNotReportedAsTheEndpoints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		script := func(*Call, int) behavior { return behavior{silent: true} }
 		h := newHarness(testTable(testRoute(route.AtMostOnce)), 1, script)
--- a/node/relay/unsent_test.go
+++ b/node/relay/unsent_test.go
@@ -15,9 +15,9 @@
 
 func (c *Call) isAt(prefix string) bool { return strings.HasPrefix(string(c.Endpoint), prefix) }
 
-// A group of endpoints fails together, and its endpoints look idle, so they are tried
-// first. The live ones must still be tried.
-func TestAnswerIsCutOffAlthoughOneEndpointIsAlive(t *testing.T) {
+// Endpoints that fail together appear idle, so they are tried first. The live ones must
+// still be tried.
+func TestAnswerIsNotCutOffWhileOneEndpointIsAlive(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		// dead is the number of endpoints that refuse connections once the answer has
@@ -55,9 +55,9 @@
 	}
 }
 
-// A call that may not run twice may still be sent to another endpoint while no byte of
-// it was sent.
-func TestUnsentCallOfAtMostOnceRouteIsRefusedAlthoughOneEndpointIsAlive(t *testing.T) {
+// A call that must run at most once may go to another endpoint as long as no byte of it
+// was sent.
+func TestUnsentCallOfAtMostOnceRouteIsNotRefusedWhileOneEndpointIsAlive(t *testing.T) {
 	h := newHarness(testTable(testRoute(route.AtMostOnce)), 8, func(call *Call, _ int) behavior {
 		return behavior{refused: !call.isAt("live"), reset: true}
 	})
@@ -86,8 +86,9 @@
 	}
 }
 
-// No endpoint takes an answer that has begun for a moment. Its client still waits.
-func TestAnswerThatHasBegunIsCutOffWhileAllEndpointsAreBusyForAMoment(t *testing.T) {
+// For a moment, each endpoint refuses or rejects the calls that would continue an
+// answer. Its client still waits.
+func TestAnswerThatHasBegunIsNotCutOffWhileNoEndpointTakesItForAMoment(t *testing.T) {
 	const busyFor = 300 * time.Millisecond
 	always := func(*Call) bool { return true }
 	for _, c := range []struct {
@@ -130,13 +131,13 @@
 }
 
 // An answer that has begun waits for an endpoint only as long as its client does, and
-// without a storm of connections.
+// the number of its connections is bounded.
 func TestAnswerThatHasBegunWaitsNoLongerThanItsClient(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		change func(rt *route.Route)
 		begun  bool
-		// A client leaves after longest. At least shortest of it is used.
+		// The answer is aborted between shortest and longest after the arrival.
 		shortest, longest time.Duration
 	}{
 		{"the objectives are short", func(rt *route.Route) { rt.TargetLatency, rt.TargetGap = 300*time.Millisecond, 100*time.Millisecond }, true, 1500 * time.Millisecond, 2 * time.Second},
@@ -200,7 +201,7 @@
 }
 
 // For a moment, no endpoint that may continue an answer is listed.
-func TestAnswerThatHasBegunIsCutOffBetweenTwoListsOfEndpoints(t *testing.T) {
+func TestAnswerThatHasBegunIsNotCutOffWhileNoEndpointIsListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		var h *harness
