--- a/node/broadcast/session_lookup.go
+++ b/node/broadcast/session_lookup.go
@@ -51,7 +51,8 @@
 	return &peerpb.SessionVersionReply{Known: known, OnTarget: onTarget}, nil
 }
 
-// lookup is one of the concurrent parts of a lookup. It returns nil if it failed.
+// lookup asks one peer, or the contacts in one zone, for a session. It returns nil if
+// it got no reply.
 type lookup func(ctx context.Context) *peerpb.SessionVersionReply
 
 // directLookups returns a lookup at each of the peers.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -106,9 +106,9 @@
 	table atomic.Pointer[route.Table]
 	// verifiedAt is the boot time at which the table was last known to be current.
 	verifiedAt atomic.Int64
-	// answeredAt is the boot time of the last successful read of the operator
+	// operatorAnsweredAt is the boot time of the last successful read of the operator
 	// topic.
-	answeredAt atomic.Int64
+	operatorAnsweredAt atomic.Int64
 	// registryAnsweredAt is the boot time of the last successful read of the
 	// registry topic.
 	registryAnsweredAt atomic.Int64
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -32,7 +32,7 @@
 	} {
 		e := &Entry{}
 		now := boottime.Now()
-		e.answeredAt.Store(int64(now) - int64(c.answeredAgo))
+		e.operatorAnsweredAt.Store(int64(now) - int64(c.answeredAgo))
 		e.verifiedAt.Store(int64(now) - int64(c.verifiedAgo))
 		assert.Equal(t, e.isStoreUnresponsive(), c.unresponsive, "%v", c.answeredAgo)
 	}
@@ -44,12 +44,12 @@
 func TestLateOperatorReadDoesNotProlongTheGracePeriod(t *testing.T) {
 	e := newEntryWithEndpoint()
 	failed := boottime.Now()
-	e.applyRegistry(tailer.Batch{Sent: failed, Recovered: true, Failed: failed})
+	e.applyRegistry(tailer.Batch{Sent: failed, Recovered: true, LastFailure: failed})
 	readable := time.Now()
 	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Changes: []keyed.Change{{Key: "e"}}})
 	assert.Equal(t, e.pools.Count(), 1, "the endpoint may register again")
 	time.Sleep(50 * time.Millisecond)
-	e.applyOperator(tailer.Batch{Recovered: true, Failed: failed})
+	e.applyOperator(tailer.Batch{Recovered: true, LastFailure: failed})
 	e.pools.Expire(readable.Add(2 * time.Second))
 	assert.Equal(t, e.pools.Count(), 0)
 }
@@ -61,7 +61,7 @@
 	e := newEntryWithEndpoint()
 	e.applyRegistry(tailer.Batch{})
 	time.Sleep(time.Millisecond)
-	e.applyOperator(tailer.Batch{Recovered: true, Failed: boottime.Now()})
+	e.applyOperator(tailer.Batch{Recovered: true, LastFailure: boottime.Now()})
 	e.applyRegistry(tailer.Batch{Changes: []keyed.Change{{Key: "e"}}})
 	assert.Equal(t, e.pools.Count(), 1)
 	e.pools.Expire(time.Now().Add(2 * time.Second))
@@ -73,8 +73,8 @@
 // topic after the outage is unanswered, reads of the registry are answered.
 func TestOverdueOperatorReadDoesNotProlongTheGracePeriod(t *testing.T) {
 	e := newEntryWithEndpoint()
-	e.answeredAt.Store(int64(boottime.Now()) - int64(5*time.Second))
-	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Recovered: true, Failed: boottime.Now()})
+	e.operatorAnsweredAt.Store(int64(boottime.Now()) - int64(5*time.Second))
+	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Recovered: true, LastFailure: boottime.Now()})
 	readable := time.Now()
 	time.Sleep(50 * time.Millisecond)
 	e.applyRegistry(tailer.Batch{Sent: boottime.Now(), Changes: []keyed.Change{{Key: "e"}}})
@@ -87,7 +87,7 @@
 func TestOutageWithinARegistryReadStartsTheGracePeriod(t *testing.T) {
 	e := newEntryWithEndpoint()
 	sent := boottime.Now() - boottime.Instant(4*time.Second)
-	e.answeredAt.Store(int64(sent))
+	e.operatorAnsweredAt.Store(int64(sent))
 	e.applyRegistry(tailer.Batch{Sent: sent, Changes: []keyed.Change{{Key: "e"}}})
 	assert.Equal(t, e.pools.Count(), 1)
 }
@@ -96,7 +96,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	e := &Entry{pools: pool.New("z", logrus.NewEntry(logger))}
-	e.answeredAt.Store(int64(boottime.Now()))
+	e.operatorAnsweredAt.Store(int64(boottime.Now()))
 	e.pools.Put(pool.Record{ID: "e", Service: "s", Address: "127.0.0.1:1", Zone: "z", Version: "v1", Slots: 1})
 	return e
 }
--- a/node/entry/prober.go
+++ b/node/entry/prober.go
@@ -32,8 +32,8 @@
 
 func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]cachedProbe)} }
 
-// Probe implements [relay.Prober]. A failed probe is not reused: it says nothing
-// about the endpoint.
+// Probe implements [relay.Prober]. It reuses an outcome for probeCacheTTL, except for
+// [relay.ProbeFailed].
 func (p *dialProber) Probe(ctx context.Context, address string) relay.ProbeOutcome {
 	if outcome, ok := p.lookup(address); ok {
 		return outcome
@@ -44,9 +44,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, cached := range p.outcomes {
+	for other, cached := range p.outcomes {
 		if time.Since(cached.checkedAt) > probeCacheTTL {
-			delete(p.outcomes, address)
+			delete(p.outcomes, other)
 		}
 	}
 	p.outcomes[address] = cachedProbe{checkedAt: time.Now(), outcome: outcome}
@@ -74,6 +74,7 @@
 	}
 }
 
+// outcomeOfDialError returns the outcome of a probe that was not canceled.
 func outcomeOfDialError(err error) relay.ProbeOutcome {
 	var netErr net.Error
 	switch {
--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -45,14 +45,14 @@
 // operatorReadDue returns when the response to a read of the operator topic is
 // overdue.
 func (e *Entry) operatorReadDue() boottime.Instant {
-	return boottime.Instant(e.answeredAt.Load()) + boottime.Instant(operatorWait+lateAnswerTolerance)
+	return boottime.Instant(e.operatorAnsweredAt.Load()) + boottime.Instant(operatorWait+lateAnswerTolerance)
 }
 
 func (e *Entry) applyOperator(batch tailer.Batch) {
 	// A read of the registry may wait through an outage without a failure. If the
 	// registry was read after the last failure, the outage ended for it earlier, and
 	// the wait of the operator read must not prolong the grace period.
-	if batch.Recovered && boottime.Instant(e.registryAnsweredAt.Load()) < batch.Failed {
+	if batch.Recovered && boottime.Instant(e.registryAnsweredAt.Load()) < batch.LastFailure {
 		e.pools.RegistryRestored(time.Now())
 	}
 	for _, change := range batch.Changes {
@@ -72,7 +72,7 @@
 		}
 	}
 	e.verifiedAt.Store(int64(batch.Sent))
-	e.answeredAt.Store(int64(boottime.Now()))
+	e.operatorAnsweredAt.Store(int64(boottime.Now()))
 }
 
 // applyTable makes the table the current one if its revision is newer than that of
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -44,20 +44,22 @@
 
 func (v verdict) String() string { return verdictNames[v] }
 
-// EndedBy is who ended an attempt before its answer was complete.
+// EndedBy says who ended an attempt before its answer was complete.
 type EndedBy string
 
 // Values of [EndedBy].
 const (
 	// EndedByEndpoint: the endpoint closed the connection, or the connection failed.
 	EndedByEndpoint EndedBy = "endpoint"
-	// EndedByWatchdog: this instance gave up the silent endpoint.
+	// EndedByWatchdog: the watchdog of this instance canceled the attempt, because the
+	// endpoint was silent.
 	EndedByWatchdog EndedBy = "watchdog"
 	// EndedByDeadline: the request's deadline or the time limit of a read passed.
 	EndedByDeadline EndedBy = "deadline"
 	// EndedByProofCheck: this instance rejected the answer, see [Answer.Authentic].
 	EndedByProofCheck EndedBy = "proof check"
-	EndedByClient     EndedBy = "client"
+	// EndedByClient: the client disconnected.
+	EndedByClient EndedBy = "client"
 )
 
 var errNoProof = eris.New("answer does not carry the endpoint's proof for this call")
@@ -82,8 +84,8 @@
 	lastActivity  atomic.Int64
 	isWriting     atomic.Bool
 	hasFirstEvent atomic.Bool
-	// retryWithdrawn reports that the watchdog has taken the retry that follows from
-	// the budget.
+	// retryWithdrawn reports that the watchdog has already taken the retry for the next
+	// attempt from the budget.
 	retryWithdrawn atomic.Bool
 	// crashed reports that the endpoint broke the connection, and inconclusive that
 	// the failed attempt says nothing about its endpoint, see [attempt.isInconclusive].
@@ -189,12 +191,12 @@
 	return time.Unix(0, a.lastActivity.Load())
 }
 
-// write sends a part of the body to the client. The lease does not learn of it, because
-// it is no sign of the endpoint.
+// write sends a part of the body to the client. It records no activity at the lease,
+// because a write says nothing about the endpoint.
 func (a *attempt) write(p []byte) error {
 	a.isWriting.Store(true)
 	defer func() {
-		// In this order, a check of the watchdog never sees the old time.
+		// Stored before isWriting is reset, so that the watchdog never reads the old time.
 		a.lastActivity.Store(time.Now().UnixNano())
 		a.isWriting.Store(false)
 	}()
--- a/node/relay/backoff.go
+++ b/node/relay/backoff.go
@@ -12,7 +12,7 @@
 	// an answer; it doubles with each pause.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 400 * time.Millisecond
-	// A client leaves after the longest of minAbandonment, abandonTargetFactor times
+	// A client is assumed to leave after the longest of minAbandonment, abandonTargetFactor times
 	// the latency objective and abandonGapFactor times the longest allowed pause
 	// without an event.
 	minAbandonment      = 2 * time.Second
@@ -33,8 +33,8 @@
 // recordEvent records that the client has got an event.
 func (b *backoff) recordEvent(at time.Time) { *b = backoff{lastEventAt: at} }
 
-// next returns the pause before the next attempt, 0 if the client or the deadline does
-// not leave enough time for it.
+// next returns the pause before the next attempt, 0 if the client is assumed to leave
+// before its end or the deadline leaves too little time after it.
 func (b *backoff) next(now, deadline time.Time, rt *route.Route) time.Duration {
 	abandoned := b.lastEventAt.Add(max(minAbandonment, abandonTargetFactor*rt.TargetLatency, abandonGapFactor*rt.TargetGap))
 	pause := min(longestBackoff, firstBackoff<<min(b.pauses, 8))
--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -29,7 +29,8 @@
 // sent or was answered by the endpoint with the statement that it did not run
 // the request.
 //
-// An attempt that could not be sent costs no retry, so each usable endpoint is tried.
+// An attempt that could not be sent costs no retry, so each usable endpoint is tried,
+// in at most [maxUnsent] unsent attempts.
 // If all of them refuse connections or are full, or none is listed, a request whose
 // answer has not begun is refused without delay, so that the client can retry
 // elsewhere. An answer that has begun and can be resumed waits for an endpoint, with
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -30,8 +30,8 @@
 	// Allowed reports whether a version may run the request if no endpoint of an
 	// assigned version is available.
 	Allowed func(version string) bool
-	// Keeps reports whether a request whose first attempt used the version stays on it:
-	// if not, the endpoints of that version may stop all at once.
+	// Keeps reports whether a request may stay on a version after its first attempt. It
+	// does not hold for a version whose endpoints may all stop at once.
 	Keeps func(version string) bool
 }
 
@@ -108,8 +108,8 @@
 	return append([]func(string) bool{isFirst}, filters...)
 }
 
-// mayContinue reports whether endpoints of the version may go on with a request: they
-// may run it, and do not stop together.
+// mayContinue reports whether a version is suited for further attempts: it is allowed,
+// and its endpoints do not stop all at once.
 func (c Choice) mayContinue(version string) bool {
 	return (c.Allowed == nil || c.Allowed(version)) && (c.Keeps == nil || c.Keeps(version))
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -214,6 +214,7 @@
 	ProbeRefused ProbeOutcome = "refused"
 	// ProbeTimedOut: nothing answered.
 	ProbeTimedOut ProbeOutcome = "timed out"
-	// ProbeFailed: the probe was canceled or failed locally.
+	// ProbeFailed: the probe was canceled or failed locally, and says nothing about the
+	// endpoint.
 	ProbeFailed ProbeOutcome = "failed"
 )
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -50,9 +50,9 @@
 
 // Reasons for which a request's attempts end, other than those of a refusal.
 const (
-	// StopUnsent: the last attempt could not connect, no untried endpoint was usable, and
-	// the request was not worth holding any longer (see [run.waitForEndpoint]); or
-	// [maxUnsent] attempts could not connect.
+	// StopUnsent: the last attempt could not be sent, no untried endpoint was usable, and
+	// the request could not wait for one (see [run.waitForEndpoint]); or [maxUnsent]
+	// attempts could not be sent.
 	StopUnsent StopReason = "no endpoint could be connected to"
 	// StopTries: [maxTries] attempts were sent.
 	StopTries StopReason = "calls used up"
@@ -64,7 +64,8 @@
 	StopNotRepeatable StopReason = "not repeatable"
 	// StopNotResumable: the answer has begun, and the route cannot resume it.
 	StopNotResumable StopReason = "not resumable"
-	StopClientGone   StopReason = "client gone"
+	// StopClientGone: the client has disconnected.
+	StopClientGone StopReason = "client gone"
 )
 
 // DoneEvent describes the outcome of a request.
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -19,9 +19,9 @@
 	// leave to requests in progress.
 	escalationReserve = 1
 	// maxTries bounds the calls of one request that reach an endpoint, including
-	// those that the endpoint rejects. The calls that could not be sent are counted
-	// separately and have the same bound once no untried endpoint is usable, unless the
-	// request waits for one.
+	// those that the endpoint rejects. It also bounds the calls that could not be sent,
+	// counted separately, if no untried endpoint is usable and the request does not wait
+	// for one.
 	maxTries = 6
 	// maxUnsent bounds the calls of one request that could not be sent.
 	maxUnsent = 50
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -12,12 +12,12 @@
 // WatchdogCause is the cause for which the watchdog canceled an attempt.
 type WatchdogCause string
 
-// Causes for which the watchdog cancels an attempt: probes of its silent endpoint
-// got no answer, or the silence was too long even for an endpoint that can be
-// reached.
+// Causes for which the watchdog cancels an attempt.
 const (
+	// CauseProbeTimedOut: probes of the silent endpoint got no answer.
 	CauseProbeTimedOut WatchdogCause = "probe timed out"
-	CauseSilence       WatchdogCause = "silent too long"
+	// CauseSilence: the silence was too long even for an endpoint that can be reached.
+	CauseSilence WatchdogCause = "silent too long"
 )
 
 // watchdogError is the error with which the watchdog cancels an attempt.
@@ -202,7 +202,7 @@
 	return w.budget.Available(time.Now()) >= 1
 }
 
-// withdrawRetry takes one retry from the budget and reports whether it covered it.
+// withdrawRetry takes one retry from the budget and reports whether there was one.
 func (w *watchdog) withdrawRetry() bool {
 	if w.hasBegun() {
 		return w.budget.WithdrawUrgent(time.Now())
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -34,8 +34,9 @@
 	Next keyed.Offset
 	// Recovered reports that the read before this one failed.
 	Recovered bool
-	// Failed is when the last failed read ended, if there was one.
-	Failed boottime.Instant
+	// LastFailure is the boot time at which the last failed read ended, 0 if none
+	// failed.
+	LastFailure boottime.Instant
 }
 
 // Config holds the topic to follow and the handler of its batches.
@@ -54,10 +55,10 @@
 
 // Tailer follows one topic.
 type Tailer struct {
-	config   Config
-	state    keyed.State
-	failures int // failed calls since the last success
-	failed   boottime.Instant
+	config      Config
+	state       keyed.State
+	failures    int              // failed calls since the last success
+	lastFailure boottime.Instant // zero if no call failed
 }
 
 // New returns a tailer that has not read the topic.
@@ -102,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	batch := Batch{Changes: changes, Sent: sent, Next: t.state.Next(), Recovered: t.failures > 0, Failed: t.failed}
+	batch := Batch{Changes: changes, Sent: sent, Next: t.state.Next(), Recovered: t.failures > 0, LastFailure: t.lastFailure}
 	if t.failures > 0 {
 		t.config.Logger.WithFields(logrus.Fields{"topic": t.config.Topic, "failed_calls": t.failures}).Info("topic is readable again")
 	}
@@ -113,7 +114,7 @@
 
 func (t *Tailer) recordFailure(err error) {
 	t.failures++
-	t.failed = boottime.Now()
+	t.lastFailure = boottime.Now()
 	if t.failures == 1 {
 		t.config.Logger.WithError(err).WithField("topic", t.config.Topic).Warn("topic is not readable")
 	}
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -83,7 +83,7 @@
 	rollout  *canary.Rollout
 	sessions *simplelru.LRU[string, sessionState]
 	// incumbent is the target of the last completed roll-out, empty if none is known.
-	// The endpoints of the versions before it have stopped.
+	// The endpoints of the versions before it stop, or have stopped.
 	incumbent string
 	// bad holds the versions that were rolled back. Their endpoints may still run
 	// when the next roll-out is ordered. The map is replaced, never modified,
@@ -226,7 +226,9 @@
 
 // choice returns the versions for a request on one side of the roll-out. Versions
 // known to be bad belong to neither side. Outside the canary phase, a request on
-// the incumbent side may not fall back to the candidate.
+// the incumbent side may not fall back to the candidate. If the incumbent is known,
+// all versions but it and the target are superseded: they are used only if there is no
+// other.
 func (s *service) choice(current *canary.Rollout, onTarget bool) relay.Choice {
 	target, incumbent, bad := current.Order.Target, s.incumbent, s.bad
 	onSide := func(version string) bool { return (version == target) == onTarget && !bad[version] }
