--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -24,7 +24,7 @@
 // # Verdicts
 //
 // An attempt ends with a verdict. The verdict decides whether another attempt
-// may follow (see [run.checkRetry]) and whether a refusal may state that the
+// may follow (see [run.takeRetry]) and whether a refusal may state that the
 // request has not run: only if every attempt either ended before a byte was
 // sent or was answered by the endpoint with the statement that it did not run
 // the request.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -240,7 +240,7 @@
 		r.unsent++
 		return r.continueAfterUnsent(ctx, a, failedBefore) || r.giveUp(ctx, a, StopUnsent)
 	}
-	if stop := r.checkRetry(a); stop != "" {
+	if stop := r.takeRetry(a); stop != "" {
 		return r.giveUp(ctx, a, stop)
 	}
 	if a.verdict == verdictNotExecuted && !a.misdirected {
@@ -267,9 +267,9 @@
 	}
 }
 
-// checkRetry takes one retry from the budget. It returns a reason if no other
-// attempt may follow the given one.
-func (r *run) checkRetry(a *attempt) StopReason {
+// takeRetry takes one retry from the budget if another attempt may follow the given
+// one. Otherwise it returns the reason.
+func (r *run) takeRetry(a *attempt) StopReason {
 	if a.mayHaveRun() {
 		if stop := r.checkRuns(); stop != "" {
 			return stop
