--- a/node/relay/backoff.go
+++ b/node/relay/backoff.go
@@ -12,9 +12,9 @@
 	// an answer; it doubles with each pause.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 400 * time.Millisecond
-	// A client is assumed to leave after the longest of minAbandonment, abandonTargetFactor times
-	// the latency objective and abandonGapFactor times the longest allowed pause
-	// without an event.
+	// By their protocol, clients abandon a stream that brings no event for the longest
+	// of minAbandonment, abandonTargetFactor times the latency objective and
+	// abandonGapFactor times the longest allowed pause.
 	minAbandonment      = 2 * time.Second
 	abandonTargetFactor = 4
 	abandonGapFactor    = 8
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -23,7 +23,8 @@
 	// counted separately, if no untried endpoint is usable and the request does not wait
 	// for one.
 	maxTries = 6
-	// maxUnsent bounds the calls of one request that could not be sent.
+	// maxUnsent bounds the calls of one request that could not be sent, so that an
+	// outage of many endpoints causes no storm of connection attempts.
 	maxUnsent = 50
 	// minPaceEvents is the least number of events for which a stream's pace is
 	// computed.
