--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -24,12 +24,13 @@
 // # Verdicts
 //
 // An attempt ends with a verdict. The verdict decides whether another attempt
-// may follow (see [run.checkRetry]) and whether a refusal may state that the
+// may follow (see [run.takeRetry]) and whether a refusal may state that the
 // request has not run: only if every attempt either ended before a byte was
 // sent or was answered by the endpoint with the statement that it did not run
 // the request.
 //
-// An attempt that could not be sent costs no retry, so each usable endpoint is tried.
+// An attempt that could not be sent costs no retry, so each usable endpoint is tried,
+// in at most [maxUnsent] unsent attempts.
 // If all of them refuse connections or are full, or none is listed, a request whose
 // answer has not begun is refused without delay, so that the client can retry
 // elsewhere. An answer that has begun and can be resumed waits for an endpoint, with
--- a/node/relay/unsent_test.go
+++ b/node/relay/unsent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,27 +9,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
-	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// put adds endpoints whose IDs start with the prefix.
-func (h *harness) put(prefix string, count int, zone platform.Zone, version string) {
-	for i := range count {
-		h.pools.Put(pool.Record{
-			ID: platform.EndpointID(prefix + strconv.Itoa(i)), Service: testService, Zone: zone,
-			Address: "127.0.0.1:1", Version: version, Slots: 8,
-		})
-	}
-}
-
 func (c *Call) isAt(prefix string) bool { return strings.HasPrefix(string(c.Endpoint), prefix) }
 
-// A group of endpoints fails together, and its endpoints look idle, so they are tried
-// first. The live ones must still be tried.
-func TestAnswerIsCutOffAlthoughOneEndpointIsAlive(t *testing.T) {
+// Endpoints that fail together appear idle, so they are tried first. The live ones must
+// still be tried.
+func TestAnswerIsNotCutOffWhileOneEndpointIsAlive(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		// dead is the number of endpoints that refuse connections once the answer has
@@ -68,19 +55,9 @@
 	}
 }
 
-// load gives endpoints of the version requests in flight.
-func (h *harness) load(t *testing.T, version string, requests int) {
-	t.Helper()
-	isVersion := func(v string) bool { return v == version }
-	for range requests {
-		_, ok := h.pools.Service(testService).Choose(time.Now(), pool.Query{Version: isVersion})
-		assert.Assert(t, ok)
-	}
-}
-
-// A call that may not run twice may still be sent to another endpoint while no byte of
-// it was sent.
-func TestUnsentCallOfAtMostOnceRouteIsRefusedAlthoughOneEndpointIsAlive(t *testing.T) {
+// A call that must run at most once may go to another endpoint as long as no byte of it
+// was sent.
+func TestUnsentCallOfAtMostOnceRouteIsNotRefusedWhileOneEndpointIsAlive(t *testing.T) {
 	h := newHarness(testTable(testRoute(route.AtMostOnce)), 8, func(call *Call, _ int) behavior {
 		return behavior{refused: !call.isAt("live"), reset: true}
 	})
@@ -109,8 +86,9 @@
 	}
 }
 
-// No endpoint takes an answer that has begun for a moment. Its client still waits.
-func TestAnswerThatHasBegunIsCutOffWhileAllEndpointsAreBusyForAMoment(t *testing.T) {
+// For a moment, each endpoint refuses or rejects the calls that would continue an
+// answer. Its client still waits.
+func TestAnswerThatHasBegunIsNotCutOffWhileNoEndpointTakesItForAMoment(t *testing.T) {
 	const busyFor = 300 * time.Millisecond
 	always := func(*Call) bool { return true }
 	for _, c := range []struct {
@@ -153,13 +131,13 @@
 }
 
 // An answer that has begun waits for an endpoint only as long as its client does, and
-// without a storm of connections.
+// the number of its connections is bounded.
 func TestAnswerThatHasBegunWaitsNoLongerThanItsClient(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		change func(rt *route.Route)
 		begun  bool
-		// A client leaves after longest. At least shortest of it is used.
+		// The answer is aborted between shortest and longest after the arrival.
 		shortest, longest time.Duration
 	}{
 		{"the objectives are short", func(rt *route.Route) { rt.TargetLatency, rt.TargetGap = 300*time.Millisecond, 100*time.Millisecond }, true, 1500 * time.Millisecond, 2 * time.Second},
@@ -223,7 +201,7 @@
 }
 
 // For a moment, no endpoint that may continue an answer is listed.
-func TestAnswerThatHasBegunIsCutOffBetweenTwoListsOfEndpoints(t *testing.T) {
+func TestAnswerThatHasBegunIsNotCutOffWhileNoEndpointIsListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		var h *harness
