Lines and a counter show how the end of an answer was marked

The incident's lines could not tell an answer that the endpoint ended inside an event from one that it ended between two: both say 'delivered'. Attempts now log the framing of the answer and the bytes after its last complete event, the final line of a request those of its last and of its last broken attempt, and wigeonusher_answers_total counts answers by framing and verdict. 'explain' prints them. No change of logic.

--- a/cmd/internal/tool/explain.go
+++ b/cmd/internal/tool/explain.go
@@ -58,6 +58,9 @@
 	Phase    string  `json:"phase"`
 	Target   string  `json:"target"`
 
+	Framing           string `json:"framing"`
+	PartialEventBytes int    `json:"partial_event_bytes"`
+
 	EndedBy       string `json:"ended_by"`
 	WatchdogCause string `json:"watchdog_cause"`
 	SilenceMs     int    `json:"silence_ms"`
@@ -75,6 +78,9 @@
 	BrokenAfterMs   int    `json:"broken_after_ms"`
 	BrokenCause     string `json:"broken_cause"`
 	BrokenSilenceMs int    `json:"broken_silence_ms"`
+
+	BrokenFraming           string `json:"broken_framing"`
+	BrokenPartialEventBytes int    `json:"broken_partial_event_bytes"`
 }
 
 // explanation is the JSON output of the explain command.
@@ -184,6 +190,7 @@
 	for _, a := range e.Attempts {
 		fmt.Fprintf(out, "  %s %s: arrival %d after %d ms at %s (%s %s, model %s): %s, status %d, %d events, first after %d ms, longest gap %d ms, took %d ms",
 			a.Time, a.Instance, a.Arrival, a.AfterMs, a.Endpoint, a.Service, a.Version, a.Model, a.Verdict, a.Status, a.Events, a.FirstMs, a.GapMs, a.TookMs)
+		writeFraming(out, a.Framing, a.PartialEventBytes)
 		writeEnd(out, "ended by", a.EndedBy, a.WatchdogCause, a.SilenceMs)
 		writeError(out, a.Error)
 		out.WriteByte('\n')
@@ -193,7 +200,9 @@
 		if outcome.NotRun != nil {
 			fmt.Fprintf(out, ", not run: %t", *outcome.NotRun)
 		}
-		fmt.Fprintf(out, ", took %d ms\n", outcome.TookMs)
+		fmt.Fprintf(out, ", took %d ms", outcome.TookMs)
+		writeFraming(out, outcome.Framing, outcome.PartialEventBytes)
+		out.WriteByte('\n')
 		outcome.writeStop(out)
 	}
 	if len(e.Context) > 0 {
@@ -219,6 +228,7 @@
 	fmt.Fprintf(out, "    no further attempt: %s, %d sent, %d unsent\n", l.StopReason, l.Arrivals, l.Unsent)
 	if l.BrokenEndpoint != "" {
 		fmt.Fprintf(out, "    last broken attempt: %s (%s), ended after %d ms", l.BrokenEndpoint, l.BrokenVersion, l.BrokenAfterMs)
+		writeFraming(out, l.BrokenFraming, l.BrokenPartialEventBytes)
 		writeEnd(out, "by", l.BrokenBy, l.BrokenCause, l.BrokenSilenceMs)
 		out.WriteByte('\n')
 	}
@@ -235,6 +245,18 @@
 	}
 }
 
+// writeFraming writes how the end of an answer was marked, and how many bytes followed
+// the last complete event of a stream.
+func writeFraming(out *strings.Builder, framing string, partialEventBytes int) {
+	if framing == "" {
+		return
+	}
+	fmt.Fprintf(out, ", framed by %s", framing)
+	if partialEventBytes > 0 {
+		fmt.Fprintf(out, ", %d bytes after the last event", partialEventBytes)
+	}
+}
+
 // writeEnd writes who ended an attempt and, for the watchdog, why.
 func writeEnd(out *strings.Builder, label, by, cause string, silenceMs int) {
 	if by == "" {
--- a/cmd/internal/tool/tool_test.go
+++ b/cmd/internal/tool/tool_test.go
@@ -293,6 +293,25 @@
 	}
 }
 
+// A delivered answer that ended inside an event is told apart by its lines alone.
+func TestExplainSaysHowAnAnswerWasFramed(t *testing.T) {
+	log := `
+{"msg":"attempt","instance":"entry-1","request":"id-1","endpoint":"i-1","verdict":"delivered","took_ms":5,"framing":"connection","partial_event_bytes":9}
+{"msg":"request","instance":"entry-1","request":"id-1","outcome":"answered","took_ms":6,"framing":"connection","partial_event_bytes":9}
+{"msg":"request","instance":"entry-1","request":"id-2","outcome":"broken off","took_ms":6,"stop_reason":"attempts used up","broken_endpoint":"i-2","broken_version":"v1","broken_after_ms":4,"broken_by":"endpoint","broken_framing":"chunks"}
+`
+	for id, parts := range map[string][]string{
+		"id-1": {"took 5 ms, framed by connection, 9 bytes after the last event\n", "took 6 ms, framed by connection, 9 bytes after the last event\n"},
+		"id-2": {"i-2 (v1), ended after 4 ms, framed by chunks, by endpoint\n"},
+	} {
+		code, out := (&operator{t: t}).runWith(log, "explain", id)
+		assert.Equal(t, code, tool.ExitOK)
+		for _, part := range parts {
+			assert.Assert(t, strings.Contains(out, part), "%s in\n%s", part, out)
+		}
+	}
+}
+
 func TestExperimentWritesPlots(t *testing.T) {
 	directory := filepath.Join(t.TempDir(), "plots")
 	var out, errOut bytes.Buffer
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -58,6 +58,9 @@
 	if event.Aborted {
 		o.Count(fmt.Sprintf(`wigeonusher_answers_broken_off_total{reason=%q}`, event.Stopped))
 	}
+	if event.Last != nil {
+		telemetry.AddAnswerEnd(fields, "", event.Last)
+	}
 	if event.Stopped != "" {
 		addStop(fields, event)
 	}
@@ -76,6 +79,7 @@
 	}
 	if broken := event.Broken; broken != nil {
 		fields["broken_endpoint"], fields["broken_version"], fields["broken_by"] = broken.Endpoint, broken.Version, broken.EndedBy
+		telemetry.AddAnswerEnd(fields, "broken_", broken)
 		fields["broken_after_ms"] = (broken.SinceArrival + broken.Took).Milliseconds()
 		if broken.EndedBy == relay.EndedByWatchdog {
 			fields["broken_cause"], fields["broken_silence_ms"] = broken.WatchdogCause, broken.Silence.Milliseconds()
--- a/node/entry/observer_test.go
+++ b/node/entry/observer_test.go
@@ -84,6 +84,29 @@
 	assertNoMetric(t, o, "wigeonusher_answers_broken_off_total")
 }
 
+// Without its framing, a short answer that was delivered looks like a complete one.
+func TestLinesOfAnAnswerSayHowItsEndWasMarked(t *testing.T) {
+	o, log := newTestObserver()
+	delivered := &relay.AttemptEvent{Service: "s", Endpoint: "i-1", Verdict: "delivered", Framing: relay.FramedByConnection, PartialEvent: 9}
+	o.RecordAttempt(delivered)
+	fields := parseLine(t, log)
+	assert.Equal(t, fields["framing"], "connection")
+	assert.Equal(t, fields["partial_event_bytes"], 9.0)
+	assertMetric(t, o, `wigeonusher_answers_total{service="s",framing="connection",verdict="delivered"} 1`)
+
+	log.Reset()
+	o.Done(&relay.DoneEvent{RequestID: "id-1", Status: 200, Attempts: 1, Last: delivered})
+	fields = parseLine(t, log)
+	assert.Equal(t, fields["framing"], "connection")
+	assert.Equal(t, fields["partial_event_bytes"], 9.0)
+
+	log.Reset()
+	o.Done(&relay.DoneEvent{RequestID: "id-2", Status: 200, Aborted: true, Stopped: relay.StopRuns, Last: delivered, Broken: delivered})
+	fields = parseLine(t, log)
+	assert.Equal(t, fields["broken_framing"], "connection")
+	assert.Equal(t, fields["broken_partial_event_bytes"], 9.0)
+}
+
 func TestAttemptThatTheWatchdogCanceledIsNotCountedAsTheEndpoints(t *testing.T) {
 	o, log := newTestObserver()
 	o.RecordAttempt(&relay.AttemptEvent{Service: "s", Verdict: "broken", EndedBy: relay.EndedByEndpoint})
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -95,6 +95,8 @@
 	answer       *Answer
 	failureBody  []byte
 	events       int
+	// partialEvent is the number of bytes received after the last complete event.
+	partialEvent int
 	firstEvent   time.Duration
 	lastEventAt  time.Time
 	longestGap   time.Duration
@@ -393,6 +395,7 @@
 		FirstEvent:   a.firstEvent,
 		SinceArrival: a.started.Sub(a.run.request.Received),
 		LongestGap:   a.longestGap,
+		PartialEvent: a.partialEvent,
 		EndedBy:      a.endedBy(),
 		Err:          a.err,
 	}
@@ -401,7 +404,7 @@
 		event.WatchdogCause, event.Silence = watchdogErr.cause, watchdogErr.silence
 	}
 	if a.answer != nil {
-		event.Status, event.Confidence = a.answer.Status, a.answer.Confidence
+		event.Status, event.Confidence, event.Framing = a.answer.Status, a.answer.Confidence, a.answer.Framing
 	}
 	return event
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -34,6 +34,12 @@
 	SinceArrival time.Duration
 	// LongestGap is the longest pause between two events.
 	LongestGap time.Duration
+	// Framing is the framing of the answer, empty if there was no answer or its codec
+	// verifies the end itself.
+	Framing Framing
+	// PartialEvent is the number of bytes that the endpoint sent after the last complete
+	// event of a stream.
+	PartialEvent int
 	// EndedBy is who ended the attempt, empty if it was not sent or its answer was
 	// complete.
 	EndedBy EndedBy
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -114,9 +114,24 @@
 	DialTimeout time.Duration
 }
 
+// Framing is how the sender of an answer marks the end of its body.
+type Framing string
+
+// Values of [Framing]. The zero value means that the endpoints' codec verifies the end
+// of the body itself.
+const (
+	// FramedByLength: the head states the length of the body.
+	FramedByLength Framing = "length"
+	// FramedByChunks: a last chunk ends the body.
+	FramedByChunks Framing = "chunks"
+	// FramedByConnection: the body ends when the endpoint closes the connection.
+	FramedByConnection Framing = "connection"
+)
+
 // Answer is an endpoint's answer: the fields of its head and a reader of its body.
 type Answer struct {
-	Status int
+	Status  int
+	Framing Framing
 	// Header holds the header fields that are forwarded to the client.
 	Header http.Header
 	// Authentic reports that the answer carries the endpoint's proof and belongs to
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -36,6 +36,7 @@
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
+		a.partialEvent = len(pending)
 		switch {
 		case errors.Is(err, io.EOF):
 			a.finishStream(pending)
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -86,6 +86,9 @@
 	if event.FirstEvent > 0 {
 		t.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_first_event_seconds{service=%q,model=%q}`, event.Service, event.Model)).Update(event.FirstEvent.Seconds())
 	}
+	if event.Framing != "" {
+		t.Count(fmt.Sprintf(`wigeonusher_answers_total{service=%q,framing=%q,verdict=%q}`, event.Service, event.Framing, event.Verdict))
+	}
 	fields := logrus.Fields{
 		"request": event.RequestID, "session": event.Session, "arrival": event.Number, "service": event.Service, "endpoint": event.Endpoint,
 		"version": event.Version, "model": event.Model, "revision": event.Revision, "verdict": event.Verdict,
@@ -93,6 +96,7 @@
 		"took_ms": event.Took.Milliseconds(), "first_event_ms": event.FirstEvent.Milliseconds(),
 		"after_ms": event.SinceArrival.Milliseconds(), "longest_gap_ms": event.LongestGap.Milliseconds(),
 	}
+	AddAnswerEnd(fields, "", event)
 	if event.EndedBy != "" {
 		fields["ended_by"] = event.EndedBy
 	}
@@ -105,6 +109,17 @@
 	t.log.WithFields(fields).Info("attempt")
 }
 
+// AddAnswerEnd adds the fields that show whether an attempt's answer was whole: its
+// framing, and the bytes after the last complete event of a stream.
+func AddAnswerEnd(fields logrus.Fields, prefix string, event *relay.AttemptEvent) {
+	if event.Framing != "" {
+		fields[prefix+"framing"] = event.Framing
+	}
+	if event.PartialEvent > 0 {
+		fields[prefix+"partial_event_bytes"] = event.PartialEvent
+	}
+}
+
 // Count increments a counter.
 func (t *Telemetry) Count(name string) { t.set.GetOrCreateCounter(name).Inc() }
 
