A stream that ends inside an event is broken off, whatever its framing

Cause: the relay took the end of the body for the end of the answer. Where an answer has neither a length nor chunks, that is the end of the connection, and an endpoint that fails closes its connections too. finishStream even forwarded the bytes of the event that was cut, and ended the client's answer with its last chunk.

An answer that rejects a stream's request (4xx, or another media type) is no stream and is not read as one. Line ends of all three kinds end an event: with CRLF a stream was held back until its end, and the new rule would have found it incomplete.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -140,7 +140,7 @@
 		a.verdict = verdictLowConfidence
 		a.recordFirstEvent()
 		a.saveFallback()
-	case a.run.permission.Route.Kind == route.Stream:
+	case a.isStream():
 		a.copyStream(ctx)
 	default:
 		a.copyBuffered(ctx)
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
-	"io"
+	"strings"
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
 // streamBufferBytes is the initial size of the read buffer. It grows for larger
@@ -13,10 +14,25 @@
 const streamBufferBytes = 4 << 10
 
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	// eventEnds lists the blank lines that end an event, by the kind of line end.
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+	idField   = []byte("id:")
 )
 
+// lineEnds are the characters that end a line of a stream.
+const lineEnds = "\r\n"
+
+// isStream reports whether the answer is a stream of events. An answer that rejects the
+// request of a stream is none, and must not be read as one.
+func (a *attempt) isStream() bool {
+	if a.run.permission.Route.Kind != route.Stream || a.answer.Status < 200 || a.answer.Status > 299 {
+		return false
+	}
+	contentType := a.answer.Header.Get("Content-Type")
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return contentType == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // copyStream forwards events as they arrive. It forwards complete events only,
 // so that another endpoint can resume the stream after the last one.
 func (a *attempt) copyStream(ctx context.Context) {
@@ -36,13 +52,9 @@
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
-		a.partialEvent = len(pending)
-		switch {
-		case errors.Is(err, io.EOF):
-			a.finishStream(pending)
-			return
-		case err != nil:
-			a.markBroken(ctx, err)
+		a.partialEvent = len(bytes.Trim(pending, lineEnds))
+		if err != nil {
+			a.finishStream(ctx, pending, err)
 			return
 		}
 	}
@@ -58,7 +70,9 @@
 		a.verdict, a.err = verdictClientGone, err
 		return false
 	}
-	a.events += bytes.Count(events, eventEnd)
+	for _, end := range eventEnds {
+		a.events += bytes.Count(events, end)
+	}
 	if id := lastEventID(events); id != "" {
 		a.run.lastEvent = id
 	}
@@ -74,9 +88,13 @@
 	a.lastEventAt = now
 }
 
-// finishStream ends a stream whose body is complete. Bytes after the last
-// complete event are forwarded unchanged.
-func (a *attempt) finishStream(rest []byte) {
+// finishStream ends a stream whose last read returned the error. The rest of a whole
+// stream has no event, and is forwarded unchanged.
+func (a *attempt) finishStream(ctx context.Context, rest []byte, readErr error) {
+	if err := a.checkEnd(readErr); err != nil {
+		a.markBroken(ctx, err)
+		return
+	}
 	a.recordFirstEvent()
 	a.sendHead()
 	a.verdict = verdictDelivered
@@ -89,17 +107,19 @@
 
 // completeEventsLen returns the length of the complete events at the start of p.
 func completeEventsLen(p []byte) int {
-	at := bytes.LastIndex(p, eventEnd)
-	if at < 0 {
-		return 0
+	length := 0
+	for _, end := range eventEnds {
+		if at := bytes.LastIndex(p, end); at >= 0 {
+			length = max(length, at+len(end))
+		}
 	}
-	return at + len(eventEnd)
+	return length
 }
 
 // lastEventID returns the ID of the last event that has one.
 func lastEventID(events []byte) string {
 	for len(events) > 0 {
-		at := bytes.LastIndexByte(events, '\n')
+		at := bytes.LastIndexAny(events, lineEnds)
 		line := events[at+1:]
 		if bytes.HasPrefix(line, idField) {
 			return string(bytes.TrimSpace(line[len(idField):]))
