An endpoint's rejection of a continuation is not appended to the stream

Cause: whether an answer belongs to a stream was decided by the route alone. Statuses below 500 were copied like events, also where the client already had part of another answer.

An answer that is no stream cannot continue one: it is a failed attempt, and the next one may follow. Where none is allowed, the answer is broken off.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -26,7 +26,8 @@
 	// verdictDelivered: the client has the complete answer.
 	verdictDelivered
 	// verdictFailure: the endpoint answered with a failure, which is sent to the
-	// client if no attempt follows, no answer has begun and there is no fallback.
+	// client if no attempt follows, no answer has begun and there is no fallback. Each
+	// answer that cannot continue one that has begun counts as a failure.
 	verdictFailure
 	// verdictLowConfidence: the answer was discarded to ask a larger model.
 	verdictLowConfidence
@@ -134,7 +135,7 @@
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
 	case !answer.Authentic:
 		a.verdict, a.err = verdictBroken, errNoProof
-	case answer.Status >= http.StatusInternalServerError:
+	case answer.Status >= http.StatusInternalServerError, a.run.headSent && !a.isStream():
 		a.readFailure(ctx)
 	case a.shouldEscalate():
 		a.verdict = verdictLowConfidence
