An answer is complete for the client only if the relay says so

Cause: a codec framed each answer as complete that the relay had not aborted. Where the client cancels, the relay only returned; the handler returned too, and net/http ended the answer, or made one up. Another decision of the same kind stood in node/caller, by the frames of a partial answer.

The port Client has one last call, End, that says whether the answer is complete, was interrupted or was canceled. A call that must run once counts as answered only after End has said so.

The property test of outcomes now asks for End instead of the absence of Abort. The stand-ins of the project's own interface can send streams without a length and chunks; their end marker already tells a cut one apart (TestCutStreamsNeverEndInSilence).

--- a/node/caller/answer.go
+++ b/node/caller/answer.go
@@ -25,7 +25,7 @@
 	head    *relay.Head
 	body    []byte
 	problem *problem.Problem
-	aborted bool
+	end     relay.AnswerEnd
 }
 
 // Begin implements [relay.Client].
@@ -80,25 +80,22 @@
 	return nil
 }
 
-// Abort implements [relay.Client].
-func (w *chatWriter) Abort() { w.aborted = true }
+// End implements [relay.Client].
+func (w *chatWriter) End(end relay.AnswerEnd) { w.end = end }
 
 // Refuse implements [relay.Client].
 func (w *chatWriter) Refuse(refusal *relay.Refusal) { w.problem = problemOf(refusal) }
 
-// finish ends the answer or sends the refusal. The parameter complete is true if the
-// whole answer, except a stream's end marker, has been passed to Write; if it is
-// false, the caller has disconnected.
-func (w *chatWriter) finish(complete bool) error {
+// finish ends the answer or sends the refusal.
+func (w *chatWriter) finish() error {
 	c := w.exchange.echo
 	switch {
 	case w.problem != nil:
 		return w.exchange.server.refuse(c, w.problem)
-	case w.aborted:
+	case w.end != relay.AnswerComplete && c.Response().Committed:
 		return w.writeInterrupted()
-	case w.head == nil || !complete:
-		observationOf(c).problem = interruptedProblem()
-		return nil
+	case w.end != relay.AnswerComplete:
+		return w.exchange.server.refuse(c, interruptedProblem())
 	case w.streaming:
 		return w.send(sseEvent([]byte("[DONE]")))
 	default:
--- a/node/caller/chat.go
+++ b/node/caller/chat.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/node/billing"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/node/sessions"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/session"
@@ -56,7 +57,7 @@
 	writer := &chatWriter{exchange: e, plan: work.plan, streaming: work.request.body.Stream}
 	work.run(e.echo.Request().Context(), writer)
 	s.recordBill(ctx, e, work, writer)
-	return writer.finish(work.usage.partialFrames == 0)
+	return writer.finish()
 }
 
 // reserveBill reserves room for the request's bill.
@@ -149,7 +150,7 @@
 // whose stream no endpoint could complete, is not billed; a caller that
 // disconnects in the middle of a stream pays for the part that it received.
 func (s *Server) recordBill(ctx context.Context, e *exchange, work *chatWork, writer *chatWriter) {
-	if writer.head == nil || writer.aborted {
+	if writer.head == nil || writer.end == relay.AnswerInterrupted {
 		return
 	}
 	work.addPartialUsage()
--- a/node/caller/once.go
+++ b/node/caller/once.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/intent"
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/node/atmostonce"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/wire/problem"
 )
 
@@ -55,11 +56,11 @@
 	c.fencing = fencing
 	writer := &serviceWriter{}
 	c.run(context.Background(), writer)
-	if writer.refusal == nil {
+	if writer.end == relay.AnswerComplete {
 		progress.MarkSent()
 		return intent.DispatchResult{Outcome: outcome.Ran(), Status: writer.head.Status, Body: writer.body}, writer.head.Header.Get(contentType)
 	}
-	if !writer.refusal.NotRun {
+	if writer.refusal == nil || !writer.refusal.NotRun {
 		progress.MarkSent()
 	}
 	return intent.DispatchResult{Outcome: progress.Outcome()}, ""
--- a/node/caller/service_lease.go
+++ b/node/caller/service_lease.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -43,6 +44,7 @@
 	head    relay.Head
 	body    []byte
 	refusal *relay.Refusal
+	end     relay.AnswerEnd
 }
 
 // Begin implements [relay.Client].
@@ -54,9 +56,8 @@
 	return nil
 }
 
-// Abort implements [relay.Client]. It does nothing: the answer is buffered, so
-// nothing of it has been sent.
-func (w *serviceWriter) Abort() {}
+// End implements [relay.Client].
+func (w *serviceWriter) End(end relay.AnswerEnd) { w.end = end }
 
 // Refuse implements [relay.Client].
 func (w *serviceWriter) Refuse(refusal *relay.Refusal) { w.refusal = refusal }
@@ -66,8 +67,8 @@
 	switch {
 	case w.refusal != nil:
 		return call.server.refuse(call.echo, serviceProblem(w.refusal))
-	case w.head.Status == 0:
-		return nil // the caller has disconnected
+	case w.end != relay.AnswerComplete:
+		return call.server.refuse(call.echo, call.unknownOutcomeProblem(problem.OutcomeUnknown, http.StatusBadGateway, "the answer is incomplete"))
 	default:
 		return call.echo.Blob(w.head.Status, w.head.Header.Get(contentType), w.body)
 	}
--- a/node/relay/fallback.go
+++ b/node/relay/fallback.go
@@ -25,8 +25,7 @@
 	}
 	r.headSent, r.status = true, answer.Status
 	r.client.Begin(Head{Status: answer.Status, Header: answer.Header, Fallback: true})
-	// The request is over whether or not the client is still connected.
-	_ = r.client.Write(body)
+	r.complete = r.client.Write(body) == nil // otherwise the client has disconnected
 }
 
 // readFailure reads the endpoint's failure, which is sent to the client if no
@@ -46,5 +45,7 @@
 	a.sendHead()
 	if err := a.run.client.Write(a.failureBody); err != nil {
 		a.err = err
+		return
 	}
+	a.run.complete = true
 }
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -281,6 +281,9 @@
 	status  int
 	body    bytes.Buffer
 	refusal *Refusal
+	// end is the argument of End. aborted reports that no endpoint could complete the
+	// answer.
+	end     AnswerEnd
 	aborted bool
 	// fallback is [Head.Fallback] of the answer: it was of low confidence, and was
 	// sent because no larger model answered.
@@ -304,7 +307,7 @@
 	r.finals++
 }
 
-func (r *recordingClient) Abort() { r.aborted = true }
+func (r *recordingClient) End(end AnswerEnd) { r.end, r.aborted = end, end == AnswerInterrupted }
 
 const (
 	testService = route.ServiceName("pool")
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -125,5 +125,8 @@
 func (r *Relay) Serve(ctx context.Context, request *Request, client Client) {
 	run := &run{relay: r, request: request, client: client, draw: rand.Float64()}
 	run.serve(ctx)
+	if run.refusal == nil {
+		client.End(run.answerEnd())
+	}
 	run.report(ctx)
 }
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -469,7 +469,7 @@
 		if refusal := h.client.refusal; refusal != nil && refusal.NotRun && runs > 0 {
 			t.Fatalf("refused as not run after %d runs", runs)
 		}
-		if kind == route.Stream && h.client.begun && h.client.status == http.StatusOK && !h.client.aborted {
+		if kind == route.Stream && h.client.begun && h.client.status == http.StatusOK && h.client.end == AnswerComplete {
 			if got, want := h.client.body.String(), wholeStream(after); got != want {
 				t.Fatalf("got %q, want %q", got, want)
 			}
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -191,8 +191,22 @@
 	Fallback bool
 }
 
-// Client receives the answer. If Begin was called, the answer is complete when
-// [Relay.Serve] returns, unless Abort was called or the client disconnected.
+// AnswerEnd says how the answer to a client ended.
+type AnswerEnd int
+
+// Values of [AnswerEnd]. The zero value is that of an answer whose end is not known.
+const (
+	// AnswerComplete: the whole answer has been passed to [Client].
+	AnswerComplete AnswerEnd = iota + 1
+	// AnswerInterrupted: the answer has begun, and no endpoint could complete it.
+	AnswerInterrupted
+	// AnswerCanceled: the client has disconnected or canceled the request.
+	AnswerCanceled
+)
+
+// Client receives the answer. A codec must send an answer so that the client can tell
+// that it is incomplete, unless End has said that it is complete: a client that cancels
+// its request may still read.
 type Client interface {
 	// Begin sends the head of an endpoint's answer.
 	Begin(head Head)
@@ -201,8 +215,8 @@
 	Write(p []byte) error
 	// Refuse sends a refusal. It is not called after Begin.
 	Refuse(refusal *Refusal)
-	// Abort ends the answer so that the client can tell that it is incomplete.
-	Abort()
+	// End is the last call for a request that was not refused.
+	End(end AnswerEnd)
 }
 
 // Reason is the reason for which a request was refused.
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -50,7 +50,9 @@
 	backoff   backoff
 	status    int
 	refusal   *Refusal
-	aborted   bool
+	// complete reports that the whole answer was sent to the client, and aborted that no
+	// endpoint could complete it.
+	complete, aborted bool
 	// stopped, last and broken are described at [DoneEvent].
 	stopped      StopReason
 	last, broken *AttemptEvent
@@ -221,6 +223,7 @@
 	}
 	switch a.verdict {
 	case verdictDelivered:
+		r.complete = true
 		return false
 	case verdictClientGone:
 		return false
@@ -366,7 +369,6 @@
 	r.stopped = r.stopReason(ctx, refusal)
 	if r.headSent {
 		r.aborted = true
-		r.client.Abort()
 		return
 	}
 	if r.fallback != nil {
@@ -381,6 +383,17 @@
 	r.refuse(&final)
 }
 
+func (r *run) answerEnd() AnswerEnd {
+	switch {
+	case r.complete:
+		return AnswerComplete
+	case r.aborted:
+		return AnswerInterrupted
+	default:
+		return AnswerCanceled
+	}
+}
+
 // stopReason returns the reason for [run.finish]: the client has disconnected, the
 // time is up, the reason that giveUp has set, or the refusal of the gate or the
 // picker.
--- a/node/streams_test.go
+++ b/node/streams_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/wigeonusher/wigeonusher/node"
 	"github.com/wigeonusher/wigeonusher/node/settings"
 	standinanswer "github.com/wigeonusher/wigeonusher/standin/answer"
 	"github.com/wigeonusher/wigeonusher/standin/faults"
@@ -18,13 +21,19 @@
 // the caller must end with its end marker or with an error event.
 func TestCutStreamsNeverEndInSilence(t *testing.T) {
 	f, nodes := newModelFleet(t, 1, nil)
-	for _, engine := range f.engines {
-		engine.Faults.Set(faults.Set{CutRate: 0.5})
+	for _, unframed := range []bool{false, true} {
+		for _, engine := range f.engines {
+			engine.Faults.Set(faults.Set{CutRate: 0.5, Unframed: unframed})
+		}
+		checkCutStreams(t, f, nodes[0].Node, fmt.Sprintf("cut, unframed: %t", unframed))
 	}
+}
+
+func checkCutStreams(t *testing.T, f *fleet, n *node.Node, name string) {
 	complete, cut := 0, 0
 	for i := range 40 {
-		id := fmt.Sprintf("cut-%d", i)
-		got := f.chat(nodes[0].Node, chatBody("small", true), header{"X-Request-Id", id})
+		id := fmt.Sprintf("%s, %d", name, i)
+		got := f.chat(n, chatBody("small", true), header{"X-Request-Id", id})
 		if got.status != http.StatusOK {
 			assert.Assert(t, strings.Contains(got.body, `"outcome"`), got.body)
 			cut++
@@ -43,6 +52,28 @@
 	assert.Assert(t, complete > 0 && cut > 0, "complete %d, cut %d", complete, cut)
 }
 
+// A caller that closes its sending side cancels the call, and still reads.
+func TestCanceledCallIsNotAnsweredLikeASuccess(t *testing.T) {
+	f := newFleet(t)
+	f.addServices(1, "desk")
+	f.publishDefault()
+	n := f.startReady("a")
+	f.eventually("the service is known", func() bool {
+		return f.call(n.Node, http.MethodGet, "/services/desk/bookings", "").status == http.StatusOK
+	})
+	f.services[0].Faults.Set(faults.Set{LatencyMillis: 1000})
+	conn, err := net.Dial("tcp", n.Addresses().Caller)
+	assert.NilError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /services/desk/bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", accountKey)
+	time.Sleep(100 * time.Millisecond) // the call is being worked on
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	response, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(response), "200 OK"), "%s", response)
+	assert.Assert(t, strings.Contains(string(response), `"outcome":"unknown"`), "%s", response)
+}
+
 // TestCallerThatLeavesIsBilledOnceForWhatItGot closes the connection in the
 // middle of a stream.
 func TestCallerThatLeavesIsBilledOnceForWhatItGot(t *testing.T) {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -167,3 +167,15 @@
 	assert.Equal(t, order(4), http.StatusConflict)
 	assert.DeepEqual(t, s.Load().Loaded, []string{ref, "strong@v1"})
 }
+
+func TestUnframedStreamHasNeitherLengthNorChunks(t *testing.T) {
+	s := start(t, engine.Config{})
+	s.Faults.Set(faults.Set{Unframed: true})
+	response, err := http.DefaultClient.Do(chatRequest(t, s.URL(), true, "hello"))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.ContentLength, int64(-1))
+	assert.Equal(t, len(response.TransferEncoding), 0)
+	_, done := readStream(t, response.Body)
+	assert.Assert(t, done)
+}
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -40,6 +40,9 @@
 	BadVersions map[string]float64 `json:"bad_versions,omitempty"`
 	// CutRate is the probability, in [0, 1], that a stream is cut in the middle.
 	CutRate float64 `json:"cut_rate"`
+	// Unframed makes streams have neither a length nor chunks: they end with their
+	// connection.
+	Unframed bool `json:"unframed"`
 }
 
 // Injector holds the current faults of a stand-in. It is safe for concurrent use.
--- a/standin/faults/middleware.go
+++ b/standin/faults/middleware.go
@@ -64,6 +64,10 @@
 	if err := i.Sleep(c.Request().Context(), latency); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if set.Unframed {
+		// net/http then sends no chunks and closes the connection after the response.
+		c.Response().Header().Set("Transfer-Encoding", "identity")
+	}
 	if i.Draw(set.LoseRate) {
 		c.Response().Writer = discardWriter{header: http.Header{}}
 		if err := next(c); err != nil {
