A stream whose events have no IDs is not started again in the middle

Seen by callers (in a test): the first events twice, in an answer framed as complete.

Cause: a broken answer is resumed after the last event ID, and without one at the first event, whatever the client already has. It can be resumed only if an event had an ID; otherwise it is broken off ('not resumable'), and the watchdog does not end it.

Evidence: TestStreamWithoutEventIDsIsNotStartedAgain fails without the change.

--- a/node/relay/backoff.go
+++ b/node/relay/backoff.go
@@ -51,7 +51,7 @@
 // the answer, or too little time is left.
 func (r *run) waitForEndpoint(ctx context.Context) bool {
 	rt := r.permission.Route
-	if !r.headSent || !rt.Resumable {
+	if !r.headSent || !r.canResume(rt) {
 		return false
 	}
 	pause := r.backoff.next(time.Now(), r.deadline, rt)
--- a/node/relay/end_test.go
+++ b/node/relay/end_test.go
@@ -68,3 +68,15 @@
 		assert.Equal(t, h.observer.attempts[0].Events, 2)
 	}
 }
+
+// Without the ID of an event, another endpoint would send the first events again.
+func TestStreamWithoutEventIDsIsNotStartedAgain(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Stream)), 2, nil)
+	endpoints := &bodyEndpoints{bodies: []string{"data: one\n\nda", "data: one\n\ndata: two\n\n"}}
+	h.relay.Endpoints = endpoints
+	h.serve(testRequest())
+	assert.Equal(t, h.client.body.String(), "data: one\n\n")
+	assert.Equal(t, h.client.end, AnswerInterrupted)
+	assert.Equal(t, len(endpoints.calls), 1)
+	assert.Equal(t, h.observer.done[0].Stopped, StopNotResumable)
+}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -68,7 +68,8 @@
 	StopBudget StopReason = "retry budget empty"
 	// StopNotRepeatable: the route does not allow a second run.
 	StopNotRepeatable StopReason = "not repeatable"
-	// StopNotResumable: the answer has begun, and the route cannot resume it.
+	// StopNotResumable: the answer has begun, and it cannot be resumed (see
+	// [run.canResume]).
 	StopNotResumable StopReason = "not resumable"
 	// StopClientGone: the client has disconnected.
 	StopClientGone StopReason = "client gone"
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -45,8 +45,10 @@
 	avoid []platform.EndpointID
 	// headSent reports that the head of an answer was sent to the client.
 	headSent bool
-	// lastEvent is the ID of the last event that the client has.
-	lastEvent string
+	// lastEvent is the ID of the last event that the client has. gotEventID reports that
+	// an event of this answer had one.
+	lastEvent  string
+	gotEventID atomic.Bool
 	backoff   backoff
 	status    int
 	refusal   *Refusal
@@ -295,12 +297,16 @@
 	}
 }
 
+// canResume reports whether another endpoint can go on with an answer that has begun. If
+// its events have no IDs, the endpoint would start with the first event again.
+func (r *run) canResume(rt *route.Route) bool { return rt.Resumable && r.gotEventID.Load() }
+
 // checkRuns returns a reason if no other attempt is allowed after one that may have
 // run the request.
 func (r *run) checkRuns() StopReason {
 	rt := r.permission.Route
 	switch {
-	case r.headSent && !rt.Resumable:
+	case r.headSent && !r.canResume(rt):
 		return StopNotResumable
 	case !rt.Repeatable():
 		return StopNotRepeatable
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -75,6 +75,7 @@
 	}
 	if id := lastEventID(events); id != "" {
 		a.run.lastEvent = id
+		a.run.gotEventID.Store(true)
 	}
 	return true
 }
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -164,7 +164,7 @@
 // canContinueElsewhere reports whether another attempt could follow this one. If
 // not, giving up this one gains nothing, and its endpoint may still answer.
 func (w *watchdog) canContinueElsewhere(ctx context.Context) bool {
-	if !w.triesLeft || w.hasBegun() && !w.route.Resumable || !w.canAffordRetry() {
+	if !w.triesLeft || w.hasBegun() && !w.attempt.run.canResume(w.route) || !w.canAffordRetry() {
 		return false
 	}
 	if _, refusal := w.gate.Admit(w.progress.Request); refusal != nil {
