An answer larger than the buffer is not cut at its end

Cause: the limit of the buffer ended the copy like the end of the answer. An answer is still buffered until it is whole, so that another endpoint can be asked, but beyond 8 MiB it is forwarded as it arrives, and broken off if its endpoint breaks. A larger failure counts as broken. Reads of a body that is not a stream count as activity, so that the watchdog does not end a long one.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -144,7 +143,7 @@
 	case a.isStream():
 		a.copyStream(ctx)
 	default:
-		a.copyBuffered(ctx)
+		a.copyPlain(ctx)
 	}
 }
 
@@ -287,22 +286,6 @@
 	a.run.client.Begin(Head{Status: a.answer.Status, Header: a.answer.Header})
 }
 
-// copyBuffered reads the complete answer and then sends it to the client.
-func (a *attempt) copyBuffered(ctx context.Context) {
-	_ = a.answer.Body.SetReadDeadline(a.run.deadline) // an error shows in the read
-	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
-	if err != nil {
-		a.markBroken(ctx, err)
-		return
-	}
-	a.recordFirstEvent()
-	a.sendHead()
-	a.verdict = verdictDelivered
-	if err := a.write(body); err != nil {
-		a.verdict, a.err = verdictClientGone, err
-	}
-}
-
 func (a *attempt) recordFirstEvent() {
 	if a.firstEvent > 0 {
 		return
--- a/node/relay/fallback.go
+++ b/node/relay/fallback.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"context"
-	"io"
-	"time"
-)
+import "io"
 
 // saveFallback saves a discarded answer of low confidence, if it is complete. It
 // is sent to the client if no larger model answers.
@@ -28,18 +24,6 @@
 	r.complete = r.client.Write(body) == nil // otherwise the client has disconnected
 }
 
-// readFailure reads the endpoint's failure, which is sent to the client if no
-// attempt follows, no answer has begun and there is no fallback.
-func (a *attempt) readFailure(ctx context.Context) {
-	_ = a.answer.Body.SetReadDeadline(time.Now().Add(minPatience)) // an error shows in the read
-	body, err := io.ReadAll(io.LimitReader(a.answer.Body, maxAnswerBytes))
-	if err != nil {
-		a.markBroken(ctx, err)
-		return
-	}
-	a.verdict, a.failureBody = verdictFailure, body
-}
-
 // sendFailure sends the endpoint's failure to the client.
 func (a *attempt) sendFailure() {
 	a.sendHead()
--- /dev/null
+++ b/node/relay/plain.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// minReadBytes is the initial size of the buffer of a body.
+	minReadBytes = 2 << 10
+	// forwardBytes is how much of a body is read before it is forwarded, once the
+	// answer is too large to be buffered.
+	forwardBytes = 32 << 10
+)
+
+var errFailureTooLarge = eris.New("body of the failure is too large")
+
+// copyPlain sends an answer that is not a stream to the client. It reads the whole answer
+// first, so that another endpoint can be asked if it breaks off. Of an answer larger than
+// maxBufferedBytes the rest is forwarded as it arrives.
+func (a *attempt) copyPlain(ctx context.Context) {
+	_ = a.answer.Body.SetReadDeadline(a.run.deadline) // an error shows in the read
+	for limit := maxBufferedBytes; ; limit = forwardBytes {
+		body, whole, err := a.readPlain(limit)
+		if err != nil {
+			a.markBroken(ctx, err)
+			return
+		}
+		a.recordFirstEvent()
+		a.sendHead()
+		if err := a.write(body); err != nil {
+			a.verdict, a.err = verdictClientGone, err
+			return
+		}
+		if whole {
+			a.verdict = verdictDelivered
+			return
+		}
+	}
+}
+
+// readPlain reads the body to its end, or until it has at least the given number of bytes.
+// It reports whether it has reached the end. The error is nil if that was the end of a
+// whole answer.
+func (a *attempt) readPlain(limit int) (body []byte, whole bool, err error) {
+	for len(body) < limit {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, max(minReadBytes, len(body)))
+		}
+		n, err := a.answer.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if n > 0 {
+			a.recordActivity()
+		}
+		if err != nil {
+			err = a.checkEnd(err)
+			return body, err == nil, err
+		}
+	}
+	return body, false, nil
+}
+
+// readFailure reads the endpoint's failure, which is sent to the client if no
+// attempt follows, no answer has begun and there is no fallback.
+func (a *attempt) readFailure(ctx context.Context) {
+	_ = a.answer.Body.SetReadDeadline(time.Now().Add(minPatience)) // an error shows in the read
+	body, whole, err := a.readPlain(maxBufferedBytes)
+	if err == nil && !whole {
+		err = errFailureTooLarge
+	}
+	if err != nil {
+		a.markBroken(ctx, err)
+		return
+	}
+	a.verdict, a.failureBody = verdictFailure, body
+}
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -29,7 +29,7 @@
 	// minPaceEvents is the least number of events for which a stream's pace is
 	// computed.
 	minPaceEvents = 5
-	// maxAnswerBytes bounds an answer that is not a stream: it is buffered until
-	// it is complete.
-	maxAnswerBytes = 8 << 20
+	// maxBufferedBytes bounds how much of an answer that is not a stream is buffered
+	// until it is complete.
+	maxBufferedBytes = 8 << 20
 )
