--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -49,9 +49,9 @@
 	// an event of this answer had one.
 	lastEvent  string
 	gotEventID atomic.Bool
-	backoff   backoff
-	status    int
-	refusal   *Refusal
+	backoff    backoff
+	status     int
+	refusal    *Refusal
 	// complete reports that the whole answer was sent to the client, and aborted that no
 	// endpoint could complete it.
 	complete, aborted bool
