A topic that was restored from an older copy is read anew

Cause: an instance compared offsets of different histories. If the topic had reached the offset of its next read again, with other records, it never read those; until then it waited up to 10 s (registry) or 20 s (status), and its appends failed.

A position in a topic now has an era. Endpoints that the copy lacks get the grace period of an outage.

--- a/coord/keyed/keyed.go
+++ b/coord/keyed/keyed.go
@@ -28,19 +28,29 @@
 	Offset Offset
 }
 
+// Era numbers the histories of a log. It rises when the log is restored from an older
+// copy: the records since the copy are lost, and their offsets are given out again.
+type Era uint64
+
+// Position is a place between the records of a topic. Offsets of different eras must not
+// be compared.
+type Position struct {
+	Era    Era
+	Offset Offset
+}
+
 // Page is the result of one read of a [Log].
 type Page struct {
 	Records []Record
-	// Next is the offset to read from after this page.
-	Next Offset
+	// Next is the position to read from after this page.
+	Next Position
 }
 
-// ErrTruncated reports that the requested records are no longer retained, or that
-// the topic ends before the requested offset because its history was replaced. The
-// reader must start again from [Log.Newest].
+// ErrTruncated reports that the records at a position are no longer retained, or that
+// the era of the position has ended. The reader must start again from [Log.Newest].
 var ErrTruncated = eris.New("keyed: records are no longer retained")
 
-// ErrConflict reports that the topic does not end at the offset that the writer
+// ErrConflict reports that the topic does not end at the position that the writer
 // expected.
 var ErrConflict = eris.New("keyed: topic does not end at the expected offset")
 
@@ -50,11 +60,12 @@
 	// Newest returns the newest record of each key. A read from the page's Next
 	// misses no record that is appended during or after the call.
 	Newest(ctx context.Context, topic Topic) (Page, error)
-	// Read returns the records from the given offset on. If there is none, it waits
+	// Read returns the records from the given position on. If there is none, it waits
 	// for one up to the given time, and then returns a page without records. It
-	// returns [ErrTruncated] if it cannot read from the offset.
-	Read(ctx context.Context, topic Topic, from Offset, wait time.Duration) (Page, error)
-	// AppendAt appends a record at the given offset if that is the next offset of
-	// the topic, and returns [ErrConflict] otherwise.
-	AppendAt(ctx context.Context, topic Topic, at Offset, key string, value []byte) error
+	// returns [ErrTruncated] if it cannot read from the position.
+	Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (Page, error)
+	// AppendAt appends a record at the given position if the topic ends there, and
+	// returns [ErrConflict] otherwise. An append that is executed late, after the end of
+	// its era, may succeed at the same offset of a later one.
+	AppendAt(ctx context.Context, topic Topic, at Position, key string, value []byte) error
 }
--- a/coord/keyed/state.go
+++ b/coord/keyed/state.go
@@ -12,15 +12,15 @@
 // use. The zero value has no snapshot loaded; Load must be called before Apply.
 type State struct {
 	keys   map[string]struct{}
-	next   Offset
+	next   Position
 	loaded bool
 }
 
 // Loaded reports whether a snapshot has been loaded.
 func (s *State) Loaded() bool { return s.loaded }
 
-// Next returns the offset to read from next.
-func (s *State) Next() Offset { return s.next }
+// Next returns the position to read from next.
+func (s *State) Next() Position { return s.next }
 
 // Load replaces the state by a snapshot. It returns a change for each record of
 // the snapshot, and a deletion for each previously known key without a record in
@@ -40,17 +40,17 @@
 	return changes
 }
 
-// Apply applies the records of a page that was read from [State.Next] and returns
-// their changes. Records that were applied before are skipped.
+// Apply applies the records of a page that was read from [State.Next] and returns their
+// changes. Records that were applied before are skipped.
 func (s *State) Apply(page Page) []Change {
 	var changes []Change
 	for _, record := range page.Records {
-		if record.Offset < s.next {
+		if record.Offset < s.next.Offset {
 			continue
 		}
 		changes = append(changes, s.apply(record))
 	}
-	s.next = max(s.next, page.Next)
+	s.next.Offset = max(s.next.Offset, page.Next.Offset)
 	return changes
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -227,10 +227,10 @@
 }
 
 // Propose implements [versions.Writer].
-func (e *Entry) Propose(ctx context.Context, offset keyed.Offset, status canary.Status) error {
+func (e *Entry) Propose(ctx context.Context, at keyed.Position, status canary.Status) error {
 	key, value, err := e.platform.EncodeStatus(status)
 	if err != nil {
 		return err
 	}
-	return e.platform.Log().AppendAt(ctx, e.platform.Topics().Status, offset, key, value)
+	return e.platform.Log().AppendAt(ctx, e.platform.Topics().Status, at, key, value)
 }
--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -93,7 +93,7 @@
 func (e *Entry) applyRegistry(batch tailer.Batch) {
 	now := time.Now()
 	mayHaveMissedOutage := e.isStoreUnresponsive() && batch.Sent < e.operatorReadDue()
-	if batch.Recovered || mayHaveMissedOutage {
+	if batch.Recovered || batch.Restored || mayHaveMissedOutage {
 		e.pools.RegistryRestored(now)
 	}
 	e.registryAnsweredAt.Store(int64(boottime.Now()))
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -30,8 +30,13 @@
 	// Sent is the time just before the read was sent. With the changes applied, the
 	// state is that of the topic at Sent or later.
 	Sent boottime.Instant
-	// Next is the offset at which the next read starts.
-	Next keyed.Offset
+	// Next is the position at which the next read starts.
+	Next keyed.Position
+	// Snapshot reports that the changes are those to a new snapshot of the topic.
+	Snapshot bool
+	// Restored reports that the log was restored from an older copy since the last read:
+	// the snapshot may lack records that were read before.
+	Restored bool
 	// Recovered reports that the read before this one failed.
 	Recovered bool
 	// LastFailure is the boot time at which the last failed read ended, 0 if none
@@ -84,26 +89,14 @@
 }
 
 func (t *Tailer) step(ctx context.Context) error {
-	sent := boottime.Now()
-	var page keyed.Page
-	var changes []keyed.Change
-	var err error
-	if t.state.Loaded() {
-		page, err = t.config.Log.Read(ctx, t.config.Topic, t.state.Next(), t.config.Wait)
-		if err == nil {
-			changes = t.state.Apply(page)
-		}
-	}
-	if !t.state.Loaded() || eris.Is(err, keyed.ErrTruncated) {
-		page, err = t.config.Log.Newest(ctx, t.config.Topic)
-		if err == nil {
-			changes = t.state.Load(page)
-		}
-	}
+	batch, err := t.read(ctx)
 	if err != nil {
 		return err
 	}
-	batch := Batch{Changes: changes, Sent: sent, Next: t.state.Next(), Recovered: t.failures > 0, LastFailure: t.lastFailure}
+	batch.Recovered, batch.LastFailure = t.failures > 0, t.lastFailure
+	if batch.Restored {
+		t.config.Logger.WithFields(logrus.Fields{"topic": t.config.Topic, "next": batch.Next.Offset, "era": batch.Next.Era}).Warn("topic was restored from an older copy")
+	}
 	if t.failures > 0 {
 		t.config.Logger.WithFields(logrus.Fields{"topic": t.config.Topic, "failed_calls": t.failures}).Info("topic is readable again")
 	}
@@ -112,6 +105,27 @@
 	return nil
 }
 
+// read reads the next records, or a new snapshot if there is none yet or the next records
+// cannot be read.
+func (t *Tailer) read(ctx context.Context) (Batch, error) {
+	sent := boottime.Now()
+	if t.state.Loaded() {
+		page, err := t.config.Log.Read(ctx, t.config.Topic, t.state.Next(), t.config.Wait)
+		if err == nil {
+			return Batch{Changes: t.state.Apply(page), Sent: sent, Next: t.state.Next()}, nil
+		}
+		if !eris.Is(err, keyed.ErrTruncated) {
+			return Batch{}, err
+		}
+	}
+	page, err := t.config.Log.Newest(ctx, t.config.Topic)
+	if err != nil {
+		return Batch{}, err
+	}
+	restored := t.state.Loaded() && page.Next.Era != t.state.Next().Era
+	return Batch{Changes: t.state.Load(page), Sent: sent, Next: page.Next, Snapshot: true, Restored: restored}, nil
+}
+
 func (t *Tailer) recordFailure(err error) {
 	t.failures++
 	t.lastFailure = boottime.Now()
--- a/node/versions/propose.go
+++ b/node/versions/propose.go
@@ -23,10 +23,10 @@
 	})
 }
 
-// proposal is a status that this instance proposes, and the offset at which the
+// proposal is a status that this instance proposes, and the position at which the
 // status topic must still end.
 type proposal struct {
-	offset keyed.Offset
+	at     keyed.Position
 	status canary.Status
 }
 
@@ -53,7 +53,7 @@
 			continue
 		}
 		s.proposeAt = v.now() + proposeSpread + rand.N(proposeSpread)
-		due = append(due, proposal{offset: v.topicEnd, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next}})
+		due = append(due, proposal{at: v.topicEnd, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next}})
 	}
 	return due
 }
@@ -73,9 +73,9 @@
 
 func (v *Versions) propose(ctx context.Context, p proposal) {
 	entry := v.log.WithFields(logrus.Fields{
-		"service": p.status.Service, "target": p.status.Target, "phase": p.status.Phase.String(), "at": p.offset,
+		"service": p.status.Service, "target": p.status.Target, "phase": p.status.Phase.String(), "at": p.at.Offset,
 	})
-	if err := v.writer.Propose(ctx, p.offset, p.status); err != nil {
+	if err := v.writer.Propose(ctx, p.at, p.status); err != nil {
 		entry.WithError(err).Info("roll-out phase not accepted")
 		return
 	}
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -35,9 +35,9 @@
 
 // Writer appends to the status topic of roll-outs.
 type Writer interface {
-	// Propose appends a status if the status topic still ends at the offset, and
+	// Propose appends a status if the status topic still ends at the position, and
 	// returns an error otherwise.
-	Propose(ctx context.Context, offset keyed.Offset, status canary.Status) error
+	Propose(ctx context.Context, at keyed.Position, status canary.Status) error
 }
 
 // SessionLookup looks up sessions at the peers.
@@ -69,9 +69,9 @@
 
 	mu       sync.Mutex
 	services map[route.ServiceName]*service
-	// topicEnd is the offset at which the status topic ended when it was last
+	// topicEnd is the position at which the status topic ended when it was last
 	// read.
-	topicEnd keyed.Offset
+	topicEnd keyed.Position
 	statuses map[route.ServiceName]canary.Status
 }
 
@@ -159,9 +159,9 @@
 	}).Info("roll-out ordered")
 }
 
-// ApplyStatuses applies statuses read from the status topic. end is the offset at
+// ApplyStatuses applies statuses read from the status topic. end is the position at
 // which the topic ends.
-func (v *Versions) ApplyStatuses(end keyed.Offset, statuses ...canary.Status) {
+func (v *Versions) ApplyStatuses(end keyed.Position, statuses ...canary.Status) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.topicEnd = end
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -38,7 +38,7 @@
 	return onTarget, known
 }
 
-func (f *fixture) Propose(context.Context, keyed.Offset, canary.Status) error { return nil }
+func (f *fixture) Propose(context.Context, keyed.Position, canary.Status) error { return nil }
 
 func newFixture() *fixture {
 	logger := logrus.New()
@@ -52,7 +52,7 @@
 }
 
 func (f *fixture) agree(phase canary.Phase) {
-	f.versions.ApplyStatuses(1, canary.Status{Service: order.Service, Target: order.Target, Phase: phase})
+	f.versions.ApplyStatuses(keyed.Position{Offset: 1}, canary.Status{Service: order.Service, Target: order.Target, Phase: phase})
 }
 
 // newPicker returns a picker for three endpoints of each version.
@@ -212,7 +212,7 @@
 		next := order
 		next.Target = "v3"
 		f.versions.Order(next)
-		f.versions.ApplyStatuses(4, canary.Status{Service: order.Service, Target: "v3", Phase: phase})
+		f.versions.ApplyStatuses(keyed.Position{Offset: 4}, canary.Status{Service: order.Service, Target: "v3", Phase: phase})
 		picker := f.newPicker("v1", "v2", "v3")
 		for _, first := range []string{"v1", "v2", ""} {
 			query := testQuery(first)
@@ -287,7 +287,7 @@
 	next.Target = "v3"
 	f.versions.Order(next)
 	for _, phase := range []canary.Phase{canary.Ordered, canary.Canary, canary.Full} {
-		f.versions.ApplyStatuses(4, canary.Status{Service: order.Service, Target: "v3", Phase: phase})
+		f.versions.ApplyStatuses(keyed.Position{Offset: 4}, canary.Status{Service: order.Service, Target: "v3", Phase: phase})
 		for _, id := range []string{session, "other", ""} {
 			choice := f.versions.Choose(context.Background(), order.Service, id, "1")
 			assert.Assert(t, !choice.Assigned("v2") && !choice.Allowed("v2"), "%s, session %q", phase, id)
@@ -320,7 +320,7 @@
 	next := order
 	next.Target = "v3"
 	f.versions.Order(next)
-	f.versions.ApplyStatuses(4, canary.Status{Service: order.Service, Target: "v3", Phase: canary.Canary})
+	f.versions.ApplyStatuses(keyed.Position{Offset: 4}, canary.Status{Service: order.Service, Target: "v3", Phase: canary.Canary})
 	choice := f.versions.Choose(context.Background(), order.Service, session, "3")
 	assert.Assert(t, !choice.Assigned("v3"))
 	assert.Assert(t, choice.Assigned("v2"))
