An engine that has left is not listed again by an older copy of the registry

Seen (in a test): after a restore of the store, an instance sends requests to an engine whose registration it had seen removed.

Cause: a removed endpoint was forgotten, so that its old record looked like a new endpoint. A removed one is now remembered for a minute with its last record; only a newer record (a later start, or a higher sequence) lists it. An endpoint that was missing after an outage may register again as before, so it is remembered only if it was leaving. The line 'endpoint listed' has the sequence.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -69,10 +69,16 @@
 	return changed
 }
 
-func (p *Pool) remove(id platform.EndpointID) {
+// remove removes an endpoint and returns its last record.
+func (p *Pool) remove(id platform.EndpointID) Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	removed := p.members[id]
+	if removed == nil {
+		return Record{ID: id}
+	}
 	delete(p.members, id)
+	return removed.record
 }
 
 func (p *Pool) count() int {
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -4,6 +4,7 @@
 package pool
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -43,6 +44,10 @@
 // reachable.
 const absenceGrace = 2 * time.Second
 
+// removalMemory is how long a removed endpoint is remembered. It exceeds the age of the
+// copies from which a registry is restored, which is some seconds.
+const removalMemory = time.Minute
+
 // Pools holds the endpoints of all services. Its methods are safe for concurrent
 // use.
 type Pools struct {
@@ -56,9 +61,17 @@
 	// kept.
 	graceUntil time.Time
 	missing    map[platform.EndpointID]struct{}
+	// removed holds the endpoints whose registration was removed lately.
+	removed    map[platform.EndpointID]removal
 	onLongRead func(service, endpoint string, expected time.Duration)
 }
 
+// removal is the last record of an endpoint whose registration was removed.
+type removal struct {
+	record Record
+	at     time.Time
+}
+
 // OnLongRead registers a function that is called, with the expected time to read
 // the prompt, for each long prompt that this instance is about to send to an
 // endpoint. notify is called with the pool locked. OnLongRead itself must be called
@@ -75,6 +88,7 @@
 		services:       make(map[route.ServiceName]*Pool),
 		poolByEndpoint: make(map[platform.EndpointID]*Pool),
 		missing:        make(map[platform.EndpointID]struct{}),
+		removed:        make(map[platform.EndpointID]removal),
 	}
 }
 
@@ -114,10 +128,21 @@
 	p.graceUntil = now.Add(absenceGrace)
 }
 
-// Put adds or updates an endpoint from a registry record.
+// Put adds or updates an endpoint from a registry record. It ignores a record that the
+// registry listed before it removed the endpoint: a registry that was restored from an
+// older copy lists it again, though the endpoint may have left.
 func (p *Pools) Put(record Record) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if removed, ok := p.removed[record.ID]; ok {
+		if !removed.record.older(record) {
+			p.log.WithFields(logrus.Fields{
+				"endpoint": record.ID, "born": record.Born, "sequence": record.Sequence, "removed_sequence": removed.record.Sequence,
+			}).Info("endpoint not listed: its registration is older than its removal")
+			return
+		}
+		delete(p.removed, record.ID)
+	}
 	delete(p.missing, record.ID)
 	current := p.service(record.Service)
 	if previous := p.poolByEndpoint[record.ID]; previous != nil && previous != current {
@@ -127,7 +152,7 @@
 	if current.put(record) {
 		p.log.WithFields(logrus.Fields{
 			"endpoint": record.ID, "service": record.Service, "version": record.Version,
-			"address": record.Address, "leaving": record.Leaving, "born": record.Born,
+			"address": record.Address, "leaving": record.Leaving, "born": record.Born, "sequence": record.Sequence,
 		}).Info("endpoint listed")
 	}
 }
@@ -141,30 +166,43 @@
 		p.missing[id] = struct{}{}
 		return
 	}
-	p.drop(id, "not listed any more")
+	if record, ok := p.drop(id, "not listed any more"); ok {
+		p.removed[id] = removal{record: record, at: now}
+	}
 }
 
-// Expire drops the endpoints that are still missing after the grace period.
+// Expire drops the endpoints that are still missing after the grace period, and forgets
+// removals that are long past.
 func (p *Pools) Expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.removed, func(_ platform.EndpointID, removed removal) bool {
+		return now.Sub(removed.at) > removalMemory
+	})
 	if len(p.missing) == 0 || now.Before(p.graceUntil) {
 		return
 	}
 	for id := range p.missing {
-		p.drop(id, "did not register again")
+		// It may still run, and register again as before, so it is not remembered as removed
+		// unless it was leaving.
+		if record, ok := p.drop(id, "did not register again"); ok && record.Leaving {
+			p.removed[id] = removal{record: record, at: now}
+		}
 	}
 	clear(p.missing)
 }
 
-func (p *Pools) drop(id platform.EndpointID, reason string) {
+// drop removes an endpoint and returns its last record. It reports false if the endpoint
+// was not known.
+func (p *Pools) drop(id platform.EndpointID, reason string) (Record, bool) {
 	owner := p.poolByEndpoint[id]
 	if owner == nil {
-		return
+		return Record{}, false
 	}
-	owner.remove(id)
+	record := owner.remove(id)
 	delete(p.poolByEndpoint, id)
 	p.log.WithFields(logrus.Fields{"endpoint": id, "reason": reason}).Info("endpoint removed")
+	return record, true
 }
 
 // Count returns the number of endpoints that are not leaving.
--- a/node/pool/pool_test.go
+++ b/node/pool/pool_test.go
@@ -64,6 +64,41 @@
 	assert.Equal(t, pools.Count(), 0)
 }
 
+// A registry that was restored from an older copy lists endpoints that have left.
+func TestRemovedEndpointIsNotListedByAnOlderRecord(t *testing.T) {
+	newer, reborn := record("e"), record("e")
+	newer.Sequence, reborn.Born, reborn.Sequence = 6, 11, 1
+	for name, again := range map[string]pool.Record{"it registers again": newer, "it starts again": reborn} {
+		pools := newPools()
+		pools.Put(record("e"))
+		pools.Remove(start, "e")
+		pools.Put(record("e"))
+		assert.Equal(t, pools.Count(), 0, name)
+		pools.Put(again)
+		assert.Equal(t, pools.Count(), 1, name)
+	}
+}
+
+// An endpoint that an outage has removed may register again as before.
+func TestEndpointThatWasMissingAfterAnOutageIsListedAgain(t *testing.T) {
+	pools := newPools()
+	leaving := record("leaving")
+	leaving.Leaving = true
+	pools.Put(record("staying"))
+	pools.Put(leaving)
+	pools.RegistryRestored(start)
+	pools.Remove(start, "staying")
+	pools.Remove(start, "leaving")
+	pools.Expire(start.Add(3 * time.Second))
+	assert.Equal(t, pools.Count(), 0)
+	pools.Put(record("staying"))
+	pools.Put(record("leaving"))
+	assert.Equal(t, pools.Count(), 1)
+	pools.Expire(start.Add(2 * time.Minute))
+	pools.Put(record("leaving"))
+	assert.Equal(t, pools.Count(), 2, "a removal is not remembered for ever")
+}
+
 func TestBrokenEndpointIsUsedAgainAfterASuccessfulProbe(t *testing.T) {
 	pools := newPools()
 	fill(pools, 2)
