A roll-out keeps its phase when the log loses it, and the phase is written again

Seen (in tests): after a restore of the store, the status of a completed roll-out stays 'running'; instances move back to an earlier phase, so that a version that was rolled back would get requests again; an older order replaces a later one.

Cause: the topic's newest record counted as the phase, whatever had been agreed, and an agreed final phase was never proposed again.

An earlier phase in the log no longer replaces a later one. If the log lacks the agreed phase (no status, an earlier phase, or that of an earlier roll-out), it is proposed again, on condition of the topic's end as before. Of two final phases the one in the log counts, so that instances do not replace each other's for ever.

TestRestoredLogDoesNotMoveARollOutBack, TestLogDecidesBetweenTwoFinalPhases and TestRestoredOrderDoesNotReplaceALaterOne fail with their part of the change taken out.

--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -67,7 +67,11 @@
 		if err != nil {
 			e.log.WithError(err).WithField("key", change.Key).Error("cannot decode roll-out order")
 		}
-		if order != nil {
+		switch {
+		case order == nil:
+		case batch.Restored:
+			e.versions.RestoredOrder(*order)
+		default:
 			e.versions.Order(*order)
 		}
 	}
@@ -124,5 +128,9 @@
 			statuses = append(statuses, *status)
 		}
 	}
+	if batch.Snapshot {
+		e.versions.LoadStatuses(batch.Next, statuses...)
+		return
+	}
 	e.versions.ApplyStatuses(batch.Next, statuses...)
 }
--- a/node/versions/propose.go
+++ b/node/versions/propose.go
@@ -31,33 +31,50 @@
 }
 
 // due returns the proposals that are due. A phase is proposed again after a delay
-// until the log agrees on it.
+// until the log agrees on it, and if the log has lost it.
 func (v *Versions) due() []proposal {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var due []proposal
 	for name, s := range v.services {
-		if s.rollout == nil || s.rollout.Phase.IsFinal() {
+		if s.rollout == nil {
 			continue
 		}
-		next := s.rollout.NextPhase(v.now(), v.hasEndpoints(name, s.rollout.Order.Target))
-		if next == s.rollout.Phase {
-			s.proposedPhase = next
-			continue
+		next := phaseProposal{
+			phase:  s.rollout.NextPhase(v.now(), v.hasEndpoints(name, s.rollout.Order.Target)),
+			isLost: v.isPhaseLost(name, s),
 		}
-		if s.proposedPhase != next {
-			s.proposedPhase = next
-			s.proposeAt = v.now() + v.proposalDelay(next)
+		if s.proposal != next {
+			s.proposal = next
+			s.proposeAt = v.now() + v.proposalDelay(next.phase)
 		}
-		if v.now() < s.proposeAt {
+		if next.phase == s.rollout.Phase && !next.isLost || v.now() < s.proposeAt {
 			continue
 		}
 		s.proposeAt = v.now() + proposeSpread + rand.N(proposeSpread)
-		due = append(due, proposal{at: v.topicEnd, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next}})
+		due = append(due, proposal{at: v.topicEnd, status: canary.Status{Service: name, Target: s.rollout.Order.Target, Phase: next.phase}})
 	}
 	return due
 }
 
+// isPhaseLost reports whether the log lacks the agreed phase of the current roll-out,
+// because it was restored from an older copy. The log then has no status, one of an
+// earlier phase, or one of an earlier roll-out.
+func (v *Versions) isPhaseLost(name route.ServiceName, s *service) bool {
+	if s.rollout.Phase == canary.Ordered {
+		return false
+	}
+	status, ok := v.statuses[name]
+	switch {
+	case !ok:
+		return true
+	case status.Target == s.rollout.Order.Target:
+		return s.rollout.HasLeft(status.Phase)
+	default:
+		return slices.ContainsFunc(s.superseded, func(order canary.Order) bool { return order.Target == status.Target })
+	}
+}
+
 // proposalDelay returns a random delay, because all instances decide on a proposal
 // at the same time. A rollback is proposed without delay.
 func (v *Versions) proposalDelay(phase canary.Phase) time.Duration {
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	// between the requests of a session, because the gap starts at the end of a
 	// request and a session is last seen at the start of one.
 	maxRequestDuration = time.Minute
+	// maxSuperseded bounds the remembered orders of one service.
+	maxSuperseded = 16
 	// maxSessions bounds the remembered sessions of one service.
 	maxSessions = 20_000
 	// proposeSpread is the time over which the instances spread a proposal, so
@@ -72,6 +75,7 @@
 	// topicEnd is the position at which the status topic ended when it was last
 	// read.
 	topicEnd keyed.Position
+	// statuses holds the last status of each service in the topic.
 	statuses map[route.ServiceName]canary.Status
 }
 
@@ -80,8 +84,10 @@
 
 // service holds the roll-out and the recent sessions of one service.
 type service struct {
-	rollout  *canary.Rollout
-	sessions *simplelru.LRU[string, sessionState]
+	rollout *canary.Rollout
+	// superseded holds the orders before the current one, the latest ones last.
+	superseded []canary.Order
+	sessions   *simplelru.LRU[string, sessionState]
 	// incumbent is the target of the last completed roll-out, empty if none is known.
 	// The endpoints of the versions before it stop, or have stopped.
 	incumbent string
@@ -89,9 +95,16 @@
 	// when the next roll-out is ordered. The map is replaced, never modified,
 	// because choices refer to it.
 	bad map[string]bool
-	// proposeAt is when this instance proposes proposedPhase.
-	proposeAt     time.Duration
-	proposedPhase canary.Phase
+	// proposeAt is when this instance makes the proposal.
+	proposeAt time.Duration
+	proposal  phaseProposal
+}
+
+// phaseProposal is a phase that an instance proposes. isLost reports that the phase was
+// agreed before and lost from the log.
+type phaseProposal struct {
+	phase  canary.Phase
+	isLost bool
 }
 
 type sessionState struct {
@@ -145,8 +158,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(order.Service)
-	if s.rollout != nil && s.rollout.Order == order {
-		return
+	if s.rollout != nil {
+		if s.rollout.Order == order {
+			return
+		}
+		s.superseded = append(s.superseded, s.rollout.Order)
+		s.superseded = s.superseded[max(0, len(s.superseded)-maxSuperseded):]
 	}
 	s.setBad(order.Target, false) // the operator may have fixed the version
 	s.rollout = canary.New(order, v.tuning, v.now())
@@ -159,11 +176,37 @@
 	}).Info("roll-out ordered")
 }
 
+// RestoredOrder is [Versions.Order] for an order from a log that was restored from an
+// older copy. It ignores an order that a later one has replaced: the operator writes the
+// later one again.
+func (v *Versions) RestoredOrder(order canary.Order) {
+	v.mu.Lock()
+	isSuperseded := slices.Contains(v.service(order.Service).superseded, order)
+	v.mu.Unlock()
+	if isSuperseded {
+		v.log.WithFields(logrus.Fields{"service": order.Service, "target": order.Target}).Info("roll-out order ignored: a later one has replaced it")
+		return
+	}
+	v.Order(order)
+}
+
+// LoadStatuses is [Versions.ApplyStatuses] for all statuses of the topic.
+func (v *Versions) LoadStatuses(end keyed.Position, statuses ...canary.Status) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	clear(v.statuses)
+	v.applyStatuses(end, statuses)
+}
+
 // ApplyStatuses applies statuses read from the status topic. end is the position at
 // which the topic ends.
 func (v *Versions) ApplyStatuses(end keyed.Position, statuses ...canary.Status) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.applyStatuses(end, statuses)
+}
+
+func (v *Versions) applyStatuses(end keyed.Position, statuses []canary.Status) {
 	v.topicEnd = end
 	for _, status := range statuses {
 		v.statuses[status.Service] = status
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -327,3 +327,29 @@
 	onTarget, known := f.versions.SessionVersion(order.Service, "v3", session)
 	assert.Assert(t, known && !onTarget, "a peer gets the incumbent")
 }
+
+// An older copy of the log records earlier phases of a roll-out, and earlier orders.
+func TestRestoredLogDoesNotMoveARollOutBack(t *testing.T) {
+	for _, phase := range []canary.Phase{canary.Full, canary.Completed, canary.RolledBack} {
+		f := newFixture()
+		f.versions.Order(order)
+		f.agree(phase)
+		f.versions.LoadStatuses(keyed.Position{Era: 2, Offset: 1}, canary.Status{Service: order.Service, Target: order.Target, Phase: canary.Canary})
+		assert.Equal(t, f.versions.Rollouts()[0].Phase, phase.String())
+	}
+}
+
+func TestRestoredOrderDoesNotReplaceALaterOne(t *testing.T) {
+	f := newFixture()
+	f.versions.Order(order)
+	f.agree(canary.Completed)
+	next := order
+	next.Target = "v3"
+	f.versions.Order(next)
+	f.versions.RestoredOrder(order)
+	assert.Equal(t, f.versions.Rollouts()[0].Target, "v3")
+	newest := order
+	newest.Target = "v4"
+	f.versions.RestoredOrder(newest)
+	assert.Equal(t, f.versions.Rollouts()[0].Target, "v4", "written by the operator after the restore")
+}
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -146,13 +146,18 @@
 }
 
 // ApplyStatus sets the phase to the one recorded in the log. It ignores the status of
-// another target.
+// another target, and one that the roll-out has left behind.
 func (r *Rollout) ApplyStatus(status Status) {
-	if status.Target == r.Order.Target {
+	if status.Target == r.Order.Target && !r.HasLeft(status.Phase) {
 		r.Phase = status.Phase
 	}
 }
 
+// HasLeft reports whether the roll-out has been agreed to be in a later phase than the
+// given one. The log records an earlier phase again only if it was restored from an older
+// copy. Of two final phases, the one in the log counts.
+func (r *Rollout) HasLeft(phase Phase) bool { return phase < r.Phase && !phase.IsFinal() }
+
 // IsInCanary reports whether the hash assigns a session to the new version in [Canary].
 func (r *Rollout) IsInCanary(session string) bool {
 	hash := xxhash.Sum64String(r.Order.Target + "\x00" + string(r.Order.Service) + "\x00" + session)
--- a/policy/canary/canary_test.go
+++ b/policy/canary/canary_test.go
@@ -241,3 +241,20 @@
 	}
 	assert.Assert(t, chosen > sessions*7/100 && chosen < sessions*11/100, "%d sessions chosen", chosen)
 }
+
+// After a restore of the log, instances that know different final phases must not replace
+// each other's for ever.
+func TestLogDecidesBetweenTwoFinalPhases(t *testing.T) {
+	r := canary.New(order, tuning, 0)
+	for _, c := range []struct{ logged, want canary.Phase }{
+		{canary.Full, canary.Full},
+		{canary.Canary, canary.Full},
+		{canary.RolledBack, canary.RolledBack},
+		{canary.Canary, canary.RolledBack},
+		{canary.Completed, canary.Completed},
+		{canary.Full, canary.Completed},
+	} {
+		r.ApplyStatus(canary.Status{Service: "s", Target: "v2", Phase: c.logged})
+		assert.Equal(t, r.Phase, c.want, "after %s in the log", c.logged)
+	}
+}
