A session lookup waits for peers that a new configuration keeps busy

Cause: 2.6 s after the order of a roll-out, a configuration with 1,449 routes comes into force on all 78 instances within 0.56 s, and keeps them busy. In this time 11 of 12 lookups of sessions at peers got no reply within 60 ms; the session then counts as new and may move to the new version.

The lookup now waits up to 250 ms. It ends as soon as a peer knows the session or all have replied, and delays only requests whose session this instance does not know and the hash assigns to the new version; their objectives are 2 to 4 s. The next contact in another zone is still asked after 30 ms.

Evidence: TestSessionAtABusyInstanceIsFound fails without the change.

--- a/node/broadcast/broadcast_test.go
+++ b/node/broadcast/broadcast_test.go
@@ -26,6 +26,8 @@
 	broadcaster *broadcast.Broadcaster
 	cluster     *cluster.Cluster
 	zone        string
+	// pause is how long a lookup of a session takes.
+	pause time.Duration
 
 	mu       sync.Mutex
 	sessions map[string]bool
@@ -36,6 +38,7 @@
 func (i *instance) HandleEvidence(string, *peerpb.VersionEvidence) {}
 func (i *instance) LocalEvidence() []*peerpb.VersionEvidence       { return nil }
 func (i *instance) SessionVersion(_, _, session string) (onTarget, known bool) {
+	time.Sleep(i.pause)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return false, i.sessions[session]
@@ -113,3 +116,12 @@
 	_, known := fleet[0].broadcaster.AskSession(context.Background(), "s", "v2", "session")
 	assert.Assert(t, !known)
 }
+
+// A new configuration keeps all instances busy at the same time.
+func TestSessionAtABusyInstanceIsFound(t *testing.T) {
+	fleet := startFleet(t, 1, 2)
+	fleet[1].add("session")
+	fleet[1].pause = 150 * time.Millisecond
+	_, known := fleet[0].broadcaster.AskSession(context.Background(), "s", "v2", "session")
+	assert.Assert(t, known)
+}
--- a/node/broadcast/session_lookup.go
+++ b/node/broadcast/session_lookup.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// sessionLookupTimeout bounds the lookup of a session at peers. It is short
-	// because the lookup delays a request.
-	sessionLookupTimeout = 60 * time.Millisecond
+	// sessionLookupTimeout bounds the lookup of a session at peers, which delays a
+	// request. It covers the time for which a new configuration keeps all peers busy.
+	sessionLookupTimeout = 250 * time.Millisecond
 	// hedgeDelay is how long a lookup waits for one contact in another zone before
-	// it also asks the next one, which then has as much time.
-	hedgeDelay = sessionLookupTimeout / 2
+	// it also asks the next one.
+	hedgeDelay = 30 * time.Millisecond
 	// contactsPerZone bounds the contacts in another zone that one lookup asks.
 	contactsPerZone = 2
 )
