--- a/node/relay/end.go
+++ b/node/relay/end.go
@@ -24,10 +24,11 @@
 	err error
 }
 
-// check returns nil if the answer is whole, and otherwise the reason why it is not. An
-// endpoint that fails closes its connections too, so the end of a connection shows that a
-// stream is whole only if the stream has events and does not end inside one. For another
-// answer it is the mark that HTTP defines (RFC 9112, section 8).
+// check returns nil if the answer is whole, and otherwise the reason why it is not.
+//
+// The end of a connection is a mark of HTTP like a length or a last chunk (RFC 9112,
+// section 8), but an endpoint that fails closes its connections too. So a stream that
+// ends with its connection must have an event, and no stream may end inside one.
 func (e bodyEnd) check() error {
 	switch {
 	case !errors.Is(e.err, io.EOF):
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
@@ -22,10 +23,11 @@
 // lineEnds are the characters that end a line of a stream.
 const lineEnds = "\r\n"
 
-// isStream reports whether the answer is a stream of events. An answer that rejects the
-// request of a stream is none, and must not be read as one.
+// isStream reports whether the answer is a stream of events. On the route of a stream,
+// an answer of another status or media type is a plain one.
 func (a *attempt) isStream() bool {
-	if a.run.permission.Route.Kind != route.Stream || a.answer.Status < 200 || a.answer.Status > 299 {
+	succeeded := a.answer.Status >= http.StatusOK && a.answer.Status < http.StatusMultipleChoices
+	if a.run.permission.Route.Kind != route.Stream || !succeeded {
 		return false
 	}
 	contentType := a.answer.Header.Get("Content-Type")
@@ -89,8 +91,8 @@
 	a.lastEventAt = now
 }
 
-// finishStream ends a stream whose last read returned the error. The rest of a whole
-// stream has no event, and is forwarded unchanged.
+// finishStream ends a stream whose last read returned the error. rest is what followed
+// the last event; if the stream is whole, it is forwarded unchanged.
 func (a *attempt) finishStream(ctx context.Context, rest []byte, readErr error) {
 	if err := a.checkEnd(readErr); err != nil {
 		a.markBroken(ctx, err)
