--- a/node/relay/doc.go
+++ b/node/relay/doc.go
@@ -21,6 +21,13 @@
 // again, because the configuration may have changed in the meantime. An attempt
 // selects an endpoint, sends the request and copies the answer to the client.
 //
+// # End of an answer
+//
+// Whether an endpoint's answer is whole is decided in one place, for all framings and
+// kinds of answers: [bodyEnd.check]. An answer that is not whole is a broken attempt. The
+// client's codec learns from [Client.End] whether the answer that it sends is complete,
+// and must not frame it so otherwise.
+//
 // # Verdicts
 //
 // An attempt ends with a verdict. The verdict decides whether another attempt
