--- a/node/relay/end_test.go
+++ b/node/relay/end_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
@@ -80,3 +81,72 @@
 	assert.Equal(t, len(endpoints.calls), 1)
 	assert.Equal(t, h.observer.done[0].Stopped, StopNotResumable)
 }
+
+// pieces is a reader that returns a text in pieces of the given sizes, and then what is left.
+type pieces struct {
+	text  string
+	sizes []int
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if p.text == "" {
+		return 0, io.EOF
+	}
+	size := len(p.text)
+	if len(p.sizes) > 0 {
+		size, p.sizes = min(size, p.sizes[0]), p.sizes[1:]
+	}
+	n := copy(b, p.text[:size])
+	p.text = p.text[n:]
+	return n, nil
+}
+
+// oneBody is an [Endpoints] that answers with one body, framed by its connection.
+type oneBody struct{ reader io.Reader }
+
+func (b oneBody) Send(context.Context, *Call, time.Time) (*Answer, error) {
+	return &Answer{
+		Status: http.StatusOK, Header: http.Header{}, Authentic: true, Framing: FramedByConnection, Body: &fakeBody{reader: b.reader},
+	}, nil
+}
+
+// TestStreamClosedAnywhereIsCompleteOnlyAfterAnEvent draws the events, line ends, reads
+// and the place at which the connection is closed. The client must get the complete events,
+// and be told that the answer is complete only if the connection was closed after one.
+func TestStreamClosedAnywhereIsCompleteOnlyAfterAnEvent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
+		var text strings.Builder
+		ends := []int{0}
+		for range rapid.IntRange(0, 6).Draw(t, "events") {
+			for range rapid.IntRange(1, 3).Draw(t, "lines") {
+				text.WriteString(rapid.SampledFrom([]string{"id: 7", "data: x", "data:", ": comment", "event: y"}).Draw(t, "line") + lineEnd)
+			}
+			text.WriteString(lineEnd)
+			ends = append(ends, text.Len())
+		}
+		closedAt := rapid.IntRange(0, text.Len()).Draw(t, "closed at")
+		if rapid.Bool().Draw(t, "after an event") {
+			closedAt = rapid.SampledFrom(ends).Draw(t, "end")
+		}
+		delivered := 0 // the end of the last complete event
+		for _, end := range ends {
+			if end <= closedAt {
+				delivered = end
+			}
+		}
+
+		rt := testRoute(route.Stream)
+		rt.Resumable, rt.MaxAttempts = false, 1
+		h := newHarness(testTable(rt), 1, nil)
+		h.relay.Endpoints = oneBody{&pieces{text: text.String()[:closedAt], sizes: rapid.SliceOf(rapid.IntRange(1, 9)).Draw(t, "reads")}}
+		h.serve(testRequest())
+		if got, want := h.client.body.String(), text.String()[:delivered]; got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+		isComplete := closedAt > 0 && closedAt == delivered
+		if got := h.client.end == AnswerComplete; got != isComplete {
+			t.Fatalf("complete: %t, want %t, closed after %q", got, isComplete, text.String()[:closedAt])
+		}
+	})
+}
