Attempts and removals show the age of the registry's view and unlisted endpoints

New: view_age_ms and unlisted in the attempt, 'endpoint unlisted', gap_ms and waited_ms in 'topic is readable again', a gauge and a counter. No change of logic.

--- a/cmd/internal/tool/explain.go
+++ b/cmd/internal/tool/explain.go
@@ -61,6 +61,9 @@
 	Framing           string `json:"framing"`
 	PartialEventBytes int    `json:"partial_event_bytes"`
 
+	ViewAgeMs int  `json:"view_age_ms"`
+	Unlisted  bool `json:"unlisted"`
+
 	EndedBy       string `json:"ended_by"`
 	WatchdogCause string `json:"watchdog_cause"`
 	SilenceMs     int    `json:"silence_ms"`
@@ -150,7 +153,7 @@
 // contextMessages are the messages that report a change in an instance's state or
 // view of the fleet. They must match the messages that the instances log.
 var contextMessages = []string{
-	"endpoint listed", "endpoint removed", "configuration in force", "topic is not readable", "topic is readable again",
+	"endpoint listed", "endpoint unlisted", "endpoint removed", "configuration in force", "topic is not readable", "topic is readable again",
 	"roll-out phase agreed", "instance starts", "instance drains",
 }
 
@@ -190,6 +193,12 @@
 	for _, a := range e.Attempts {
 		fmt.Fprintf(out, "  %s %s: arrival %d after %d ms at %s (%s %s, model %s): %s, status %d, %d events, first after %d ms, longest gap %d ms, took %d ms",
 			a.Time, a.Instance, a.Arrival, a.AfterMs, a.Endpoint, a.Service, a.Version, a.Model, a.Verdict, a.Status, a.Events, a.FirstMs, a.GapMs, a.TookMs)
+		if a.ViewAgeMs > 0 {
+			fmt.Fprintf(out, ", registry as of %d ms before", a.ViewAgeMs)
+		}
+		if a.Unlisted {
+			out.WriteString(", endpoint unlisted")
+		}
 		writeFraming(out, a.Framing, a.PartialEventBytes)
 		writeEnd(out, "ended by", a.EndedBy, a.WatchdogCause, a.SilenceMs)
 		writeError(out, a.Error)
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -30,6 +30,7 @@
 	o.RegisterGauge(`wigeonusher_config_age_seconds`, func() float64 {
 		return boottime.Since(boottime.Instant(e.verifiedAt.Load())).Seconds()
 	})
+	o.RegisterGauge(`wigeonusher_registry_age_seconds`, func() float64 { return e.pools.ViewAge().Seconds() })
 	o.RegisterGauge(`wigeonusher_endpoints`, func() float64 { return float64(e.pools.Count()) })
 }
 
--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -114,6 +114,7 @@
 		}
 		e.pools.Put(record)
 	}
+	e.pools.Viewed(batch.Sent)
 }
 
 func (e *Entry) applyStatus(batch tailer.Batch) {
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,8 @@
 // Pool holds the endpoints of one service.
 type Pool struct {
 	zone platform.Zone
+	// viewedAt is that of the [Pools], nil if there are none.
+	viewedAt *atomic.Int64
 
 	mu      sync.Mutex
 	members map[platform.EndpointID]*member
@@ -65,10 +68,18 @@
 	changed := known.record.Leaving != record.Leaving || known.record.Address != record.Address
 	// Leaving is final within one lifetime of an endpoint.
 	record.Leaving = record.Leaving || known.record.Leaving
-	known.record = record
+	known.record, known.unlisted = record, false
 	return changed
 }
 
+func (p *Pool) markUnlisted(id platform.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[id]; m != nil {
+		m.unlisted = true
+	}
+}
+
 // remove removes an endpoint and returns its last record.
 func (p *Pool) remove(id platform.EndpointID) Record {
 	p.mu.Lock()
@@ -133,9 +144,18 @@
 	chosen.inFlight++
 	return &Lease{
 		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, LongPrompt: long,
+		Registration: p.registration(chosen),
 	}, true
 }
 
+func (p *Pool) registration(m *member) Registration {
+	registration := Registration{Unlisted: m.unlisted}
+	if p.viewedAt != nil {
+		registration.ViewAge = viewAge(p.viewedAt)
+	}
+	return registration
+}
+
 // HasUsable reports whether an endpoint that may run the request is neither leaving
 // nor paused. It may be full.
 func (p *Pool) HasUsable(now time.Time, query Query) bool {
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -19,6 +19,17 @@
 	LongPrompt bool
 	// Endpoint is the registry's record at the time of the choice.
 	Endpoint Record
+	// Registration is what was known of the endpoint's registration at that time.
+	Registration Registration
+}
+
+// Registration describes how an endpoint was known when a request was about to be sent
+// to it.
+type Registration struct {
+	// ViewAge is the age of the instance's view of the registry.
+	ViewAge time.Duration
+	// Unlisted reports that the registry did not list the endpoint any more.
+	Unlisted bool
 }
 
 // Result is the outcome of a request at an endpoint.
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -6,11 +6,13 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -53,6 +55,9 @@
 type Pools struct {
 	zone platform.Zone
 	log  *logrus.Entry
+	// viewedAt is the boot time at which the registry was last known to be as these
+	// pools have it.
+	viewedAt atomic.Int64
 
 	mu             sync.RWMutex
 	services       map[route.ServiceName]*Pool
@@ -110,6 +115,7 @@
 		return found
 	}
 	created := newPool(p.zone)
+	created.viewedAt = &p.viewedAt
 	created.onLongRead = func(endpoint platform.EndpointID, expected time.Duration) {
 		if p.onLongRead != nil {
 			p.onLongRead(string(name), string(endpoint), expected)
@@ -128,6 +134,16 @@
 	p.graceUntil = now.Add(absenceGrace)
 }
 
+// Viewed records that the pools have all changes of the registry up to the given time.
+func (p *Pools) Viewed(at boottime.Instant) { p.viewedAt.Store(int64(at)) }
+
+// ViewAge returns the time since the registry was last known to be as the pools have it.
+func (p *Pools) ViewAge() time.Duration { return viewAge(&p.viewedAt) }
+
+func viewAge(viewedAt *atomic.Int64) time.Duration {
+	return boottime.Since(boottime.Instant(viewedAt.Load()))
+}
+
 // Put adds or updates an endpoint from a registry record. It ignores a record that the
 // registry listed before it removed the endpoint: a registry that was restored from an
 // older copy lists it again, though the endpoint may have left.
@@ -164,6 +180,7 @@
 	defer p.mu.Unlock()
 	if now.Before(p.graceUntil) {
 		p.missing[id] = struct{}{}
+		p.markUnlisted(now, id)
 		return
 	}
 	if record, ok := p.drop(id, "not listed any more"); ok {
@@ -171,6 +188,18 @@
 	}
 }
 
+// markUnlisted marks an endpoint that is kept although its registration is gone.
+func (p *Pools) markUnlisted(now time.Time, id platform.EndpointID) {
+	owner := p.poolByEndpoint[id]
+	if owner == nil {
+		return
+	}
+	owner.markUnlisted(id)
+	p.log.WithFields(logrus.Fields{
+		"endpoint": id, "view_age_ms": p.ViewAge().Milliseconds(), "kept_ms": p.graceUntil.Sub(now).Milliseconds(),
+	}).Info("endpoint unlisted")
+}
+
 // Expire drops the endpoints that are still missing after the grace period, and forgets
 // removals that are long past.
 func (p *Pools) Expire(now time.Time) {
@@ -201,7 +230,9 @@
 	}
 	record := owner.remove(id)
 	delete(p.poolByEndpoint, id)
-	p.log.WithFields(logrus.Fields{"endpoint": id, "reason": reason}).Info("endpoint removed")
+	p.log.WithFields(logrus.Fields{
+		"endpoint": id, "reason": reason, "view_age_ms": p.ViewAge().Milliseconds(),
+	}).Info("endpoint removed")
 	return record, true
 }
 
@@ -235,6 +266,8 @@
 	Zone    platform.Zone       `json:"zone"`
 	Version string              `json:"version"`
 	Leaving bool                `json:"leaving"`
+	// Unlisted reports that the registry does not list the endpoint any more.
+	Unlisted bool `json:"unlisted"`
 	// InFlight counts this instance's requests at the endpoint. Load estimates
 	// the requests of all instances.
 	InFlight int     `json:"in_flight"`
@@ -263,7 +296,7 @@
 	for _, m := range p.members {
 		snapshots = append(snapshots, Snapshot{
 			ID: m.record.ID, Service: m.record.Service, Address: m.record.Address, Zone: m.record.Zone,
-			Version: m.record.Version, Leaving: m.record.Leaving, InFlight: m.inFlight, Load: m.load(),
+			Version: m.record.Version, Leaving: m.record.Leaving, Unlisted: m.unlisted, InFlight: m.inFlight, Load: m.load(),
 			Failing: m.failureRate, Paused: m.probing,
 		})
 	}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -377,6 +377,7 @@
 		Events:       a.events,
 		Took:         a.ended.Sub(a.started),
 		FirstEvent:   a.firstEvent,
+		Registration: a.lease.Registration(),
 		SinceArrival: a.started.Sub(a.run.request.Received),
 		LongestGap:   a.longestGap,
 		PartialEvent: a.partialEvent,
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -124,6 +124,7 @@
 }
 
 func (p *pooledLease) Endpoint() pool.Record               { return p.lease.Endpoint }
+func (p *pooledLease) Registration() pool.Registration     { return p.lease.Registration }
 func (p *pooledLease) LongPrompt() bool                    { return p.lease.LongPrompt }
 func (p *pooledLease) RecordActivity()                     { p.lease.RecordActivity() }
 func (p *pooledLease) LastActivity() time.Time             { return p.lease.LastActivity() }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -109,6 +109,9 @@
 // exactly one call of End.
 type Lease interface {
 	Endpoint() pool.Record
+	// Registration returns what was known of the endpoint's registration when it was
+	// selected.
+	Registration() pool.Registration
 	// LongPrompt reports that the prompt counts as long and that the endpoint is
 	// reserved for such prompts.
 	LongPrompt() bool
@@ -138,6 +141,9 @@
 // as active now and assumes that there are others. It is meant to be embedded.
 type NopLease struct{}
 
+// Registration implements [Lease].
+func (NopLease) Registration() pool.Registration { return pool.Registration{} }
+
 // LongPrompt implements [Lease].
 func (NopLease) LongPrompt() bool { return false }
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -30,6 +31,9 @@
 	Events     int
 	Took       time.Duration
 	FirstEvent time.Duration
+	// Registration is what was known of the endpoint's registration at the attempt's
+	// start.
+	Registration pool.Registration
 	// SinceArrival is the time from the request's arrival to the attempt's start.
 	SinceArrival time.Duration
 	// LongestGap is the longest pause between two events.
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -64,6 +64,7 @@
 	state       keyed.State
 	failures    int              // failed calls since the last success
 	lastFailure boottime.Instant // zero if no call failed
+	proved      boottime.Instant // when the last successful read was sent
 }
 
 // New returns a tailer that has not read the topic.
@@ -98,9 +99,12 @@
 		t.config.Logger.WithFields(logrus.Fields{"topic": t.config.Topic, "next": batch.Next.Offset, "era": batch.Next.Era}).Warn("topic was restored from an older copy")
 	}
 	if t.failures > 0 {
-		t.config.Logger.WithFields(logrus.Fields{"topic": t.config.Topic, "failed_calls": t.failures}).Info("topic is readable again")
+		t.config.Logger.WithFields(logrus.Fields{
+			"topic": t.config.Topic, "failed_calls": t.failures, "gap_ms": time.Duration(batch.Sent - t.proved).Milliseconds(),
+			"waited_ms": boottime.Since(batch.Sent).Milliseconds(),
+		}).Info("topic is readable again")
 	}
-	t.failures = 0
+	t.failures, t.proved = 0, batch.Sent
 	t.config.Apply(batch)
 	return nil
 }
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -83,6 +83,9 @@
 	if event.EndedBy == relay.EndedByWatchdog {
 		t.Count(fmt.Sprintf(`wigeonusher_attempts_canceled_total{service=%q,cause=%q}`, event.Service, event.WatchdogCause))
 	}
+	if event.Registration.Unlisted {
+		t.Count(fmt.Sprintf(`wigeonusher_attempts_unlisted_total{service=%q}`, event.Service))
+	}
 	if event.FirstEvent > 0 {
 		t.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_first_event_seconds{service=%q,model=%q}`, event.Service, event.Model)).Update(event.FirstEvent.Seconds())
 	}
@@ -96,6 +99,12 @@
 		"took_ms": event.Took.Milliseconds(), "first_event_ms": event.FirstEvent.Milliseconds(),
 		"after_ms": event.SinceArrival.Milliseconds(), "longest_gap_ms": event.LongestGap.Milliseconds(),
 	}
+	if event.Registration.ViewAge > 0 {
+		fields["view_age_ms"] = event.Registration.ViewAge.Milliseconds()
+	}
+	if event.Registration.Unlisted {
+		fields["unlisted"] = true
+	}
 	AddAnswerEnd(fields, "", event)
 	if event.EndedBy != "" {
 		fields["ended_by"] = event.EndedBy
