An endpoint whose registration is gone gets requests only if none is listed

Cause: after an outage of the registry, an endpoint whose registration is gone was used like a listed one for 2 s, counted from the moment at which the instance noticed the return. That is right for a registration that lapsed, and wrong for an endpoint that left: the removal may be as old as the last read before, or as young as the answer. The age of the view decides nothing here, since neither the return nor the removal has a time. The rule, at the one place that picks an endpoint for each kind of send: the registry's list decides; what it does not list serves only if it lists nothing that may run the request, for 2 s after the return. So a service whose registrations have all lapsed goes on.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -120,6 +120,15 @@
 	Version func(version string) bool
 	// Avoid lists endpoints that must not be chosen.
 	Avoid []platform.EndpointID
+	// Unlisted selects among the endpoints that the registry does not list any more,
+	// instead of those that it lists, see [Pools.Remove].
+	Unlisted bool
+}
+
+// accepts reports whether the query allows the endpoint, whatever its health and load.
+func (q Query) accepts(m *member) bool {
+	return !m.record.Leaving && m.unlisted == q.Unlisted && !slices.Contains(q.Avoid, m.record.ID) &&
+		(q.Version == nil || q.Version(m.record.Version))
 }
 
 // Choose selects the endpoint that runs the request and counts the request there.
@@ -161,8 +170,8 @@
 func (p *Pool) HasUsable(now time.Time, query Query) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, m := range p.members {
-		if m.isUsable(now) && !slices.Contains(query.Avoid, id) && (query.Version == nil || query.Version(m.record.Version)) {
+	for _, m := range p.members {
+		if query.accepts(m) && m.isUsable(now) {
 			return true
 		}
 	}
@@ -174,10 +183,9 @@
 // ones.
 func (p *Pool) candidates(now time.Time, query Query) []*member {
 	var free, full, paused []*member
-	for id, m := range p.members {
+	for _, m := range p.members {
 		switch {
-		case m.record.Leaving || slices.Contains(query.Avoid, id):
-		case query.Version != nil && !query.Version(m.record.Version):
+		case !query.accepts(m):
 		case !m.isUsable(now):
 			paused = append(paused, m)
 		case m.isFull(now):
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -127,7 +127,7 @@
 
 // RegistryRestored starts the grace period after the registry has become reachable
 // again: endpoints that are missing now may still run and merely have failed to
-// renew their registration.
+// renew their registration. Or they have left, and when is not known.
 func (p *Pools) RegistryRestored(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -174,7 +174,9 @@
 }
 
 // Remove drops an endpoint that the registry no longer lists. Within the grace
-// period, it only marks the endpoint as missing.
+// period, the endpoint is kept as unlisted until the end of the period. It gets no
+// request unless the registry lists no endpoint that may run it: the endpoint may have
+// left as long ago as the registry was last read.
 func (p *Pools) Remove(now time.Time, id platform.EndpointID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -69,7 +69,8 @@
 // Pick implements [EndpointPicker]. It prefers the version of the first attempt if
 // [Choice.Keeps] holds for it, then the assigned versions, then any allowed one.
 // Endpoints of failed attempts are used only if there is no other; an answer of low
-// confidence does not count as a failure. The versions are chosen for each attempt,
+// confidence does not count as a failure. Endpoints that the registry does not list any
+// more are used only if it lists none that may run the request. The versions are chosen for each attempt,
 // because the roll-out may have advanced since the last one.
 func (p *PooledPicker) Pick(ctx context.Context, query *Query) (Lease, *Refusal) {
 	request := query.Request
@@ -86,11 +87,13 @@
 		GapTarget: query.Permission.Route.TargetGap,
 	}
 	now := time.Now()
-	for _, avoid := range [][]platform.EndpointID{query.Avoid, nil} {
-		for _, filter := range choice.preferences(query.Version) {
-			poolQuery.Avoid, poolQuery.Version = avoid, filter
-			if lease, ok := endpoints.Choose(now, poolQuery); ok {
-				return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query, fingerprint: fingerprint}, nil
+	for _, unlisted := range []bool{false, true} {
+		for _, avoid := range [][]platform.EndpointID{query.Avoid, nil} {
+			for _, filter := range choice.preferences(query.Version) {
+				poolQuery.Unlisted, poolQuery.Avoid, poolQuery.Version = unlisted, avoid, filter
+				if lease, ok := endpoints.Choose(now, poolQuery); ok {
+					return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query, fingerprint: fingerprint}, nil
+				}
 			}
 		}
 	}
