A read of the registry ends within the drain time and does not wait after a failure

Cause: the registry's read waited up to 10 s, and 1.2 s more for its answer. One that hangs, on a connection that a cut has killed or because the store does not wake it, shows neither 'draining' nor a removal, and no failure either: the view's age has no bound. Now a read waits at most half of the drain time, so that the view of an instance that reads is younger than the drain time, and the first read after a failure does not wait at all.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -67,10 +67,13 @@
 	// lateAnswerTolerance is how much later than operatorWait a response may
 	// arrive before the store counts as unresponsive.
 	lateAnswerTolerance = 700 * time.Millisecond
-	// registryWait and statusWait are the longest waits of reads of topics for
-	// which no regular proof of freshness is needed.
-	registryWait = 10 * time.Second
-	statusWait   = 20 * time.Second
+	// statusWait is the longest wait of a read of the status topic, for which no
+	// regular proof of freshness is needed.
+	statusWait = 20 * time.Second
+	// registryWaitFraction is the longest wait of a read of the registry, as a fraction
+	// of the endpoints' drain time: a read that hangs must not hide for longer that an
+	// endpoint leaves.
+	registryWaitFraction = 0.5
 	// registryPollFraction is the minimum time between the starts of two reads of
 	// the registry, as a fraction of the endpoints' drain time: a leaving endpoint
 	// must be noticed well within the drain time.
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +13,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/finding"
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/tailer"
@@ -159,3 +162,57 @@
 		assert.Assert(t, total <= bound, "%d instances: %d retries of %d requests, bound %d", instances, total, requests, bound)
 	}
 }
+
+// unnotifiedLog is a log whose reads answer at the end of their wait only.
+type unnotifiedLog struct {
+	keyed.Log
+	records []keyed.Record
+}
+
+func (l *unnotifiedLog) Newest(context.Context, keyed.Topic) (keyed.Page, error) {
+	return keyed.Page{Records: l.records, Next: keyed.Position{Offset: 1}}, nil
+}
+
+func (l *unnotifiedLog) Read(_ context.Context, _ keyed.Topic, from keyed.Position, wait time.Duration) (keyed.Page, error) {
+	time.Sleep(wait)
+	page := keyed.Page{Next: from}
+	for _, record := range l.records[from.Offset:] {
+		page.Records, page.Next.Offset = append(page.Records, record), record.Offset+1
+	}
+	return page, nil
+}
+
+// registryOnly is a [Platform] that has a registry and nothing else.
+type registryOnly struct {
+	Platform
+	log keyed.Log
+}
+
+func (r registryOnly) Log() keyed.Log { return r.log }
+func (r registryOnly) Topics() Topics { return Topics{Registry: "registry"} }
+func (r registryOnly) DecodeEndpoint(change keyed.Change) (pool.Record, error) {
+	return pool.Record{ID: platform.EndpointID(change.Key), Service: "s"}, nil
+}
+
+// A read of the registry that hangs must not hide for longer than the drain time that an
+// endpoint has left.
+func TestReadThatHangsDoesNotHideALeavingEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := &unnotifiedLog{records: []keyed.Record{{Key: "e", Value: []byte("{}")}}}
+		e := newEntryWithEndpoint()
+		e.platform, e.log = registryOnly{log: registry}, logrus.NewEntry(logrus.New())
+		e.log.Logger.SetOutput(io.Discard)
+		settings := DefaultSettings()
+		e.currentSettings.Store(&settings)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- e.registryTailer().Run(ctx) }()
+		time.Sleep(time.Second)
+		registry.records = append(registry.records, keyed.Record{Key: "e", Offset: 1})
+		time.Sleep(millis(settings.Bounds.EndpointDrainMillis))
+		assert.Equal(t, e.pools.Count(), 0)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -14,24 +14,36 @@
 
 func (e *Entry) operatorTailer() *tailer.Tailer {
 	return tailer.New(tailer.Config{
-		Log: e.platform.Log(), Topic: e.platform.Topics().Operator, Wait: operatorWait, Apply: e.applyOperator, Logger: e.log,
+		Log: e.platform.Log(), Topic: e.platform.Topics().Operator, Wait: fixedWait(operatorWait), Apply: e.applyOperator, Logger: e.log,
 	})
 }
 
 func (e *Entry) registryTailer() *tailer.Tailer {
 	return tailer.New(tailer.Config{
-		Log: e.platform.Log(), Topic: e.platform.Topics().Registry, Wait: registryWait,
+		Log: e.platform.Log(), Topic: e.platform.Topics().Registry, Wait: e.registryWait,
 		MinInterval: e.registryPollInterval, Apply: e.applyRegistry, Logger: e.log,
 	})
 }
 
+func fixedWait(wait time.Duration) func() time.Duration {
+	return func() time.Duration { return wait }
+}
+
 func (e *Entry) registryPollInterval() time.Duration {
-	return time.Duration(registryPollFraction * float64(millis(e.currentSettings.Load().Bounds.EndpointDrainMillis)))
+	return time.Duration(registryPollFraction * float64(e.endpointDrain()))
+}
+
+func (e *Entry) registryWait() time.Duration {
+	return time.Duration(registryWaitFraction * float64(e.endpointDrain()))
+}
+
+func (e *Entry) endpointDrain() time.Duration {
+	return millis(e.currentSettings.Load().Bounds.EndpointDrainMillis)
 }
 
 func (e *Entry) statusTailer() *tailer.Tailer {
 	return tailer.New(tailer.Config{
-		Log: e.platform.Log(), Topic: e.platform.Topics().Status, Wait: statusWait, Apply: e.applyStatus, Logger: e.log,
+		Log: e.platform.Log(), Topic: e.platform.Topics().Status, Wait: fixedWait(statusWait), Apply: e.applyStatus, Logger: e.log,
 	})
 }
 
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -48,8 +48,9 @@
 type Config struct {
 	Log   keyed.Log
 	Topic keyed.Topic
-	// Wait bounds how long a read waits for a new record.
-	Wait time.Duration
+	// Wait returns how long a read may wait for a new record. The first read after a
+	// failure does not wait, so that it shows at once that the log is available again.
+	Wait func() time.Duration
 	// MinInterval returns the minimum time between the starts of two reads; nil means
 	// none.
 	MinInterval func() time.Duration
@@ -114,7 +115,7 @@
 func (t *Tailer) read(ctx context.Context) (Batch, error) {
 	sent := boottime.Now()
 	if t.state.Loaded() {
-		page, err := t.config.Log.Read(ctx, t.config.Topic, t.state.Next(), t.config.Wait)
+		page, err := t.config.Log.Read(ctx, t.config.Topic, t.state.Next(), t.wait())
 		if err == nil {
 			return Batch{Changes: t.state.Apply(page), Sent: sent, Next: t.state.Next()}, nil
 		}
@@ -130,6 +131,13 @@
 	return Batch{Changes: t.state.Load(page), Sent: sent, Next: page.Next, Snapshot: true, Restored: restored}, nil
 }
 
+func (t *Tailer) wait() time.Duration {
+	if t.failures > 0 {
+		return 0
+	}
+	return t.config.Wait()
+}
+
 func (t *Tailer) recordFailure(err error) {
 	t.failures++
 	t.lastFailure = boottime.Now()
