Limits that endpoints name are decoded, logged and counted

New: 'endpoint names a limit', 'endpoint names no limit any more', limit_per_second and invalid_limit of the attempt, two counters. No change of logic: nothing reads the limit yet.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/latency"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -38,6 +39,9 @@
 	// onLongRead is called for each long prompt when its endpoint is chosen, with the
 	// expected time to read the prompt. The caller holds mu.
 	onLongRead func(endpoint platform.EndpointID, expected time.Duration)
+	// onLimit is called when an endpoint names another limit than before. The caller
+	// holds mu.
+	onLimit func(endpoint Record, statement fleetlimit.Statement)
 }
 
 func newPool(zone platform.Zone) *Pool {
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -66,6 +67,20 @@
 	l.member.recordLoad(running, waiting)
 }
 
+// RecordLimit records what an answer says about the endpoint's limit. sent is when its
+// request was about to be sent.
+func (l *Lease) RecordLimit(statement fleetlimit.Statement, _ time.Time) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.member.limit == statement {
+		return
+	}
+	l.member.limit = statement
+	if l.pool.onLimit != nil {
+		l.pool.onLimit(l.member.record, statement)
+	}
+}
+
 // RecordFirstEvent records the time to the first event, or to the complete answer
 // if it is not a stream.
 func (l *Lease) RecordFirstEvent(took time.Duration) {
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -121,10 +122,20 @@
 			p.onLongRead(string(name), string(endpoint), expected)
 		}
 	}
+	created.onLimit = p.logLimit
 	p.services[name] = created
 	return created
 }
 
+func (p *Pools) logLimit(endpoint Record, statement fleetlimit.Statement) {
+	log := p.log.WithFields(logrus.Fields{"endpoint": endpoint.ID, "born": endpoint.Born})
+	if !statement.Named {
+		log.Info("endpoint names no limit any more")
+		return
+	}
+	log.WithField("per_second", statement.PerSecond).Info("endpoint names a limit")
+}
+
 // RegistryRestored starts the grace period after the registry has become reachable
 // again: endpoints that are missing now may still run and merely have failed to
 // renew their registration. Or they have left, and when is not known.
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -129,6 +129,9 @@
 	if answer.HasLoad {
 		a.lease.RecordLoad(answer.Running, answer.Waiting)
 	}
+	if answer.Limit != nil {
+		a.lease.RecordLimit(*answer.Limit, a.started)
+	}
 	switch {
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
@@ -389,6 +392,7 @@
 		event.WatchdogCause, event.Silence = watchdogErr.cause, watchdogErr.silence
 	}
 	if a.answer != nil {
+		event.Limit, event.InvalidLimit = a.answer.Limit, a.answer.InvalidLimit
 		event.Status, event.Confidence, event.Framing = a.answer.Status, a.answer.Confidence, a.answer.Framing
 	}
 	return event
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -126,12 +127,15 @@
 	fingerprint uint64
 }
 
-func (p *pooledLease) Endpoint() pool.Record               { return p.lease.Endpoint }
-func (p *pooledLease) Registration() pool.Registration     { return p.lease.Registration }
-func (p *pooledLease) LongPrompt() bool                    { return p.lease.LongPrompt }
-func (p *pooledLease) RecordActivity()                     { p.lease.RecordActivity() }
-func (p *pooledLease) LastActivity() time.Time             { return p.lease.LastActivity() }
-func (p *pooledLease) RecordLoad(running, waiting int)     { p.lease.RecordLoad(running, waiting) }
+func (p *pooledLease) Endpoint() pool.Record           { return p.lease.Endpoint }
+func (p *pooledLease) Registration() pool.Registration { return p.lease.Registration }
+func (p *pooledLease) LongPrompt() bool                { return p.lease.LongPrompt }
+func (p *pooledLease) RecordActivity()                 { p.lease.RecordActivity() }
+func (p *pooledLease) LastActivity() time.Time         { return p.lease.LastActivity() }
+func (p *pooledLease) RecordLoad(running, waiting int) { p.lease.RecordLoad(running, waiting) }
+func (p *pooledLease) RecordLimit(statement fleetlimit.Statement, sent time.Time) {
+	p.lease.RecordLimit(statement, sent)
+}
 func (p *pooledLease) RecordFirstEvent(took time.Duration) { p.lease.RecordFirstEvent(took) }
 
 func (p *pooledLease) RecordNoEvent(waited time.Duration) { p.lease.RecordNoEvent(waited) }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -128,6 +129,9 @@
 	// RecordLoad records the numbers of running and waiting requests that the
 	// endpoint reported.
 	RecordLoad(running, waiting int)
+	// RecordLimit records what an answer says about the endpoint's limit on requests.
+	// sent is when its request was about to be sent.
+	RecordLimit(statement fleetlimit.Statement, sent time.Time)
 	// RecordFirstEvent records the time to the first event, or to the complete
 	// answer if it is not a stream.
 	RecordFirstEvent(took time.Duration)
@@ -162,6 +166,9 @@
 // RecordLoad implements [Lease].
 func (NopLease) RecordLoad(int, int) {}
 
+// RecordLimit implements [Lease].
+func (NopLease) RecordLimit(fleetlimit.Statement, time.Time) {}
+
 // RecordFirstEvent implements [Lease].
 func (NopLease) RecordFirstEvent(time.Duration) {}
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
@@ -38,6 +39,10 @@
 	SinceArrival time.Duration
 	// LongestGap is the longest pause between two events.
 	LongestGap time.Duration
+	// Limit is what the answer said about the endpoint's limit on requests, nil if
+	// nothing. InvalidLimit is a limit that could not be decoded.
+	Limit        *fleetlimit.Statement
+	InvalidLimit string
 	// Framing is the framing of the answer, empty if there was no answer or its codec
 	// verifies the end itself.
 	Framing Framing
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -149,6 +150,10 @@
 	// valid only if HasLoad is set.
 	Running, Waiting int
 	HasLoad          bool
+	// Limit is what the answer says about the endpoint's limit on requests; nil if it
+	// says nothing that counts. InvalidLimit is a limit that could not be decoded.
+	Limit        *fleetlimit.Statement
+	InvalidLimit string
 	// Complete reports that the whole body is buffered, so that it can be sent
 	// later if no other answer arrives.
 	Complete bool
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -86,6 +86,12 @@
 	if event.Registration.Unlisted {
 		t.Count(fmt.Sprintf(`wigeonusher_attempts_unlisted_total{service=%q}`, event.Service))
 	}
+	if event.Limit != nil && event.Limit.Named {
+		t.Count(fmt.Sprintf(`wigeonusher_attempts_limited_total{service=%q}`, event.Service))
+	}
+	if event.InvalidLimit != "" {
+		t.Count(fmt.Sprintf(`wigeonusher_invalid_limits_total{service=%q}`, event.Service))
+	}
 	if event.FirstEvent > 0 {
 		t.set.GetOrCreateHistogram(fmt.Sprintf(`wigeonusher_first_event_seconds{service=%q,model=%q}`, event.Service, event.Model)).Update(event.FirstEvent.Seconds())
 	}
@@ -105,6 +111,12 @@
 	if event.Registration.Unlisted {
 		fields["unlisted"] = true
 	}
+	if event.Limit != nil && event.Limit.Named {
+		fields["limit_per_second"] = event.Limit.PerSecond
+	}
+	if event.InvalidLimit != "" {
+		fields["invalid_limit"] = event.InvalidLimit
+	}
 	AddAnswerEnd(fields, "", event)
 	if event.EndedBy != "" {
 		fields["ended_by"] = event.EndedBy
