The limit that an endpoint names holds for all instances together

Seen by callers' engines: an endpoint that named a limit of 2 requests a second got 22 to 27 within 4 s (LIMIT). Cause: nothing read the limit (hypothesis 1). The class: one limit for all, kept by each alone, would break it too (hypothesis 2): a share is under a request in 4 s.

The limit becomes seats, each of one request in an interval of 4 s or more. Zones are ranked by rendezvous hash for the lifetime of the endpoint, then the instances of a zone, and seats are dealt in that order: who sends follows from what all know alike, without a message. A seat that an instance gains counts after an interval; an instance that has just started has none. There are so few seats (three quarters of the limit and 1.5, rounded up) that two views of the fleet stay under one and a half times the limit and 5. News of limits spread with the digests. Pool.Choose is the one place that all kinds of sends pass, so none is left out (hypothesis 3). Answers that overtake each other don't end a limit; one under 0.1 a second gets one request in 10 s, as only an answer shows the end.

--- /dev/null
+++ b/coord/fleetlimit/seats.go
@@ -0,0 +1,100 @@
+package fleetlimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+)
+
+const (
+	// Window is the time over which endpoints count the requests of all instances.
+	Window = 4 * time.Second
+	// seatFraction and seatExtra bound the requests that the seats allow in a window, by
+	// the requests that the limit allows. The tolerance of a limit is half of what it
+	// allows and 5 requests: it covers twice as many seats, rounded up.
+	seatFraction = 0.75
+	seatExtra    = 1.5
+	// probeInterval is the interval of the only seat if the limit is lower, or 0: only an
+	// answer shows that the limit has ended.
+	probeInterval = 10 * time.Second
+)
+
+// Group is what an instance knows of the instances that share the limits.
+type Group struct {
+	Self platform.InstanceID
+	Zone platform.Zone
+	// Members are the live instances of the instance's zone, with itself.
+	Members []platform.InstanceID
+	// Zones are the zones of all instances that are alive or were so lately.
+	Zones []platform.Zone
+}
+
+func (g Group) equal(other Group) bool {
+	return g.Self == other.Self && g.Zone == other.Zone && slices.Equal(g.Members, other.Members) && slices.Equal(g.Zones, other.Zones)
+}
+
+// Key identifies a lifetime of an endpoint. An endpoint that starts again has no limit
+// until it names one.
+type Key struct {
+	Endpoint platform.EndpointID
+	Born     int64
+}
+
+func (k Key) String() string { return string(k.Endpoint) + "/" + strconv.FormatInt(k.Born, 10) }
+
+// plan returns the number of seats of a limit, and the interval in which each of them
+// allows one request.
+func plan(perSecond float64) (seats int, interval time.Duration) {
+	allowed := perSecond * Window.Seconds()
+	target := min(allowed, seatFraction*allowed+seatExtra)
+	target = max(target, Window.Seconds()/probeInterval.Seconds())
+	seats = int(math.Ceil(target))
+	return seats, time.Duration(float64(seats) / target * float64(Window))
+}
+
+// seatsOf returns how many of the seats the instance has.
+func (g Group) seatsOf(key Key, seats int) int {
+	name := key.String()
+	inZone := dealt(seats, len(g.Zones), rankOf(name, g.Zones, g.Zone))
+	return dealt(inZone, len(g.Members), rankOf(name, g.Members, g.Self))
+}
+
+// dealt returns how many of the seats the holder of the given rank gets if they are dealt
+// in turn, in the order of rank.
+func dealt(seats, holders, rank int) int {
+	if rank < 0 || rank >= seats {
+		return 0
+	}
+	return (seats-rank-1)/holders + 1
+}
+
+// rankOf returns the position of the member in the order of rendezvous scores for the
+// key, -1 if it is none of them.
+func rankOf[T ~string](key string, members []T, member T) int {
+	if !slices.Contains(members, member) {
+		return -1
+	}
+	rank := 0
+	for _, other := range members {
+		if compareScores(key, string(other), string(member)) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+// compareScores orders the member with the higher rendezvous score first, then by name.
+func compareScores(key, a, b string) int {
+	if order := cmp.Compare(score(key, b), score(key, a)); order != 0 {
+		return order
+	}
+	return cmp.Compare(a, b)
+}
+
+func score(key, member string) uint64 { return xxhash.Sum64String(key + "\x00" + member) }
--- a/coord/membership/rank.go
+++ b/coord/membership/rank.go
@@ -74,3 +74,30 @@
 	}
 	return zones
 }
+
+// ZoneMembers returns the instances of the local zone that are not known to be dead, with
+// this instance unless it has left.
+func (p *Peers) ZoneMembers() []platform.InstanceID {
+	var members []platform.InstanceID
+	if p.self.Liveness == Alive {
+		members = append(members, p.self.ID)
+	}
+	for _, entry := range p.order {
+		if entry.Zone == p.self.Zone && (entry.Liveness == Alive || entry.Liveness == Suspect) {
+			members = append(members, entry.ID)
+		}
+	}
+	return members
+}
+
+// KnownZones returns the local zone and all zones with an instance in the table that has
+// sent a digest, including instances that are dead and not removed yet.
+func (p *Peers) KnownZones() []platform.Zone {
+	zones := []platform.Zone{p.self.Zone}
+	for _, entry := range p.order {
+		if entry.Liveness != Unconfirmed && !slices.Contains(zones, entry.Zone) {
+			zones = append(zones, entry.Zone)
+		}
+	}
+	return zones
+}
--- a/node/cluster/cluster.go
+++ b/node/cluster/cluster.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/loop"
@@ -125,6 +126,17 @@
 	return c.peers.All()
 }
 
+// LimitGroup returns the instances that share the limits of endpoints. It reports false
+// for [discoveryPeriod] after the start, while this instance may not know all of them.
+func (c *Cluster) LimitGroup() (fleetlimit.Group, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	self := c.peers.Self()
+	return fleetlimit.Group{
+		Self: self.ID, Zone: self.Zone, Members: c.peers.ZoneMembers(), Zones: c.peers.KnownZones(),
+	}, time.Since(c.started) >= discoveryPeriod
+}
+
 // LiveCount returns the number of live instances of the fleet, including this
 // one.
 func (c *Cluster) LiveCount() int {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -147,6 +147,7 @@
 	e.budgets = newBudgets(settings.Bounds, time.Now())
 	e.observer = newObserver(log)
 	e.initPeers()
+	e.cluster.AddGossip(limitGossip{e.pools})
 	e.suspects = newSuspects(e.prober, e.broadcaster.BroadcastCrash, log)
 	e.pools.OnLongRead(e.broadcaster.BroadcastLongRead)
 	e.versions = versions.New(settings.Bounds.canaryTuning(), versions.Config{Pools: e.pools, Writer: e, Sessions: e.broadcaster, Logger: log})
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -31,6 +31,7 @@
 		return boottime.Since(boottime.Instant(e.verifiedAt.Load())).Seconds()
 	})
 	o.RegisterGauge(`wigeonusher_registry_age_seconds`, func() float64 { return e.pools.ViewAge().Seconds() })
+	o.RegisterGauge(`wigeonusher_endpoint_limits`, func() float64 { return float64(e.pools.LimitedCount()) })
 	o.RegisterGauge(`wigeonusher_endpoints`, func() float64 { return float64(e.pools.Count()) })
 }
 
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -121,6 +121,9 @@
 func (e *Entry) maintain(ctx context.Context) error {
 	return loop.Every(ctx, maintenanceInterval, func(now time.Time) {
 		e.pools.Expire(now)
+		if group, ok := e.cluster.LimitGroup(); ok {
+			e.pools.SetLimitGroup(now, group)
+		}
 		e.budgets.setLiveInstances(now, e.cluster.LiveCount())
 		for _, probe := range e.pools.Probes(now) {
 			go func() {
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/latency"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -25,7 +24,8 @@
 
 // Pool holds the endpoints of one service.
 type Pool struct {
-	zone platform.Zone
+	zone   platform.Zone
+	limits *limits
 	// viewedAt is that of the [Pools], nil if there are none.
 	viewedAt *atomic.Int64
 
@@ -39,14 +39,12 @@
 	// onLongRead is called for each long prompt when its endpoint is chosen, with the
 	// expected time to read the prompt. The caller holds mu.
 	onLongRead func(endpoint platform.EndpointID, expected time.Duration)
-	// onLimit is called when an endpoint names another limit than before. The caller
-	// holds mu.
-	onLimit func(endpoint Record, statement fleetlimit.Statement)
 }
 
-func newPool(zone platform.Zone) *Pool {
+func newPool(zone platform.Zone, limits *limits) *Pool {
 	return &Pool{
 		zone:        zone,
+		limits:      limits,
 		members:     make(map[platform.EndpointID]*member),
 		firstEvents: make(map[route.ModelName]*latency.Line),
 		paces:       make(map[route.ModelName]time.Duration),
@@ -155,6 +153,7 @@
 		chosen = p.pickByAffinity(candidates, query)
 	}
 	chosen.inFlight++
+	p.limits.take(now, chosen.record)
 	return &Lease{
 		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, LongPrompt: long,
 		Registration: p.registration(chosen),
@@ -175,21 +174,43 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
-		if query.accepts(m) && m.isUsable(now) {
+		if query.accepts(m) && m.isUsable(now) && p.limits.allow(now, m.record) {
 			return true
 		}
 	}
 	return false
 }
 
+// LimitWait returns the time until this instance may expect to send a request to one of
+// the endpoints that the query allows, and reports whether their limits, and nothing else,
+// keep it from doing so now.
+func (p *Pool) LimitWait(now time.Time, query Query) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var shortest time.Duration
+	for _, m := range p.members {
+		if !query.accepts(m) {
+			continue
+		}
+		wait := p.limits.wait(now, m.record)
+		if wait == 0 {
+			return 0, false
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest, shortest > 0
+}
+
 // candidates returns the endpoints that may run the request: those that are
 // neither full nor paused or, if there are none, the full ones, or else the paused
-// ones.
+// ones. Those whose limit allows this instance no request now are never among them.
 func (p *Pool) candidates(now time.Time, query Query) []*member {
 	var free, full, paused []*member
 	for _, m := range p.members {
 		switch {
-		case !query.accepts(m):
+		case !query.accepts(m) || !p.limits.allow(now, m.record):
 		case !m.isUsable(now):
 			paused = append(paused, m)
 		case m.isFull(now):
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -69,16 +69,8 @@
 
 // RecordLimit records what an answer says about the endpoint's limit. sent is when its
 // request was about to be sent.
-func (l *Lease) RecordLimit(statement fleetlimit.Statement, _ time.Time) {
-	l.pool.mu.Lock()
-	defer l.pool.mu.Unlock()
-	if l.member.limit == statement {
-		return
-	}
-	l.member.limit = statement
-	if l.pool.onLimit != nil {
-		l.pool.onLimit(l.member.record, statement)
-	}
+func (l *Lease) RecordLimit(statement fleetlimit.Statement, sent time.Time) {
+	l.pool.limits.observe(time.Now(), l.Endpoint, statement, sent)
 }
 
 // RecordFirstEvent records the time to the first event, or to the complete answer
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 )
 
 // Parameters of the health and load of an endpoint.
@@ -27,8 +25,6 @@
 	record Record
 	// unlisted reports that the registration is gone and the endpoint is kept.
 	unlisted bool
-	// limit is what the endpoint last said about its limit.
-	limit fleetlimit.Statement
 	// longRank orders the endpoints for long prompts, identically on all
 	// instances.
 	longRank uint64
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -11,7 +11,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -59,6 +58,7 @@
 	// viewedAt is the boot time at which the registry was last known to be as these
 	// pools have it.
 	viewedAt atomic.Int64
+	limits   *limits
 
 	mu             sync.RWMutex
 	services       map[route.ServiceName]*Pool
@@ -91,6 +91,7 @@
 	return &Pools{
 		zone:           zone,
 		log:            log,
+		limits:         newLimits(log),
 		services:       make(map[route.ServiceName]*Pool),
 		poolByEndpoint: make(map[platform.EndpointID]*Pool),
 		missing:        make(map[platform.EndpointID]struct{}),
@@ -115,27 +116,17 @@
 	if found := p.services[name]; found != nil {
 		return found
 	}
-	created := newPool(p.zone)
+	created := newPool(p.zone, p.limits)
 	created.viewedAt = &p.viewedAt
 	created.onLongRead = func(endpoint platform.EndpointID, expected time.Duration) {
 		if p.onLongRead != nil {
 			p.onLongRead(string(name), string(endpoint), expected)
 		}
 	}
-	created.onLimit = p.logLimit
 	p.services[name] = created
 	return created
 }
 
-func (p *Pools) logLimit(endpoint Record, statement fleetlimit.Statement) {
-	log := p.log.WithFields(logrus.Fields{"endpoint": endpoint.ID, "born": endpoint.Born})
-	if !statement.Named {
-		log.Info("endpoint names no limit any more")
-		return
-	}
-	log.WithField("per_second", statement.PerSecond).Info("endpoint names a limit")
-}
-
 // RegistryRestored starts the grace period after the registry has become reachable
 // again: endpoints that are missing now may still run and merely have failed to
 // renew their registration. Or they have left, and when is not known.
@@ -218,6 +209,7 @@
 func (p *Pools) Expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.limits.expire(now)
 	maps.DeleteFunc(p.removed, func(_ platform.EndpointID, removed removal) bool {
 		return now.Sub(removed.at) > removalMemory
 	})
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/coord/retry"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
@@ -118,6 +119,8 @@
 	foreign    bool
 	status     int
 	confidence float64
+	// limit is what the answer says about the endpoint's limit.
+	limit *fleetlimit.Statement
 	// events is the number of events of the stream that the endpoint sends before
 	// it breaks the connection within the next one; -1 sends all.
 	events int
@@ -159,7 +162,7 @@
 			return nil, &SendError{MayBeSent: true, Err: os.ErrDeadlineExceeded}
 		}
 	case b.notExecuted:
-		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Body: body("")}, nil
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Limit: b.limit, Body: body("")}, nil
 	}
 	status := b.status
 	if status == 0 {
@@ -167,7 +170,7 @@
 	}
 	answer := &Answer{
 		Status: status, Header: http.Header{}, Authentic: !b.foreign,
-		Confidence: b.confidence, HasConfidence: call.Model != "", Complete: b.complete,
+		Confidence: b.confidence, HasConfidence: call.Model != "", Complete: b.complete, Limit: b.limit,
 	}
 	answer.Body = streamBody(call, b)
 	return answer, nil
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
@@ -98,7 +99,20 @@
 			}
 		}
 	}
-	return nil, &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
+	return nil, p.refuse(now, query, choice, endpoints)
+}
+
+// refuse returns the refusal of a request for which no endpoint could be chosen. If limits
+// of endpoints are the reason, it says when they allow the next request.
+func (p *PooledPicker) refuse(now time.Time, query *Query, choice Choice, endpoints *pool.Pool) *Refusal {
+	request := query.Request
+	allowed := pool.Query{Version: func(version string) bool {
+		return choice.Allowed == nil || choice.Allowed(version)
+	}}
+	if wait, limited := endpoints.LimitWait(now, allowed); limited {
+		return &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
+	}
+	return &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
 }
 
 // preferences returns the filters on versions in the order in which to try them.
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -235,6 +235,7 @@
 	UnknownKey       Reason = "unknown key"
 	CrashSuspect     Reason = "request has crashed the endpoints that ran it"
 	NoEndpoint       Reason = "no endpoint"
+	EndpointsLimited Reason = "endpoints take no more requests"
 	EndpointsFailed  Reason = "endpoints failed"
 	NotAllowed       Reason = "not allowed any more"
 	Overloaded       Reason = "no room before the deadline"
@@ -254,3 +255,7 @@
 	// refusal; nil if there is none.
 	Cause error
 }
+
+// mayPass reports whether an endpoint may be found soon, so that waiting for one makes
+// sense.
+func (r *Refusal) mayPass() bool { return r.Reason == NoEndpoint || r.Reason == EndpointsLimited }
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -122,7 +122,7 @@
 		}
 		lease, refusal := r.pickEndpoint(ctx)
 		if refusal != nil {
-			if r.switchModel(ctx, refusal) || refusal.Reason == NoEndpoint && r.waitForEndpoint(ctx) {
+			if r.switchModel(ctx, refusal) || refusal.mayPass() && r.waitForEndpoint(ctx) {
 				continue
 			}
 			r.finish(ctx, refusal)
--- a/node/relay/unlisted_test.go
+++ b/node/relay/unlisted_test.go
@@ -21,9 +21,15 @@
 	}
 }
 
-// An endpoint may have left while the registry was unreachable. No send may reach it while
-// another is listed, whichever kind of send it is.
-func TestUnlistedEndpointGetsNoSendWhileAnotherIsListed(t *testing.T) {
+// kindOfSend is a way in which a request reaches an endpoint.
+type kindOfSend struct {
+	name   string
+	route  *route.Route
+	script func(*Call, int) behavior
+	sends  int
+}
+
+func kindsOfSends() []kindOfSend {
 	once := testRoute(route.AtMostOnce)
 	stream := testRoute(route.Stream)
 	sizes := testRoute(route.Stream)
@@ -36,19 +42,20 @@
 			return behavior{events: -1, confidence: 1}
 		}
 	}
-	for _, c := range []struct {
-		name   string
-		route  *route.Route
-		script func(*Call, int) behavior
-		sends  int
-	}{
+	return []kindOfSend{
 		{"first send", once, first(behavior{complete: true, events: -1}), 1},
 		{"repeat after a refused connection", stream, first(behavior{refused: true}), 2},
 		{"repeat after a rejection", stream, first(behavior{notExecuted: true}), 2},
 		{"repeat after a reset", stream, first(behavior{reset: true}), 2},
 		{"continued stream", stream, first(behavior{events: 2}), 2},
 		{"larger model", sizes, first(behavior{events: -1, confidence: 0.1}), 2},
-	} {
+	}
+}
+
+// An endpoint may have left while the registry was unreachable. No send may reach it while
+// another is listed, whichever kind of send it is.
+func TestUnlistedEndpointGetsNoSendWhileAnotherIsListed(t *testing.T) {
+	for _, c := range kindsOfSends() {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(testTable(c.route), 8, c.script)
 			var left []platform.EndpointID
