A new version that is slower at equal load is rolled back

Cause: answers count as late or slow above fixed multiples of the usual time, 4 and 1.5, and the usual time has no regard to load. The new version has a tenth of the sessions, so its engines are nearly idle: 50 ms between events there, where the old version takes 40 at that load and 55 at its own. Nothing exceeds a limit until all requests have moved.

Now the time between events (plain services: the time of the answer) is divided by the old version's usual one at the load that the endpoint reports, and both versions are compared at five levels from 1 to 3 times, each with a sequential test whose alternatives suit levels that are exceeded often; the mean of their e-values decides. First events are left to the old test: they depend on cached prompts, which new engines lack (183 against 94 ms on a good version). Answers of engines that are still cold don't count. While timed answers are few or speak against the version, the move waits from 0.7 to 0.78 of the duration.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -60,7 +60,7 @@
 	known := p.members[record.ID]
 	switch {
 	case known == nil || known.record.Born < record.Born:
-		added := &member{record: record, longRank: longRank(record.ID)}
+		added := &member{record: record, warmAt: time.Now().Add(record.ColdFor), longRank: longRank(record.ID)}
 		added.lastActivity.Store(time.Now().UnixNano())
 		p.members[record.ID] = added
 		return true
@@ -156,7 +156,7 @@
 	p.limits.take(now, chosen.record)
 	return &Lease{
 		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, LongPrompt: long,
-		Registration: p.registration(chosen),
+		Registration: p.registration(chosen), Cold: now.Before(chosen.warmAt),
 	}, true
 }
 
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -18,6 +18,8 @@
 	// LongPrompt reports that the prompt counts as long and that the endpoint is
 	// reserved for such prompts.
 	LongPrompt bool
+	// Cold reports that the endpoint was still slow after its start.
+	Cold bool
 	// Endpoint is the registry's record at the time of the choice.
 	Endpoint Record
 	// Registration is what was known of the endpoint's registration at that time.
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -23,6 +23,8 @@
 // member is one endpoint of a pool.
 type member struct {
 	record Record
+	// warmAt is when the endpoint is no longer slow after its start.
+	warmAt time.Time
 	// unlisted reports that the registration is gone and the endpoint is kept.
 	unlisted bool
 	// longRank orders the endpoints for long prompts, identically on all
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -25,6 +25,9 @@
 	// Version is the version of the endpoint's program.
 	Version string
 	Slots   int
+	// ColdFor is how much longer the endpoint stays slow after its start, at the time of the
+	// registration.
+	ColdFor time.Duration
 	// Leaving reports that the endpoint accepts no new requests.
 	Leaving bool
 	// Born identifies a lifetime of the endpoint; a later one has a greater number.
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -323,7 +323,11 @@
 
 // attemptResult returns the result that is passed to [Lease.End].
 func (a *attempt) attemptResult() AttemptResult {
-	return AttemptResult{Result: a.poolResult(), Crashed: a.crashed, FirstEvent: a.firstEvent, Pace: a.pace()}
+	result := AttemptResult{Result: a.poolResult(), Crashed: a.crashed, FirstEvent: a.firstEvent, Pace: a.pace()}
+	if a.answer != nil && a.answer.HasLoad {
+		result.Load = a.answer.Running + a.answer.Waiting
+	}
+	return result
 }
 
 func (a *attempt) poolResult() pool.Result {
@@ -393,6 +397,7 @@
 	}
 	if a.answer != nil {
 		event.Limit, event.InvalidLimit = a.answer.Limit, a.answer.InvalidLimit
+		event.Load, event.HasLoad = a.answer.Running+a.answer.Waiting, a.answer.HasLoad
 		event.Status, event.Confidence, event.Framing = a.answer.Status, a.answer.Confidence, a.answer.Framing
 	}
 	return event
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -48,6 +48,12 @@
 	// Pace is the mean time between events, 0 if there were too few. UsualPace is
 	// the moving average of Pace over the model's streams, 0 if unknown.
 	Pace, UsualPace time.Duration
+	// Model is the model that answered, empty for a plain service. Load is the number of
+	// requests that the endpoint reported, 0 if it reported none.
+	Model route.ModelName
+	Load  int
+	// Cold reports that the endpoint was still slow after its start.
+	Cold bool
 }
 
 // Suspects tracks requests that may crash endpoints.
@@ -190,6 +196,9 @@
 		UsualFirstEvent: p.UsualFirstEvent(),
 		Pace:            result.Pace,
 		UsualPace:       p.endpoints.UsualPace(p.query.Model),
+		Model:           p.query.Model,
+		Load:            result.Load,
+		Cold:            p.lease.Cold,
 	}
 	if result.Pace > 0 {
 		p.endpoints.LearnPace(p.query.Model, result.Pace)
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -184,6 +184,8 @@
 	// FirstEvent is the time to the first event, 0 if there was none. Pace is the
 	// mean time between events, 0 if there were too few.
 	FirstEvent, Pace time.Duration
+	// Load is the number of requests that the endpoint reported, 0 if it reported none.
+	Load int
 }
 
 // Budgets returns the retry budget of a service.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -43,6 +43,10 @@
 	// nothing. InvalidLimit is a limit that could not be decoded.
 	Limit        *fleetlimit.Statement
 	InvalidLimit string
+	// Load is the number of running and waiting requests that the endpoint reported with
+	// its answer; it is valid only if HasLoad is set.
+	Load    int
+	HasLoad bool
 	// Framing is the framing of the answer, empty if there was no answer or its codec
 	// verifies the end itself.
 	Framing Framing
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -114,6 +114,9 @@
 	if event.Limit != nil && event.Limit.Named {
 		fields["limit_per_second"] = event.Limit.PerSecond
 	}
+	if event.HasLoad {
+		fields["endpoint_load"] = event.Load
+	}
 	if event.InvalidLimit != "" {
 		fields["invalid_limit"] = event.InvalidLimit
 	}
--- a/node/versions/peers.go
+++ b/node/versions/peers.go
@@ -29,12 +29,16 @@
 			continue
 		}
 		counts := s.rollout.LocalEvidence()
-		evidence = append(evidence, &peerpb.VersionEvidence{
+		encoded := &peerpb.VersionEvidence{
 			Service: string(name),
 			Target:  s.rollout.Order.Target,
 			Answers: encodeCounts(counts.Answers),
 			Paces:   encodeCounts(counts.Paces),
-		})
+		}
+		for _, level := range counts.Slowness {
+			encoded.Slowness = append(encoded.Slowness, encodeCounts(level))
+		}
+		evidence = append(evidence, encoded)
 	}
 	return evidence
 }
@@ -65,9 +69,11 @@
 	if s == nil || s.rollout == nil || s.rollout.Order.Target != evidence.Target {
 		return
 	}
-	s.rollout.MergePeerEvidence(instance, canary.Evidence{
-		Answers: decodeCounts(evidence.GetAnswers()), Paces: decodeCounts(evidence.GetPaces()),
-	})
+	counts := canary.Evidence{Answers: decodeCounts(evidence.GetAnswers()), Paces: decodeCounts(evidence.GetPaces())}
+	for i, level := range evidence.GetSlowness()[:min(len(evidence.GetSlowness()), len(counts.Slowness))] {
+		counts.Slowness[i] = decodeCounts(level)
+	}
+	s.rollout.MergePeerEvidence(instance, counts)
 }
 
 // Rollout is this instance's view of a roll-out.
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -95,6 +95,8 @@
 	// when the next roll-out is ordered. The map is replaced, never modified,
 	// because choices refer to it.
 	bad map[string]bool
+	// usual are the usual times of the versions that are not being rolled out.
+	usual usualTimes
 	// proposeAt is when this instance makes the proposal.
 	proposeAt time.Duration
 	proposal  phaseProposal
@@ -146,7 +148,7 @@
 		if err != nil {
 			panic(eris.Wrap(err, "versions: create the session cache"))
 		}
-		found = &service{sessions: sessions, bad: make(map[string]bool)}
+		found = &service{sessions: sessions, bad: make(map[string]bool), usual: make(usualTimes)}
 		v.services[name] = found
 	}
 	return found
@@ -228,6 +230,7 @@
 				"incumbent_answers": answers.Incumbent(), "incumbent_bad": answers.IncumbentBad,
 				"paced": paces.Candidate(), "slow": paces.CandidateBad,
 				"incumbent_paced": paces.Incumbent(), "incumbent_slow": paces.IncumbentBad,
+				"slowness": s.rollout.TotalEvidence().Slowness, "slowness_log_e": s.rollout.SlownessLogE(),
 			}).Info("roll-out phase agreed")
 		}
 	}
@@ -332,12 +335,19 @@
 func (v *Versions) Observe(name route.ServiceName, version string, outcome relay.VersionOutcome) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	s := v.services[name]
-	if s == nil || s.rollout == nil || s.rollout.Phase.IsFinal() {
+	s := v.service(name)
+	slowness := s.usual.slowness(outcome)
+	if outcome.Model == "" && s.rollout != nil && version == s.rollout.Order.Target {
+		slowness /= farTolerance
+	}
+	if s.rollout == nil || version != s.rollout.Order.Target || s.rollout.Phase == canary.Completed {
+		s.usual.learn(outcome)
+	}
+	if s.rollout == nil || s.rollout.Phase.IsFinal() {
 		return
 	}
 	s.rollout.Observe(canary.Answer{
 		Version: version, Failed: outcome.Failed, FirstEvent: outcome.FirstEvent, UsualFirstEvent: outcome.UsualFirstEvent,
-		Pace: outcome.Pace, UsualPace: outcome.UsualPace,
+		Pace: outcome.Pace, UsualPace: outcome.UsualPace, Slowness: slowness,
 	})
 }
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -18,8 +18,9 @@
 // # Evidence
 //
 // One sequential test of package rollout compares the failures and late first events
-// of the two versions, a second one compares slow streams. Both tests remain valid if
-// evaluated after each answer.
+// of the two versions, a second one compares slow streams. A third one compares the times
+// of answers with the usual ones at the endpoint's load, at several levels. The tests remain
+// valid if evaluated after each answer.
 package canary
 
 import (
@@ -81,9 +82,9 @@
 	// lets the requests that run on the old endpoints finish.
 	fullAfter     = 0.7
 	completeAfter = 0.93
-	// badLogE is the log e-value above which a version is judged bad. Each of the two tests
-	// rejects a good version with a probability of at most e^-5, or once in about 150
-	// roll-outs (e^5).
+	// badLogE is the log e-value above which a version is judged bad. Each of the three
+	// tests rejects a good version with a probability of at most e^-5, or once in about
+	// 150 roll-outs (e^5).
 	badLogE = 5.0
 	// minBadAnswers is the minimum number of the new version's bad answers from which
 	// the version is judged bad.
@@ -101,8 +102,22 @@
 	// fullStrictness multiplies these factors in [Full], when a burst of load slows only
 	// the new version.
 	fullStrictness = 2.0
+	// slownessTolerance is how many times as slow as the old version, at the same load, a
+	// good version may be.
+	slownessTolerance = 1.05
+	// decideBy is the fraction of the order's duration until which a version stays in
+	// [Canary] while its evidence is short or speaks against it. minTimed is the number of
+	// timed answers that are not short, and doubtLogE the log e-value of doubt.
+	decideBy  = 0.78
+	minTimed  = 12
+	doubtLogE = 1.5
 )
 
+// slownessLevels are the multiples of the usual time at which the times of both versions are
+// compared. A single level would be blind to versions that are as slow as the level, or to
+// a part of the answers being much slower.
+var slownessLevels = [...]float64{1, 1.25, 1.5, 2, 3}
+
 // Evidence counts the answers of both versions by kind of evidence. Every answer is
 // counted in Answers, and only an answer whose pace and usual pace are known is also
 // counted in Paces. Most short answers have no pace; counting all answers together would
@@ -111,6 +126,8 @@
 	// Answers counts answers that failed or had a late first event as bad, Paces those
 	// with slow times between events.
 	Answers, Paces rollout.Evidence
+	// Slowness counts the answers above each of the levels as bad.
+	Slowness [len(slownessLevels)]rollout.Evidence
 }
 
 // evidenceTest is the sequential test of one kind of evidence.
@@ -133,16 +150,21 @@
 	seenAt time.Duration
 
 	answers, paces evidenceTest
+	slowness       [len(slownessLevels)]evidenceTest
 	peers          map[string]Evidence
 }
 
 // New returns the roll-out of an order that was first read at seenAt, on the caller's
 // clock.
 func New(order Order, tuning Tuning, seenAt time.Duration) *Rollout {
-	return &Rollout{
+	r := &Rollout{
 		Order: order, tuning: tuning, seenAt: seenAt, peers: make(map[string]Evidence),
 		answers: evidenceTest{test: rollout.NewSequentialTest()}, paces: evidenceTest{test: rollout.NewSequentialTest()},
 	}
+	for level := range r.slowness {
+		r.slowness[level].test = rollout.NewLevelTest()
+	}
+	return r
 }
 
 // ApplyStatus sets the phase to the one recorded in the log. It ignores the status of
@@ -175,6 +197,9 @@
 	// Pace is the mean time between events, UsualPace the usual one for such requests; 0
 	// if unknown.
 	Pace, UsualPace time.Duration
+	// Slowness is the time that the answer took, divided by the usual one of the old version
+	// for such requests at endpoints with the same load; 0 if unknown.
+	Slowness float64
 }
 
 // isBad reports whether the answer failed or its first event was late. strictness
@@ -200,6 +225,44 @@
 	if answer.Pace > 0 && answer.UsualPace > 0 {
 		r.paces.observe(candidate, answer.isSlow(strictness))
 	}
+	r.observeSlowness(candidate, answer.Slowness, strictness)
+}
+
+func (r *Rollout) observeSlowness(candidate bool, slowness, strictness float64) {
+	if slowness <= 0 {
+		return
+	}
+	if candidate {
+		slowness /= slownessTolerance * strictness
+	}
+	for i, level := range slownessLevels {
+		r.slowness[i].observe(candidate, slowness > level)
+	}
+}
+
+// SlownessLogE returns the log e-value against the new version of all levels together. The
+// mean of e-values is one, whatever the dependence between them.
+func (r *Rollout) SlownessLogE() float64 {
+	sum := 0.0
+	for i := range r.slowness {
+		sum += math.Exp(min(r.slowness[i].test.LogEValue(), maxLogE))
+	}
+	return math.Log(sum / float64(len(r.slowness)))
+}
+
+// maxLogE bounds the log e-value of one level, so that the sum does not overflow.
+const maxLogE = 300
+
+func (r *Rollout) isSlow() bool {
+	return r.slowness[0].total.CandidateBad >= minBadAnswers && r.SlownessLogE() > badLogE
+}
+
+// isUndecided reports whether the evidence is short or speaks against the new version,
+// without sufficing for a verdict.
+func (r *Rollout) isUndecided() bool {
+	logE := max(r.answers.test.LogEValue(), r.paces.test.LogEValue(), r.SlownessLogE())
+	timed := r.slowness[0].total.Candidate()
+	return logE > doubtLogE || timed > 0 && timed < minTimed
 }
 
 func (t *evidenceTest) observe(candidate, bad bool) {
@@ -223,9 +286,15 @@
 func (r *Rollout) MergePeerEvidence(instance string, counts Evidence) {
 	known := r.peers[instance]
 	answers, paces := increase(known.Answers, counts.Answers), increase(known.Paces, counts.Paces)
-	r.peers[instance] = Evidence{Answers: add(known.Answers, answers), Paces: add(known.Paces, paces)}
+	merged := Evidence{Answers: add(known.Answers, answers), Paces: add(known.Paces, paces)}
 	r.answers.accumulate(answers)
 	r.paces.accumulate(paces)
+	for i := range r.slowness {
+		added := increase(known.Slowness[i], counts.Slowness[i])
+		merged.Slowness[i] = add(known.Slowness[i], added)
+		r.slowness[i].accumulate(added)
+	}
+	r.peers[instance] = merged
 }
 
 // increase returns the increments from known to counts; a lower count adds 0.
@@ -280,12 +349,20 @@
 
 // LocalEvidence returns the answers observed by this instance.
 func (r *Rollout) LocalEvidence() Evidence {
-	return Evidence{Answers: r.answers.local, Paces: r.paces.local}
+	evidence := Evidence{Answers: r.answers.local, Paces: r.paces.local}
+	for i := range r.slowness {
+		evidence.Slowness[i] = r.slowness[i].local
+	}
+	return evidence
 }
 
 // TotalEvidence returns the answers observed by this instance and its peers.
 func (r *Rollout) TotalEvidence() Evidence {
-	return Evidence{Answers: r.answers.total, Paces: r.paces.total}
+	evidence := Evidence{Answers: r.answers.total, Paces: r.paces.total}
+	for i := range r.slowness {
+		evidence.Slowness[i] = r.slowness[i].total
+	}
+	return evidence
 }
 
 // NextPhase returns the phase that this instance proposes at the time now. The argument
@@ -295,13 +372,13 @@
 	switch {
 	case r.Phase.IsFinal():
 		return r.Phase
-	case r.answers.bad || r.paces.bad:
+	case r.answers.bad || r.paces.bad || r.isSlow():
 		return RolledBack
 	case r.Phase == Ordered:
 		return Canary
 	case !available:
 		return r.Phase
-	case r.Phase == Canary && elapsed >= fullAfter:
+	case r.Phase == Canary && elapsed >= fullAfter && (elapsed >= decideBy || !r.isUndecided()):
 		return Full
 	case r.Phase == Full && elapsed >= completeAfter:
 		return Completed
--- a/policy/latency/latency.go
+++ b/policy/latency/latency.go
@@ -2,7 +2,10 @@
 // prompt's length, with one [Line] per model.
 package latency
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// decay is the factor applied to the weight of earlier answers with each new answer,
@@ -10,15 +13,19 @@
 	decay = 0.995
 	// minWeight is the minimum total weight of the answers for an estimate.
 	minWeight = 8
-	// minVariance is the minimum variance of prompt lengths, in tokens squared, for which a
-	// slope is estimated.
-	minVariance = 1e4
+	// defaultMinVariance is the default of [Line.MinVariance], in tokens squared.
+	defaultMinVariance = 1e4
 )
 
 // Line is a least-squares fit of the time to the first event over the prompt's tokens,
 // with exponential decay of earlier answers. The zero value holds no answers. It is not
 // safe for concurrent use.
 type Line struct {
+	// MinVariance is the minimum variance of prompt lengths, in tokens squared, for which a
+	// slope is estimated; 0 selects a default. A line over another number than tokens needs
+	// its own.
+	MinVariance float64
+
 	weight, sumX, sumY, sumXX, sumXY float64
 }
 
@@ -58,7 +65,7 @@
 	}
 	meanX, meanY := l.sumX/l.weight, l.sumY/l.weight
 	spread := l.sumXX/l.weight - meanX*meanX
-	if spread <= minVariance {
+	if spread <= cmp.Or(l.MinVariance, defaultMinVariance) {
 		return 0
 	}
 	return max(0, (l.sumXY/l.weight-meanX*meanY)/spread)
--- a/policy/rollout/sequential.go
+++ b/policy/rollout/sequential.go
@@ -7,6 +7,9 @@
 var (
 	incumbentRates = []float64{0.001, 0.003, 0.01, 0.03, 0.1, 0.25}
 	excessRates    = []float64{0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.6}
+
+	levelRates       = []float64{0.03, 0.1, 0.2, 0.35, 0.5, 0.65}
+	levelExcessRates = []float64{0.15, 0.3, 0.48}
 )
 
 // answersPerRestart is the number of the candidate's answers after which the
@@ -42,12 +45,20 @@
 
 type alternative struct{ incumbent, candidate float64 }
 
-// NewSequentialTest returns a test without observations.
-func NewSequentialTest() *SequentialTest {
+// NewSequentialTest returns a test of failures, which are rare, without observations.
+func NewSequentialTest() *SequentialTest { return newTest(incumbentRates, excessRates) }
+
+// NewLevelTest returns a test without observations of how often a quantity exceeds a level,
+// which it may do in any part of the answers.
+func NewLevelTest() *SequentialTest { return newTest(levelRates, levelExcessRates) }
+
+func newTest(incumbentRates, excessRates []float64) *SequentialTest {
 	t := &SequentialTest{}
 	for _, rate := range incumbentRates {
 		for _, excess := range excessRates {
-			t.alternatives = append(t.alternatives, alternative{incumbent: rate, candidate: rate + excess})
+			if candidate := rate + excess; candidate < 1 {
+				t.alternatives = append(t.alternatives, alternative{incumbent: rate, candidate: candidate})
+			}
 		}
 	}
 	t.logWealth = make([]float64, len(t.alternatives))
