Bytes that an endpoint sends without end are cut off

An engine in trouble may send bytes that are no answer until the caller closes. The end of an event is searched in new bytes only: a search of all took 5 s for one event under the race detector.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -58,6 +58,8 @@
 	EndedByDeadline EndedBy = "deadline"
 	// EndedByProofCheck: this instance rejected the answer, see [Answer.Authentic].
 	EndedByProofCheck EndedBy = "proof check"
+	// EndedBySize: the relay stopped reading an answer that was too large.
+	EndedBySize EndedBy = "size"
 	// EndedByClient: the client disconnected.
 	EndedByClient EndedBy = "client"
 )
@@ -232,7 +234,7 @@
 	cause := context.Cause(ctx)
 	switch {
 	case cause == nil:
-		a.crashed = !errors.Is(err, os.ErrDeadlineExceeded)
+		a.crashed = !errors.Is(err, os.ErrDeadlineExceeded) && !isTooLarge(err)
 	case errors.As(cause, new(*watchdogError)):
 		a.err = cause
 	case errors.Is(cause, context.Canceled):
@@ -365,6 +367,8 @@
 		return EndedByProofCheck
 	case a.crashed:
 		return EndedByEndpoint
+	case isTooLarge(a.err):
+		return EndedBySize
 	default:
 		return EndedByDeadline
 	}
--- a/node/relay/plain.go
+++ b/node/relay/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -16,15 +17,30 @@
 	forwardBytes = 32 << 10
 )
 
-var errFailureTooLarge = eris.New("body of the failure is too large")
+// Errors of answers that are longer than the relay reads.
+var (
+	errFailureTooLarge = eris.New("body of the failure is too large")
+	errAnswerTooLarge  = eris.New("answer without a length is too large")
+	errEventTooLarge   = eris.New("event is too large")
+)
+
+// isTooLarge reports whether the relay has stopped reading because of the size.
+func isTooLarge(err error) bool {
+	return errors.Is(err, errFailureTooLarge) || errors.Is(err, errAnswerTooLarge) || errors.Is(err, errEventTooLarge)
+}
 
 // copyPlain sends an answer that is not a stream to the client. It reads the whole answer
 // first, so that another endpoint can be asked if it breaks off. Of an answer larger than
 // maxBufferedBytes the rest is forwarded as it arrives.
 func (a *attempt) copyPlain(ctx context.Context) {
 	_ = a.answer.Body.SetReadDeadline(a.run.deadline) // an error shows in the read
+	total := 0
 	for limit := maxBufferedBytes; ; limit = forwardBytes {
 		body, whole, err := a.readPlain(limit)
+		total += len(body)
+		if err == nil && a.answer.Framing != FramedByLength && total > maxUnmeasuredBytes {
+			err = errAnswerTooLarge
+		}
 		if err != nil {
 			a.markBroken(ctx, err)
 			return
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -20,6 +20,9 @@
 	idField   = []byte("id:")
 )
 
+// maxEventEndBytes is the length of the longest of eventEnds.
+const maxEventEndBytes = 3
+
 // lineEnds are the characters that end a line of a stream.
 const lineEnds = "\r\n"
 
@@ -43,18 +46,24 @@
 		if len(pending) == cap(pending) {
 			pending = append(pending, 0)[:len(pending)]
 		}
+		// Only the first bytes of an end of an event can be among those that were read before.
+		searchFrom := max(0, len(pending)-maxEventEndBytes+1)
 		n, err := a.answer.Body.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
 		if n > 0 {
 			a.recordActivity()
 		}
-		if complete := completeEventsLen(pending); complete > 0 {
+		if complete := completeEventsLen(pending[searchFrom:]); complete > 0 {
+			complete += searchFrom
 			if !a.forwardEvents(pending[:complete]) {
 				return
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		a.partialEvent = len(bytes.Trim(pending, lineEnds))
+		if err == nil && len(pending) > maxEventBytes {
+			err = errEventTooLarge
+		}
 		if err != nil {
 			a.finishStream(ctx, pending, err)
 			return
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -31,5 +31,9 @@
 	minPaceEvents = 5
 	// maxBufferedBytes bounds how much of an answer that is not a stream is buffered
 	// until it is complete.
-	maxBufferedBytes = 8 << 20
+	maxBufferedBytes = 2 << 20
+	// maxEventBytes bounds an event of a stream, and maxUnmeasuredBytes an answer that is
+	// not a stream and has no length: an endpoint in trouble may send bytes without end.
+	maxEventBytes      = 1 << 20
+	maxUnmeasuredBytes = 32 << 20
 )
