--- a/coord/fleetlimit/fleet_test.go
+++ b/coord/fleetlimit/fleet_test.go
@@ -210,11 +210,11 @@
 
 func drawHistory(random *rand.Rand) history {
 	pick := func(values ...float64) float64 { return values[random.IntN(len(values))] }
-	h := history{demand: pick(0.1, 1, 4), cutAt: time.Duration(random.IntN(40)) * time.Second}
+	h := history{demand: pick(0.1, 1, 4), cutAt: time.Duration(random.IntN(15)) * time.Second}
 	for i := range h.limits {
 		h.limits[i] = pick(0, 0.05, 0.3, 1, 2, 2.7, 5, 20, 60)
 	}
-	h.cutEnd = h.cutAt + time.Duration(random.IntN(20))*time.Second
+	h.cutEnd = h.cutAt + time.Duration(random.IntN(40))*time.Second
 	return h
 }
 
@@ -231,7 +231,7 @@
 		}
 		for number, m := range f.members {
 			m.side = 0
-			if f.now >= h.cutAt && f.now < h.cutEnd && number%3 == 0 {
+			if f.now >= h.cutAt && f.now < h.cutEnd && number/f.zones%2 == 0 {
 				m.side = 1
 			}
 		}
