--- a/coord/fleetlimit/seats.go
+++ b/coord/fleetlimit/seats.go
@@ -1,14 +1,12 @@
 package fleetlimit
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/wigeonusher/wigeonusher/coord/membership"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
@@ -82,19 +80,9 @@
 	}
 	rank := 0
 	for _, other := range members {
-		if compareScores(key, string(other), string(member)) < 0 {
+		if membership.CompareScores(key, string(other), string(member)) < 0 {
 			rank++
 		}
 	}
 	return rank
 }
-
-// compareScores orders the member with the higher rendezvous score first, then by name.
-func compareScores(key, a, b string) int {
-	if order := cmp.Compare(score(key, b), score(key, a)); order != 0 {
-		return order
-	}
-	return cmp.Compare(a, b)
-}
-
-func score(key, member string) uint64 { return xxhash.Sum64String(key + "\x00" + member) }
--- a/coord/membership/rank.go
+++ b/coord/membership/rank.go
@@ -23,12 +23,13 @@
 // rankPeers sorts peers by descending score for the key, then by ID.
 func rankPeers(key string, peers []Peer) {
 	slices.SortFunc(peers, func(a, b Peer) int {
-		return compareScores(key, string(a.ID), string(b.ID))
+		return CompareScores(key, string(a.ID), string(b.ID))
 	})
 }
 
-// compareScores orders the member with the higher score first, then by name.
-func compareScores(key, a, b string) int {
+// CompareScores orders two members by rendezvous score for the key: the one with the higher
+// score first, then by name.
+func CompareScores(key, a, b string) int {
 	if order := cmp.Compare(score(key, b), score(key, a)); order != 0 {
 		return order
 	}
@@ -52,7 +53,7 @@
 func (p *Peers) FleetRank(key string) int {
 	zones := p.zones()
 	slices.SortFunc(zones, func(a, b platform.Zone) int {
-		return compareScores(key, string(a), string(b))
+		return CompareScores(key, string(a), string(b))
 	})
 	zoneRank := slices.Index(zones, p.self.Zone)
 	rankInZone := slices.IndexFunc(p.Rank(key, p.self.Zone), func(peer Peer) bool {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -71,8 +71,8 @@
 	// regular proof of freshness is needed.
 	statusWait = 20 * time.Second
 	// registryWaitFraction is the longest wait of a read of the registry, as a fraction
-	// of the endpoints' drain time: a read that hangs must not hide for longer that an
-	// endpoint leaves.
+	// of the endpoints' drain time: an endpoint that leaves must not be hidden for
+	// longer by a read that hangs.
 	registryWaitFraction = 0.5
 	// registryPollFraction is the minimum time between the starts of two reads of
 	// the registry, as a fraction of the endpoints' drain time: a leaving endpoint
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -138,22 +138,20 @@
 func (p *Pool) Choose(now time.Time, query Query) (*Lease, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(now, query)
-	if len(candidates) == 0 {
+	chosen, long := p.pick(now, query)
+	// A change of the group between the check and here may have taken away the seat.
+	for chosen != nil && !p.limits.take(now, chosen.record) {
+		chosen, long = p.pick(now, query)
+	}
+	if chosen == nil {
 		return nil, false
 	}
-	candidates, long := p.separateLongPrompts(candidates, query)
-	var chosen *member
 	if long {
-		chosen = earliestToFinishReading(now, candidates)
 		expected := p.expectedReading(query.Model, query.Tokens)
 		chosen.addLongPrompt(now, expected)
 		p.onLongRead(chosen.record.ID, expected)
-	} else {
-		chosen = p.pickByAffinity(candidates, query)
 	}
 	chosen.inFlight++
-	p.limits.take(now, chosen.record)
 	return &Lease{
 		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, LongPrompt: long,
 		Registration: p.registration(chosen), Cold: now.Before(chosen.warmAt),
@@ -181,6 +179,20 @@
 	return false
 }
 
+// pick selects an endpoint for the request, nil if none may run it. It reports whether the
+// prompt counts as long.
+func (p *Pool) pick(now time.Time, query Query) (chosen *member, long bool) {
+	candidates := p.candidates(now, query)
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	candidates, long = p.separateLongPrompts(candidates, query)
+	if long {
+		return earliestToFinishReading(now, candidates), true
+	}
+	return p.pickByAffinity(candidates, query), false
+}
+
 // LimitWait returns the time until this instance may expect to send a request to one of
 // the endpoints that the query allows, and reports whether their limits, and nothing else,
 // keep it from doing so now.
--- a/node/pool/limits.go
+++ b/node/pool/limits.go
@@ -30,10 +30,10 @@
 	return l.known.Len() == 0 || l.known.Allows(now, limitKey(record))
 }
 
-func (l *limits) take(now time.Time, record Record) {
+func (l *limits) take(now time.Time, record Record) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.known.Take(now, limitKey(record))
+	return l.known.Take(now, limitKey(record))
 }
 
 func (l *limits) wait(now time.Time, record Record) time.Duration {
