Limits do not send requests to endpoints that are not listed

Seen in a test: if the limits of all listed endpoints were used up, the request went to an endpoint whose registration is gone: DRAIN's rule beside LIMIT's. Now limits refuse first. TestUnlistedEndpointGetsNothingBesideALimitedOne fails without it.

--- a/node/relay/limited_test.go
+++ b/node/relay/limited_test.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// An endpoint that may have left must not get the requests that limits keep from the others.
+func TestUnlistedEndpointGetsNothingBesideALimitedOne(t *testing.T) {
+	h := newHarness(testTable(testRoute(route.Stream)), 2, func(*Call, int) behavior { return behavior{events: -1} })
+	h.limitEndpoints("e0")
+	h.unlist("e1")
+	h.serve(testRequest())
+	assert.Equal(t, h.client.refusal.Reason, EndpointsLimited)
+	assert.Equal(t, len(h.endpoints.calls), 0)
+}
+
 // Endpoints in need reject requests too, and their answers name the limit all the same.
 func TestLimitBesideARejectionCounts(t *testing.T) {
 	for name, b := range map[string]behavior{
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -78,8 +78,9 @@
 // [Choice.Keeps] holds for it, then the assigned versions, then any allowed one.
 // Endpoints of failed attempts are used only if there is no other; an answer of low
 // confidence does not count as a failure. Endpoints that the registry does not list any
-// more are used only if it lists none that may run the request. The versions are chosen for each attempt,
-// because the roll-out may have advanced since the last one.
+// more are used only if it lists none that may run the request, not if limits keep the request
+// from those. The versions are chosen for each attempt, because the roll-out may have
+// advanced since the last one.
 func (p *PooledPicker) Pick(ctx context.Context, query *Query) (Lease, *Refusal) {
 	request := query.Request
 	fingerprint := request.Fingerprint(query.Permission.Account)
@@ -88,37 +89,39 @@
 	}
 	choice := p.Versions.Choose(ctx, query.Service, request.Session, request.ID)
 	endpoints := p.Pools.Service(query.Service)
+	now := time.Now()
+	lease, ok := choose(now, endpoints, query, choice, false)
+	if !ok {
+		if wait, limited := endpoints.LimitWait(now, pool.Query{Version: choice.allows}); limited {
+			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
+		}
+		lease, ok = choose(now, endpoints, query, choice, true)
+	}
+	if !ok {
+		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
+	}
+	return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query, fingerprint: fingerprint}, nil
+}
+
+// choose chooses among the endpoints that the registry lists, or else among those that it
+// does not list any more.
+func choose(now time.Time, endpoints *pool.Pool, query *Query, choice Choice, unlisted bool) (*pool.Lease, bool) {
 	poolQuery := pool.Query{
 		Model:     query.Model,
-		Affinity:  request.affinity(),
-		Tokens:    request.PromptTokens,
+		Affinity:  query.Request.affinity(),
+		Tokens:    query.Request.PromptTokens,
 		GapTarget: query.Permission.Route.TargetGap,
+		Unlisted:  unlisted,
 	}
-	now := time.Now()
-	for _, unlisted := range []bool{false, true} {
-		for _, avoid := range [][]platform.EndpointID{query.Avoid, nil} {
-			for _, filter := range choice.preferences(query.Version) {
-				poolQuery.Unlisted, poolQuery.Avoid, poolQuery.Version = unlisted, avoid, filter
-				if lease, ok := endpoints.Choose(now, poolQuery); ok {
-					return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query, fingerprint: fingerprint}, nil
-				}
+	for _, avoid := range [][]platform.EndpointID{query.Avoid, nil} {
+		for _, filter := range choice.preferences(query.Version) {
+			poolQuery.Avoid, poolQuery.Version = avoid, filter
+			if lease, ok := endpoints.Choose(now, poolQuery); ok {
+				return lease, true
 			}
 		}
 	}
-	return nil, p.refuse(now, query, choice, endpoints)
-}
-
-// refuse returns the refusal of a request for which no endpoint could be chosen. If limits
-// of endpoints are the reason, it says when they allow the next request.
-func (p *PooledPicker) refuse(now time.Time, query *Query, choice Choice, endpoints *pool.Pool) *Refusal {
-	request := query.Request
-	allowed := pool.Query{Version: func(version string) bool {
-		return choice.Allowed == nil || choice.Allowed(version)
-	}}
-	if wait, limited := endpoints.LimitWait(now, allowed); limited {
-		return &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
-	}
-	return &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
+	return nil, false
 }
 
 // preferences returns the filters on versions in the order in which to try them.
@@ -135,9 +138,11 @@
 // mayContinue reports whether a version is suited for further attempts: it is allowed,
 // and its endpoints do not stop all at once.
 func (c Choice) mayContinue(version string) bool {
-	return (c.Allowed == nil || c.Allowed(version)) && (c.Keeps == nil || c.Keeps(version))
+	return c.allows(version) && (c.Keeps == nil || c.Keeps(version))
 }
 
+func (c Choice) allows(version string) bool { return c.Allowed == nil || c.Allowed(version) }
+
 // pooledLease is a [Lease] at an endpoint of a pool.
 type pooledLease struct {
 	picker      *PooledPicker
