--- a/coord/fleetlimit/fleet_test.go
+++ b/coord/fleetlimit/fleet_test.go
@@ -245,18 +245,18 @@
 // start, stop, fail and are cut off from each other, and their views differ.
 func TestLimitHoldsWhileTheFleetChanges(t *testing.T) {
 	for _, c := range []struct{ size, zones, histories int }{{9, 4, 60}, {78, 6, 25}, {380, 17, 8}} {
-		t.Run(strconv.Itoa(c.size), func(t *testing.T) {
-			t.Parallel()
-			for seed := range uint64(c.histories) {
+		for seed := range uint64(c.histories) {
+			t.Run(fmt.Sprintf("%d instances, seed %d", c.size, seed), func(t *testing.T) {
+				t.Parallel()
 				h := drawHistory(rand.New(rand.NewPCG(seed, uint64(c.size))))
 				f := newFleet(seed, c.size, c.zones)
 				f.play(h)
 				for i, most := range []int{f.most(0, changeAt), f.most(changeAt+graceAfterNaming, end)} {
 					bound := 1.5*h.limits[i]*fleetlimit.Window.Seconds() + 5
-					assert.Assert(t, float64(most) <= bound, "seed %d: %d requests within %v, bound %.1f", seed, most, fleetlimit.Window, bound)
+					assert.Assert(t, float64(most) <= bound, "%d requests within %v, bound %.1f", most, fleetlimit.Window, bound)
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
@@ -264,20 +264,22 @@
 func TestMostOfTheLimitIsUsed(t *testing.T) {
 	for _, size := range []struct{ instances, zones int }{{9, 4}, {78, 6}, {380, 17}} {
 		for _, limit := range []float64{0.3, 2, 2.7, 20} {
-			f := newFleet(1, size.instances, size.zones)
-			f.demand, f.limit = 4, limit
-			for f.now < 20*time.Second {
-				f.step()
-			}
-			before := f.sent
-			for f.now < 60*time.Second {
-				f.step()
-			}
-			used := float64(f.sent-before) / (limit * 40)
-			name := fmt.Sprintf("%d instances, %v a second", size.instances, limit)
-			t.Logf("%s: %.2f of the limit used, at most %d requests within %v, bound %.1f", name, used, f.most(0, f.now), fleetlimit.Window, 1.5*limit*4+5)
-			assert.Assert(t, used > 0.5, "%s: %.2f used", name, used)
-			assert.Assert(t, float64(f.most(0, f.now)) <= 1.5*limit*4+5)
+			t.Run(fmt.Sprintf("%d instances, %v a second", size.instances, limit), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(1, size.instances, size.zones)
+				f.demand, f.limit = 4, limit
+				for f.now < 20*time.Second {
+					f.step()
+				}
+				before := f.sent
+				for f.now < 60*time.Second {
+					f.step()
+				}
+				used := float64(f.sent-before) / (limit * 40)
+				t.Logf("%.2f of the limit used, at most %d requests within %v, bound %.1f", used, f.most(0, f.now), fleetlimit.Window, 1.5*limit*4+5)
+				assert.Assert(t, used > 0.5, "%.2f used", used)
+				assert.Assert(t, float64(f.most(0, f.now)) <= 1.5*limit*4+5)
+			})
 		}
 	}
 }
