--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -106,8 +106,8 @@
 	// good version may be.
 	slownessTolerance = 1.05
 	// decideBy is the fraction of the order's duration until which a version stays in
-	// [Canary] while its evidence is short or speaks against it. minTimed is the number of
-	// timed answers that are not short, and doubtLogE the log e-value of doubt.
+	// [Canary] while it has fewer than minTimed timed answers, or a log e-value against it
+	// above doubtLogE.
 	decideBy  = 0.78
 	minTimed  = 12
 	doubtLogE = 1.5
@@ -257,8 +257,8 @@
 	return r.slowness[0].total.CandidateBad >= minBadAnswers && r.SlownessLogE() > badLogE
 }
 
-// isUndecided reports whether the evidence is short or speaks against the new version,
-// without sufficing for a verdict.
+// isUndecided reports whether there is too little evidence, or evidence against the new
+// version that does not suffice for a verdict.
 func (r *Rollout) isUndecided() bool {
 	logE := max(r.answers.test.LogEValue(), r.paces.test.LogEValue(), r.SlownessLogE())
 	timed := r.slowness[0].total.Candidate()
