--- a/node/entry/suspects.go
+++ b/node/entry/suspects.go
@@ -54,19 +54,19 @@
 func (s *suspects) ReportCrash(fingerprint uint64, address string) {
 	go func() {
 		time.Sleep(crashProbeDelay)
-		switch s.prober.Probe(context.Background(), address) {
+		switch probe := s.prober.Probe(context.Background(), address); probe {
 		case relay.ProbeRefused, relay.ProbeTimedOut:
-			s.reportCrash(fingerprint, address)
+			s.reportCrash(fingerprint, address, probe)
 		default:
 		}
 	}()
 }
 
-func (s *suspects) reportCrash(fingerprint uint64, address string) {
+func (s *suspects) reportCrash(fingerprint uint64, address string, probe relay.ProbeOutcome) {
 	crashes := s.recordCrash(fingerprint)
 	s.broadcast(fingerprint)
 	s.log.WithFields(logrus.Fields{
-		"fingerprint": fingerprint, "address": address, "crashes": crashes, "refused": crashes >= crashLimit,
+		"fingerprint": fingerprint, "address": address, "crashes": crashes, "refused": crashes >= crashLimit, "probe": probe,
 	}).Warn("endpoint crashed while it ran a request")
 }
 
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -100,6 +100,7 @@
 	// partialEvent is the number of bytes received after the last complete event.
 	partialEvent int
 	firstEvent   time.Duration
+	headAfter    time.Duration
 	lastEventAt  time.Time
 	longestGap   time.Duration
 	err          error
@@ -126,7 +127,7 @@
 		return
 	}
 	defer answer.Body.Close()
-	a.answer = answer
+	a.answer, a.headAfter = answer, time.Since(a.started)
 	a.recordActivity()
 	if answer.HasLoad {
 		a.lease.RecordLoad(answer.Running, answer.Waiting)
@@ -388,6 +389,8 @@
 		Events:       a.events,
 		Took:         a.ended.Sub(a.started),
 		FirstEvent:   a.firstEvent,
+		Head:         a.headAfter,
+		SharedParts:  a.run.request.sharedParts(),
 		Registration: a.lease.Registration(),
 		SinceArrival: a.started.Sub(a.run.request.Received),
 		LongestGap:   a.longestGap,
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -32,6 +32,12 @@
 	Events     int
 	Took       time.Duration
 	FirstEvent time.Duration
+	// Head is the time from the attempt's start to the head of the answer, 0 if there was
+	// none.
+	Head time.Duration
+	// SharedParts lists the IDs of the prompt's parts that may be shared with other
+	// requests, see [Request.Prompt].
+	SharedParts []string
 	// Registration is what was known of the endpoint's registration at the attempt's
 	// start.
 	Registration pool.Registration
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -96,6 +96,19 @@
 	return r.Prompt[len(r.Prompt)-2].ID
 }
 
+// sharedParts returns the IDs of the parts that may be shared with other requests: all
+// but the last.
+func (r *Request) sharedParts() []string {
+	if len(r.Prompt) < 2 {
+		return nil
+	}
+	ids := make([]string, 0, len(r.Prompt)-1)
+	for _, part := range r.Prompt[:len(r.Prompt)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Call is one attempt at one endpoint.
 type Call struct {
 	Request  *Request
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -77,6 +77,9 @@
 	}).Info("request")
 }
 
+// maxLoggedParts bounds the parts of a prompt in the line of an attempt.
+const maxLoggedParts = 8
+
 // RecordAttempt records and logs an attempt at an endpoint.
 func (t *Telemetry) RecordAttempt(event *relay.AttemptEvent) {
 	t.set.GetOrCreateCounter(fmt.Sprintf(`wigeonusher_attempts_total{service=%q,verdict=%q}`, event.Service, event.Verdict)).Inc()
@@ -124,6 +127,10 @@
 	if event.EndedBy != "" {
 		fields["ended_by"] = event.EndedBy
 	}
+	if event.EndedBy == relay.EndedByEndpoint {
+		fields["head_ms"] = event.Head.Milliseconds()
+		fields["shared_parts"] = event.SharedParts[:min(len(event.SharedParts), maxLoggedParts)]
+	}
 	if event.EndedBy == relay.EndedByWatchdog {
 		fields["watchdog_cause"], fields["silence_ms"] = event.WatchdogCause, event.Silence.Milliseconds()
 	}
