--- a/platform/platformdemo/demo_test.go
+++ b/cmd/internal/platformdemo/demo_test.go
@@ -48,8 +48,7 @@
 }
 
 func newArrival(id, engine string, at time.Time, ran bool) EngineArrival {
-	header := map[string][]string{"Wigeonusher-Attempt-Id": {id}}
-	return EngineArrival{Engine: engine, Arrival: platformtest.Arrival{Header: header, ReceivedAt: at, Ran: ran}}
+	return EngineArrival{Engine: engine, Arrival: platformtest.NewArrival(id, at, ran)}
 }
 
 func TestCheckFindsEachBrokenRule(t *testing.T) {
--- a/cmd/internal/tool/demo_platform.go
+++ b/cmd/internal/tool/demo_platform.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wigeonusher/wigeonusher/platform/platformdemo"
+	"github.com/wigeonusher/wigeonusher/cmd/internal/platformdemo"
 )
 
 // runPlatform runs the demonstration on the stand-in of the users' platform.
