Crashes are blamed on features of requests, not on whole requests

What callers saw: requests with one part in common crashed engine after engine, and took the answers of others with them. Cause: crashes were counted by a fingerprint of the whole request, which no two of these requests share. Now the evidence is kept for each feature (whole request, shared parts of the prompt), for and against, and exchanged by all instances (coord/crashcause decides, node/crashes watches). Each send asks again: admitted, alone (one trial in the fleet, on the least loaded endpoint), pending or refused; what waits at an endpoint is called back. Verdicts are also in a topic of the log. An instance that reaches no other endpoint of the service blames nothing.

--- /dev/null
+++ b/coord/crashcause/ledger.go
@@ -0,0 +1,262 @@
+package crashcause
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// A crash adds begunWeight to the score of a feature of a request whose answer had just
+	// begun, and waitingWeight if no part of the answer had arrived: whether the endpoint had
+	// begun it is then not known.
+	begunWeight   = 2
+	waitingWeight = 1
+	// SuspectScore and GuiltyScore are the scores from which on a feature is suspected and
+	// guilty: two and three crashes just after an answer began.
+	SuspectScore = 2 * begunWeight
+	GuiltyScore  = 3 * begunWeight
+	// A feature that has survived within SurvivalMemory before the first crash needs
+	// survivorSuspectScore and survivorGuiltyScore, and survivorPatience since the first
+	// crash without a survival.
+	survivorSuspectScore = 4 * begunWeight
+	survivorGuiltyScore  = 5 * begunWeight
+	survivorPatience     = time.Second
+
+	// CrashMemory is how long a crash counts, and SurvivalMemory how long a survival is
+	// remembered.
+	CrashMemory    = 5 * time.Minute
+	SurvivalMemory = time.Minute
+	// VerdictMemory is how long a verdict lasts after the last request that it has refused.
+	VerdictMemory = 5 * time.Minute
+	// verdictRenewal is the age from which on a verdict that still refuses requests is told
+	// to the others again.
+	verdictRenewal = 2 * time.Minute
+	// settleTime is how long a feature is guilty before it becomes a verdict: accusations of
+	// other instances may explain its crashes by another feature.
+	settleTime = 300 * time.Millisecond
+	// trialTimeout bounds a trial whose end is not known.
+	trialTimeout = 10 * time.Second
+	// decisionTTL bounds the age of the decisions, which depend on the time.
+	decisionTTL = 100 * time.Millisecond
+
+	maxCrashes   = 128
+	maxAccused   = 512
+	maxSurvivors = 4096
+	maxVerdicts  = 512
+	maxTrials    = 512
+)
+
+// crash is a crash of an endpoint.
+type crash struct {
+	at      time.Time
+	accused map[Feature]Accusation
+}
+
+// suspicion is the evidence against a feature.
+type suspicion struct {
+	use Use
+	// score counts all crashes, and unexplained those that no guilty feature explains.
+	score, unexplained int
+	firstAt            time.Time
+	survived           bool
+}
+
+// Ledger is an instance's evidence and its decisions. The zero value is not usable, see
+// [New].
+type Ledger struct {
+	crashes map[Lifetime]*crash
+	// survivals holds when a feature last survived.
+	survivals *simplelru.LRU[Feature, time.Time]
+	verdicts  map[Feature]*verdict
+	trials    map[Feature]time.Time
+	// standings and suspected hold the decisions of decidedAt, and guiltySince the features that the
+	// crashes alone make guilty.
+	standings   map[Feature]Standing
+	suspected   map[Feature]*suspicion
+	guiltySince map[Feature]time.Time
+	guiltyUse   map[Feature]Use
+	decidedAt   time.Time
+	isStale     bool
+}
+
+// verdict is a [Verdict] that this instance holds.
+type verdict struct {
+	Verdict
+	// refusedAt is when it last refused a request here.
+	refusedAt time.Time
+}
+
+// New returns a ledger without evidence.
+func New() *Ledger {
+	survivals, err := simplelru.NewLRU[Feature, time.Time](maxSurvivors, nil)
+	if err != nil {
+		panic(eris.Wrap(err, "crashcause: create LRU cache"))
+	}
+	return &Ledger{
+		crashes: make(map[Lifetime]*crash), survivals: survivals, verdicts: make(map[Feature]*verdict),
+		trials: make(map[Feature]time.Time), standings: make(map[Feature]Standing),
+		guiltySince: make(map[Feature]time.Time), guiltyUse: make(map[Feature]Use),
+	}
+}
+
+// RecordCrash adds the accusations of one instance after a crash. Accusations of several
+// instances after one crash add up to one: each feature counts once, with its highest weight.
+func (l *Ledger) RecordCrash(lifetime Lifetime, at time.Time, accused []Accusation) {
+	known := l.crashes[lifetime]
+	if known == nil {
+		l.makeRoomForCrash()
+		known = &crash{at: at, accused: make(map[Feature]Accusation)}
+		l.crashes[lifetime] = known
+	}
+	for _, accusation := range accused {
+		previous, isKnown := known.accused[accusation.Feature]
+		if !isKnown && len(known.accused) >= maxAccused {
+			continue
+		}
+		accusation.Begun = accusation.Begun || previous.Begun
+		accusation.Survived = accusation.Survived || previous.Survived
+		known.accused[accusation.Feature] = accusation
+	}
+	l.isStale = true
+}
+
+func (l *Ledger) makeRoomForCrash() {
+	if len(l.crashes) < maxCrashes {
+		return
+	}
+	var oldest Lifetime
+	for lifetime, c := range l.crashes {
+		if known := l.crashes[oldest]; known == nil || c.at.Before(known.at) {
+			oldest = lifetime
+		}
+	}
+	delete(l.crashes, oldest)
+}
+
+// HasCrash reports whether the crash is known.
+func (l *Ledger) HasCrash(lifetime Lifetime) bool { return l.crashes[lifetime] != nil }
+
+// HasSurvived reports whether the feature has survived lately.
+func (l *Ledger) HasSurvived(now time.Time, feature Feature) bool {
+	at, ok := l.survivals.Peek(feature)
+	return ok && now.Sub(at) <= SurvivalMemory
+}
+
+// RecordSurvival records that an endpoint has begun answers on the features, and has gone on
+// until the given time. It returns the features against which there is evidence: the other
+// instances need to know of them.
+func (l *Ledger) RecordSurvival(at time.Time, features ...Feature) (accused []Feature) {
+	for _, feature := range features {
+		if previous, ok := l.survivals.Get(feature); ok && previous.After(at) {
+			continue
+		}
+		l.survivals.Add(feature, at)
+		if l.clear(at, feature) {
+			accused = append(accused, feature)
+			l.isStale = true
+		}
+	}
+	return accused
+}
+
+// clear drops the evidence against a feature that is older than its survival.
+func (l *Ledger) clear(at time.Time, feature Feature) bool {
+	cleared := false
+	for _, c := range l.crashes {
+		if _, ok := c.accused[feature]; ok && !c.at.After(at) {
+			delete(c.accused, feature)
+			cleared = true
+		}
+	}
+	if v := l.verdicts[feature]; v != nil && !v.At.After(at) {
+		delete(l.verdicts, feature)
+		cleared = true
+	}
+	_, tried := l.trials[feature]
+	delete(l.trials, feature)
+	return cleared || tried
+}
+
+// AddVerdict adds a verdict of another instance, unless the feature has survived since. It
+// reports whether the verdict is new.
+func (l *Ledger) AddVerdict(now time.Time, added Verdict) bool {
+	if at, ok := l.survivals.Peek(added.Feature); ok && !at.Before(added.At) || now.Sub(added.At) > VerdictMemory {
+		return false
+	}
+	if known := l.verdicts[added.Feature]; known != nil {
+		if added.At.After(known.At) {
+			known.At = added.At
+		}
+		return false
+	}
+	l.addVerdict(added)
+	return true
+}
+
+func (l *Ledger) addVerdict(added Verdict) {
+	if len(l.verdicts) >= maxVerdicts {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(l.verdicts)), func(a, b *verdict) int { return a.At.Compare(b.At) })
+		delete(l.verdicts, oldest.Feature)
+	}
+	l.verdicts[added.Feature] = &verdict{Verdict: added}
+	l.isStale = true
+}
+
+// Verdicts returns the verdicts in force.
+func (l *Ledger) Verdicts() []Verdict {
+	all := make([]Verdict, 0, len(l.verdicts))
+	for _, v := range l.verdicts {
+		all = append(all, v.Verdict)
+	}
+	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Feature, b.Feature) })
+	return all
+}
+
+// Due returns the verdicts that this instance must tell the others: features that have
+// been guilty for a while by the crashes, and verdicts that still refuse requests and get
+// old.
+func (l *Ledger) Due(now time.Time) []Verdict {
+	l.expire(now)
+	l.decide(now)
+	var due []Verdict
+	for feature, since := range l.guiltySince {
+		if l.verdicts[feature] == nil && now.Sub(since) >= settleTime {
+			v := Verdict{Use: l.guiltyUse[feature], At: now}
+			l.addVerdict(v)
+			due = append(due, v)
+		}
+	}
+	for _, v := range l.verdicts {
+		if v.refusedAt.Sub(v.At) > verdictRenewal {
+			v.At = now
+			due = append(due, v.Verdict)
+		}
+	}
+	return due
+}
+
+// expire removes what is too old.
+func (l *Ledger) expire(now time.Time) {
+	for lifetime, c := range l.crashes {
+		if now.Sub(c.at) > CrashMemory {
+			delete(l.crashes, lifetime)
+			l.isStale = true
+		}
+	}
+	for feature, v := range l.verdicts {
+		if now.Sub(v.At) > VerdictMemory && now.Sub(v.refusedAt) > VerdictMemory {
+			delete(l.verdicts, feature)
+			l.isStale = true
+		}
+	}
+	for feature, until := range l.trials {
+		if now.After(until) {
+			delete(l.trials, feature)
+		}
+	}
+}
--- a/node/broadcast/broadcast.go
+++ b/node/broadcast/broadcast.go
@@ -27,8 +27,8 @@
 	batchDelay = 40 * time.Millisecond
 	// evidenceInterval is the time between broadcasts of roll-out evidence.
 	evidenceInterval = time.Second
-	// maxPerKind bounds the notices of long prompts, and those of crashes, in one
-	// call.
+	// maxPerKind bounds the notices of long prompts in one call, and the evidence of crashes
+	// that waits.
 	maxPerKind = 256
 )
 
@@ -38,8 +38,8 @@
 	// HandleLongRead records that an endpoint is processing a long prompt that a peer
 	// dispatched, and for how long it is expected to do so.
 	HandleLongRead(service, endpoint string, expected time.Duration)
-	// HandleCrash records that the request with the fingerprint crashed an endpoint.
-	HandleCrash(fingerprint uint64)
+	// HandleCrashNotice processes the evidence of crashes in a notice.
+	HandleCrashNotice(notice *peerpb.Notice)
 	// HandleEvidence records a peer's counts of a roll-out.
 	HandleEvidence(instance string, evidence *peerpb.VersionEvidence)
 	// LocalEvidence returns this instance's counts of the roll-outs under way.
@@ -61,11 +61,13 @@
 	mu      sync.Mutex
 	pending peerpb.Notice
 	wake    chan struct{}
+	// crashes holds the evidence that is sent without a delay.
+	crashes chan *peerpb.Notice
 }
 
 // New returns a broadcaster among the peers of a cluster.
 func New(cluster *cluster.Cluster, client *peer.Client, listener Listener, log *logrus.Entry) *Broadcaster {
-	return &Broadcaster{cluster: cluster, client: client, listener: listener, log: log, wake: make(chan struct{}, 1)}
+	return &Broadcaster{cluster: cluster, client: client, listener: listener, log: log, wake: make(chan struct{}, 1), crashes: make(chan *peerpb.Notice, maxPerKind)}
 }
 
 // BroadcastLongRead announces that an endpoint is starting to process a long prompt
@@ -82,15 +84,14 @@
 	b.wakeSender()
 }
 
-// BroadcastCrash announces that the request with the fingerprint crashed an endpoint.
-// It drops the notice if too many are pending.
-func (b *Broadcaster) BroadcastCrash(fingerprint uint64) {
-	b.mu.Lock()
-	if len(b.pending.Crashed) < maxPerKind {
-		b.pending.Crashed = append(b.pending.Crashed, fingerprint)
+// NotifyCrash announces evidence of crashes without a delay. It drops the evidence if too
+// much is waiting.
+func (b *Broadcaster) NotifyCrash(evidence *peerpb.Notice) {
+	select {
+	case b.crashes <- evidence:
+	default:
+		b.log.Warn("evidence of a crash dropped: too much is waiting")
 	}
-	b.mu.Unlock()
-	b.wakeSender()
 }
 
 func (b *Broadcaster) wakeSender() {
@@ -111,6 +112,8 @@
 		case <-b.wake:
 			loop.Sleep(ctx, batchDelay)
 			b.send(ctx, nil)
+		case evidence := <-b.crashes:
+			b.sendCrash(ctx, evidence)
 		case <-ticker.C:
 			if evidence := b.listener.LocalEvidence(); len(evidence) > 0 {
 				b.send(ctx, evidence)
@@ -124,12 +127,39 @@
 	notice := &peerpb.Notice{
 		Instance:  string(b.cluster.Self().ID),
 		LongReads: b.pending.LongReads,
-		Crashed:   b.pending.Crashed,
 		Evidence:  evidence,
 	}
-	b.pending.LongReads, b.pending.Crashed = nil, nil
+	b.pending.LongReads = nil
 	b.mu.Unlock()
-	for _, target := range b.livePeers() {
+	b.sendTo(ctx, b.livePeers(), notice)
+}
+
+// sendCrash sends evidence of crashes, and all that waits with it. An instance knows only
+// some of those in another zone, so contacts there pass it on.
+func (b *Broadcaster) sendCrash(ctx context.Context, first *peerpb.Notice) {
+	notice := &peerpb.Notice{Instance: string(b.cluster.Self().ID)}
+	for more := first; more != nil; {
+		notice.Crashes = append(notice.Crashes, more.Crashes...)
+		notice.Survivals = append(notice.Survivals, more.Survivals...)
+		notice.Trials = append(notice.Trials, more.Trials...)
+		select {
+		case more = <-b.crashes:
+		default:
+			more = nil
+		}
+	}
+	local, contacts := b.peersByZone()
+	b.sendTo(ctx, local, notice)
+	passOn := &peerpb.Notice{
+		Instance: notice.Instance, Crashes: notice.Crashes, Survivals: notice.Survivals, Trials: notice.Trials, AskZone: true,
+	}
+	for _, inZone := range contacts {
+		b.sendTo(ctx, inZone, passOn)
+	}
+}
+
+func (b *Broadcaster) sendTo(ctx context.Context, targets []membership.Peer, notice *peerpb.Notice) {
+	for _, target := range targets {
 		go func() {
 			if err := b.client.Tell(ctx, target.Address, notice); err != nil {
 				b.log.WithError(err).WithField("peer", target.ID).Debug("notice not delivered")
@@ -154,13 +184,22 @@
 	return handler.Exchange(ctx, digest)
 }
 
+// passOn passes evidence of crashes on to the other instances of this zone.
+func (b *Broadcaster) passOn(notice *peerpb.Notice) {
+	local, _ := b.peersByZone()
+	b.sendTo(context.Background(), local, &peerpb.Notice{
+		Instance: notice.Instance, Crashes: notice.Crashes, Survivals: notice.Survivals, Trials: notice.Trials,
+	})
+}
+
 // Tell handles a peer's notice.
 func (b *Broadcaster) Tell(_ context.Context, notice *peerpb.Notice) (*peerpb.NoticeReply, error) {
 	for _, read := range notice.LongReads {
 		b.listener.HandleLongRead(read.Service, read.Endpoint, time.Duration(read.ExpectedMs)*time.Millisecond)
 	}
-	for _, fingerprint := range notice.Crashed {
-		b.listener.HandleCrash(fingerprint)
+	b.listener.HandleCrashNotice(notice)
+	if notice.AskZone {
+		b.passOn(notice)
 	}
 	for _, evidence := range notice.Evidence {
 		b.listener.HandleEvidence(notice.Instance, evidence)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/broadcast"
 	"github.com/wigeonusher/wigeonusher/node/cluster"
+	"github.com/wigeonusher/wigeonusher/node/crashes"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/node/versions"
@@ -33,6 +34,9 @@
 	Registry keyed.Topic
 	// Status holds the agreed status of each roll-out.
 	Status keyed.Topic
+	// Verdicts holds the features of requests that crash endpoints. Only the instances
+	// read it.
+	Verdicts keyed.Topic
 }
 
 // Platform adapts the platform's log, endpoints and data formats to this
@@ -117,7 +121,7 @@
 	registryAnsweredAt atomic.Int64
 	pools              *pool.Pools
 	prober             *dialProber
-	suspects           *suspects
+	crashes            *crashes.Tracker
 	budgets            *budgets
 
 	cluster     *cluster.Cluster
@@ -148,13 +152,16 @@
 	e.observer = newObserver(log)
 	e.initPeers()
 	e.cluster.AddGossip(limitGossip{e.pools})
-	e.suspects = newSuspects(e.prober, e.broadcaster.BroadcastCrash, log)
+	e.crashes = crashes.New(crashes.Config{
+		Prober: e.prober, Pools: e.pools, Notifier: e.broadcaster, Logger: log, Count: e.observer.Count,
+	})
+	e.cluster.AddGossip(e.crashes)
 	e.pools.OnLongRead(e.broadcaster.BroadcastLongRead)
 	e.versions = versions.New(settings.Bounds.canaryTuning(), versions.Config{Pools: e.pools, Writer: e, Sessions: e.broadcaster, Logger: log})
 	e.relay = relay.New(relay.Config{
 		Gate:        &relay.TableGate{Tables: e, MaxAge: e.configMaxAge},
 		Planner:     &relay.SizePlanner{Pools: e.pools, Accept: e.acceptConfidence},
-		Picker:      &relay.PooledPicker{Pools: e.pools, Versions: e.versions, Suspects: e.suspects},
+		Picker:      &relay.PooledPicker{Pools: e.pools, Versions: e.versions, Suspects: e.crashes},
 		Endpoints:   platform.Endpoints(),
 		Budgets:     e.budgets,
 		Prober:      e.prober,
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -32,6 +32,7 @@
 	})
 	o.RegisterGauge(`wigeonusher_registry_age_seconds`, func() float64 { return e.pools.ViewAge().Seconds() })
 	o.RegisterGauge(`wigeonusher_endpoint_limits`, func() float64 { return float64(e.pools.LimitedCount()) })
+	o.RegisterGauge(`wigeonusher_guilty_features`, func() float64 { return float64(e.crashes.GuiltyCount()) })
 	o.RegisterGauge(`wigeonusher_endpoints`, func() float64 { return float64(e.pools.Count()) })
 }
 
@@ -56,6 +57,9 @@
 	if event.Refusal != nil {
 		fields["not_run"] = event.Refusal.NotRun
 		fields["retry_after_ms"] = event.Refusal.RetryAfter.Milliseconds()
+		if event.Refusal.Cause != nil {
+			fields["cause"] = event.Refusal.Cause.Error()
+		}
 	}
 	if event.Aborted {
 		o.Count(fmt.Sprintf(`wigeonusher_answers_broken_off_total{reason=%q}`, event.Stopped))
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -64,8 +64,8 @@
 	l.pools.Service(route.ServiceName(service)).RecordLongRead(time.Now(), platform.EndpointID(endpoint), expected)
 }
 
-// HandleCrash implements [broadcast.Listener].
-func (l *noticeListener) HandleCrash(fingerprint uint64) { l.suspects.recordCrash(fingerprint) }
+// HandleCrashNotice implements [broadcast.Listener].
+func (l *noticeListener) HandleCrashNotice(notice *peerpb.Notice) { l.crashes.HandleNotice(notice) }
 
 // HandleEvidence implements [broadcast.Listener].
 func (l *noticeListener) HandleEvidence(instance string, evidence *peerpb.VersionEvidence) {
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -24,7 +24,7 @@
 	defer stop()
 	var group run.Group
 	for _, task := range []func(context.Context) error{
-		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.maintain,
+		e.operatorTailer().Run, e.registryTailer().Run, e.statusTailer().Run, e.versions.Run, e.maintain, e.runCrashes,
 		e.cluster.Run, e.broadcaster.Run,
 		e.servePeers,
 	} {
@@ -45,6 +45,10 @@
 	return err
 }
 
+func (e *Entry) runCrashes(ctx context.Context) error {
+	return e.crashes.Run(ctx, e.platform.Log(), e.platform.Topics().Verdicts)
+}
+
 // serveUntil serves until the server is shut down or closed, and then waits until
 // the context ends, so that the run group doesn't stop early. The end of the
 // context alone doesn't stop the server.
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -122,6 +122,9 @@
 	Version func(version string) bool
 	// Avoid lists endpoints that must not be chosen.
 	Avoid []platform.EndpointID
+	// LeastLoaded selects the endpoint with the fewest requests, whatever else speaks for
+	// another one.
+	LeastLoaded bool
 	// Unlisted selects among the endpoints that the registry does not list any more,
 	// instead of those that it lists, see [Pools.Remove].
 	Unlisted bool
@@ -186,6 +189,9 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
+	if query.LeastLoaded {
+		return slices.MinFunc(candidates, func(a, b *member) int { return cmp.Compare(a.load(), b.load()) }), false
+	}
 	candidates, long = p.separateLongPrompts(candidates, query)
 	if long {
 		return earliestToFinishReading(now, candidates), true
--- a/node/pool/probe.go
+++ b/node/pool/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 )
 
 // Probe is a due check of an endpoint, which must accept a connection before it
@@ -36,3 +38,30 @@
 	}
 	p.member.recordBroken(now)
 }
+
+// ActiveSince reports whether an endpoint other than the given one has sent something to
+// this instance since the given time.
+func (p *Pool) ActiveSince(other platform.EndpointID, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, m := range p.members {
+		if id != other && m.lastActivity.Load() >= since.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
+// Addresses returns the addresses of up to the given number of endpoints other than the
+// given one.
+func (p *Pool) Addresses(other platform.EndpointID, most int) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for id, m := range p.members {
+		if id != other && !m.record.Leaving && len(addresses) < most {
+			addresses = append(addresses, m.record.Address)
+		}
+	}
+	return addresses
+}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -56,6 +56,8 @@
 	EndedByWatchdog EndedBy = "watchdog"
 	// EndedByDeadline: the request's deadline or the time limit of a read passed.
 	EndedByDeadline EndedBy = "deadline"
+	// EndedBySuspicion: this instance canceled the attempt, see [ErrSuspected].
+	EndedBySuspicion EndedBy = "suspicion"
 	// EndedByProofCheck: this instance rejected the answer, see [Answer.Authentic].
 	EndedByProofCheck EndedBy = "proof check"
 	// EndedBySize: the relay stopped reading an answer that was too large.
@@ -117,6 +119,7 @@
 	defer a.recordEnd()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	a.lease.SetCancel(cancel)
 	if a.run.relay.Prober != nil && a.canRetryElsewhere() {
 		watchdog := a.watch(ctx, cancel)
 		defer watchdog.stop()
@@ -135,6 +138,9 @@
 	if answer.Limit != nil {
 		a.lease.RecordLimit(*answer.Limit, a.started)
 	}
+	if answer.Authentic && !answer.NotExecuted {
+		a.lease.RecordHead()
+	}
 	switch {
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
@@ -236,7 +242,7 @@
 	switch {
 	case cause == nil:
 		a.crashed = !errors.Is(err, os.ErrDeadlineExceeded) && !isTooLarge(err)
-	case errors.As(cause, new(*watchdogError)):
+	case errors.As(cause, new(*watchdogError)), errors.Is(cause, ErrSuspected):
 		a.err = cause
 	case errors.Is(cause, context.Canceled):
 		a.verdict = verdictClientGone
@@ -250,6 +256,9 @@
 // an event usually takes. After a longer silence the endpoint may well be dead.
 func (a *attempt) isInconclusive(ctx context.Context) bool {
 	cause := context.Cause(ctx)
+	if errors.Is(cause, ErrSuspected) {
+		return true
+	}
 	if errors.As(cause, new(*watchdogError)) || cause == nil && time.Now().Before(a.run.deadline) {
 		return false
 	}
@@ -326,13 +335,27 @@
 
 // attemptResult returns the result that is passed to [Lease.End].
 func (a *attempt) attemptResult() AttemptResult {
-	result := AttemptResult{Result: a.poolResult(), Crashed: a.crashed, FirstEvent: a.firstEvent, Pace: a.pace()}
+	result := AttemptResult{Result: a.poolResult(), Crashed: a.crashed, End: a.end(), FirstEvent: a.firstEvent, Pace: a.pace()}
 	if a.answer != nil && a.answer.HasLoad {
 		result.Load = a.answer.Running + a.answer.Waiting
 	}
 	return result
 }
 
+// end returns what the end of the attempt shows about the endpoint.
+func (a *attempt) end() AttemptEnd {
+	switch {
+	case a.crashed:
+		return AttemptBroken
+	case a.verdict == verdictDelivered, a.verdict == verdictFailure:
+		return AttemptComplete
+	case !a.mayHaveRun():
+		return AttemptNotRun
+	default:
+		return AttemptCanceled
+	}
+}
+
 func (a *attempt) poolResult() pool.Result {
 	if a.inconclusive {
 		return pool.Abandoned
@@ -364,6 +387,8 @@
 		return ""
 	case errors.As(a.err, new(*watchdogError)):
 		return EndedByWatchdog
+	case errors.Is(a.err, ErrSuspected):
+		return EndedBySuspicion
 	case errors.Is(a.err, errNoProof):
 		return EndedByProofCheck
 	case a.crashed:
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -81,11 +81,6 @@
 
 func (p probeResult) Probe(context.Context, string) ProbeOutcome { return ProbeOutcome(p) }
 
-type noSuspects struct{}
-
-func (noSuspects) Refused(uint64) bool        { return false }
-func (noSuspects) ReportCrash(uint64, string) {}
-
 type eventLog struct {
 	mu       sync.Mutex
 	attempts []AttemptEvent
@@ -342,7 +337,7 @@
 		observer:  &eventLog{},
 	}
 	h.put("e", endpoints, "zone", "v1")
-	h.picker = &PooledPicker{Pools: h.pools, Versions: fixedChoice{}, Suspects: noSuspects{}}
+	h.picker = &PooledPicker{Pools: h.pools, Versions: fixedChoice{}, Suspects: NopSuspects{}}
 	h.relay = New(Config{
 		Gate:    &TableGate{Tables: h.tables, MaxAge: func() time.Duration { return 5 * time.Second }},
 		Planner: &SizePlanner{Pools: h.pools, Accept: func() []float64 { return []float64{0.6} }},
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/coord/crashcause"
 	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/pool"
@@ -56,13 +60,49 @@
 	Cold bool
 }
 
-// Suspects tracks requests that may crash endpoints.
+// ErrSuspected is the cause with which an attempt is canceled because its request may
+// crash the endpoint.
+var ErrSuspected = eris.New("request may crash the endpoint")
+
+// Suspects decides which requests may crash endpoints.
 type Suspects interface {
-	// Refused reports whether the request is known to crash endpoints.
-	Refused(fingerprint uint64) bool
-	// ReportCrash records that the endpoint at the address broke the connection
-	// while it ran the request: it may have crashed, or lost the answer.
-	ReportCrash(fingerprint uint64, address string)
+	// Admit decides whether an attempt of a request with the features may be sent now. If
+	// it must run alone, Begin or Release follows.
+	Admit(uses []crashcause.Use) crashcause.Decision
+	// Release gives up the trial of a decision after which no attempt begins.
+	Release(decision crashcause.Decision)
+	// Begin records an attempt that is about to be sent.
+	Begin(record pool.Record, uses []crashcause.Use, decision crashcause.Decision) AttemptWatch
+}
+
+// AttemptEnd says what the end of an attempt shows about its endpoint.
+type AttemptEnd int
+
+// Ends of an attempt.
+const (
+	// AttemptCanceled: the attempt ended on this side.
+	AttemptCanceled AttemptEnd = iota
+	// AttemptNotRun: the endpoint did not run the request.
+	AttemptNotRun
+	// AttemptComplete: the endpoint sent the whole answer.
+	AttemptComplete
+	// AttemptBroken: the endpoint broke the connection. It may have crashed, or lost the
+	// answer.
+	AttemptBroken
+)
+
+// AttemptWatch watches one attempt for [Suspects].
+type AttemptWatch interface {
+	// SetCancel sets the function that ends the attempt, with a cause.
+	SetCancel(cancel context.CancelCauseFunc)
+	// RecordHead records that the endpoint has begun its answer, and RecordFirstEvent that
+	// it has sent an event, or a whole answer that is not a stream.
+	RecordHead()
+	RecordFirstEvent()
+	End(end AttemptEnd)
+	// AwaitCause waits, after a broken attempt that may have crashed the endpoint, until it
+	// is known whether it has, so that the next attempt is decided by that.
+	AwaitCause(ctx context.Context)
 }
 
 // PooledPicker is the [EndpointPicker] of services whose endpoints form one pool
@@ -83,36 +123,53 @@
 // advanced since the last one.
 func (p *PooledPicker) Pick(ctx context.Context, query *Query) (Lease, *Refusal) {
 	request := query.Request
-	fingerprint := request.Fingerprint(query.Permission.Account)
-	if p.Suspects.Refused(fingerprint) {
-		return nil, &Refusal{Reason: CrashSuspect}
+	uses := request.Features(query.Permission.Account)
+	decision := p.Suspects.Admit(uses)
+	switch decision.Permission {
+	case crashcause.Refused:
+		return nil, &Refusal{Reason: CrashSuspect, Cause: newSuspectError(decision)}
+	case crashcause.Pending:
+		return nil, &Refusal{Reason: SuspectPending, RetryAfter: request.retryAfter(), Cause: newSuspectError(decision)}
+	case crashcause.Normal, crashcause.Alone:
+	}
+	lease, refusal := p.pickAdmitted(ctx, query, decision)
+	if refusal != nil {
+		p.Suspects.Release(decision)
+		return nil, refusal
 	}
+	lease.watch = p.Suspects.Begin(lease.lease.Endpoint, uses, decision)
+	return lease, nil
+}
+
+// pickAdmitted selects the endpoint for a request that may be sent.
+func (p *PooledPicker) pickAdmitted(ctx context.Context, query *Query, decision crashcause.Decision) (*pooledLease, *Refusal) {
+	request := query.Request
 	choice := p.Versions.Choose(ctx, query.Service, request.Session, request.ID)
 	endpoints := p.Pools.Service(query.Service)
 	now := time.Now()
-	lease, ok := choose(now, endpoints, query, choice, false)
+	poolQuery := pool.Query{
+		Model:       query.Model,
+		Affinity:    request.affinity(),
+		Tokens:      request.PromptTokens,
+		GapTarget:   query.Permission.Route.TargetGap,
+		LeastLoaded: decision.Permission == crashcause.Alone,
+	}
+	lease, ok := choose(now, endpoints, query, choice, poolQuery)
 	if !ok {
 		if wait, limited := endpoints.LimitWait(now, pool.Query{Version: choice.allows}); limited {
 			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
 		}
-		lease, ok = choose(now, endpoints, query, choice, true)
+		poolQuery.Unlisted = true
+		lease, ok = choose(now, endpoints, query, choice, poolQuery)
 	}
 	if !ok {
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
 	}
-	return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query, fingerprint: fingerprint}, nil
+	return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query}, nil
 }
 
-// choose chooses among the endpoints that the registry lists, or else among those that it
-// does not list any more.
-func choose(now time.Time, endpoints *pool.Pool, query *Query, choice Choice, unlisted bool) (*pool.Lease, bool) {
-	poolQuery := pool.Query{
-		Model:     query.Model,
-		Affinity:  query.Request.affinity(),
-		Tokens:    query.Request.PromptTokens,
-		GapTarget: query.Permission.Route.TargetGap,
-		Unlisted:  unlisted,
-	}
+// choose chooses an endpoint of a version that the request may use.
+func choose(now time.Time, endpoints *pool.Pool, query *Query, choice Choice, poolQuery pool.Query) (*pool.Lease, bool) {
 	for _, avoid := range [][]platform.EndpointID{query.Avoid, nil} {
 		for _, filter := range choice.preferences(query.Version) {
 			poolQuery.Avoid, poolQuery.Version = avoid, filter
@@ -145,11 +202,11 @@
 
 // pooledLease is a [Lease] at an endpoint of a pool.
 type pooledLease struct {
-	picker      *PooledPicker
-	lease       *pool.Lease
-	endpoints   *pool.Pool
-	query       Query
-	fingerprint uint64
+	picker    *PooledPicker
+	lease     *pool.Lease
+	endpoints *pool.Pool
+	query     Query
+	watch     AttemptWatch
 }
 
 func (p *pooledLease) Endpoint() pool.Record           { return p.lease.Endpoint }
@@ -161,7 +218,14 @@
 func (p *pooledLease) RecordLimit(statement fleetlimit.Statement, sent time.Time) {
 	p.lease.RecordLimit(statement, sent)
 }
-func (p *pooledLease) RecordFirstEvent(took time.Duration) { p.lease.RecordFirstEvent(took) }
+
+func (p *pooledLease) RecordFirstEvent(took time.Duration) {
+	p.lease.RecordFirstEvent(took)
+	p.watch.RecordFirstEvent()
+}
+func (p *pooledLease) AwaitCause(ctx context.Context)           { p.watch.AwaitCause(ctx) }
+func (p *pooledLease) RecordHead()                              { p.watch.RecordHead() }
+func (p *pooledLease) SetCancel(cancel context.CancelCauseFunc) { p.watch.SetCancel(cancel) }
 
 func (p *pooledLease) RecordNoEvent(waited time.Duration) { p.lease.RecordNoEvent(waited) }
 
@@ -187,9 +251,22 @@
 	default:
 	}
 	p.lease.End(time.Now(), result.Result)
-	if result.Crashed {
-		p.picker.Suspects.ReportCrash(p.fingerprint, p.lease.Endpoint.Address)
+	p.watch.End(result.End)
+}
+
+// suspectError is the [Refusal.Cause] of a request that may crash endpoints.
+type suspectError struct{ features []crashcause.Feature }
+
+func newSuspectError(decision crashcause.Decision) error {
+	return &suspectError{features: decision.Features}
+}
+
+func (e *suspectError) Error() string {
+	names := make([]string, 0, len(e.features))
+	for _, feature := range e.features {
+		names = append(names, crashcause.Name(feature))
 	}
+	return "features " + strings.Join(names, " ")
 }
 
 // reportOutcome reports the answer to the roll-out of the service, with the usual
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wigeonusher/wigeonusher/coord/crashcause"
 	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/pool"
@@ -132,14 +133,43 @@
 	// RecordLimit records what an answer says about the endpoint's limit on requests.
 	// sent is when its request was about to be sent.
 	RecordLimit(statement fleetlimit.Statement, sent time.Time)
+	// SetCancel sets the function that ends the attempt, with a cause.
+	SetCancel(cancel context.CancelCauseFunc)
+	// RecordHead records that the head of the endpoint's own answer has arrived.
+	RecordHead()
 	// RecordFirstEvent records the time to the first event, or to the complete
 	// answer if it is not a stream.
 	RecordFirstEvent(took time.Duration)
 	// RecordNoEvent records that no event arrived within the given time.
 	RecordNoEvent(waited time.Duration)
 	End(result AttemptResult)
+	// AwaitCause waits, after End, until it is known whether the attempt may have crashed
+	// the endpoint.
+	AwaitCause(ctx context.Context)
 }
 
+// NopSuspects is the [Suspects] that admits all requests.
+type NopSuspects struct{}
+
+// Admit implements [Suspects].
+func (NopSuspects) Admit([]crashcause.Use) crashcause.Decision { return crashcause.Decision{} }
+
+// Release implements [Suspects].
+func (NopSuspects) Release(crashcause.Decision) {}
+
+// Begin implements [Suspects].
+func (NopSuspects) Begin(pool.Record, []crashcause.Use, crashcause.Decision) AttemptWatch {
+	return nopWatch{}
+}
+
+type nopWatch struct{}
+
+func (nopWatch) SetCancel(context.CancelCauseFunc) {}
+func (nopWatch) RecordHead()                       {}
+func (nopWatch) RecordFirstEvent()                 {}
+func (nopWatch) End(AttemptEnd)                    {}
+func (nopWatch) AwaitCause(context.Context)        {}
+
 // NopLease implements the methods of [Lease] other than Endpoint and End: it
 // discards measurements, knows no usual time to the first event, counts the endpoint
 // as active now and assumes that there are others. It is meant to be embedded.
@@ -169,6 +199,15 @@
 // RecordLimit implements [Lease].
 func (NopLease) RecordLimit(fleetlimit.Statement, time.Time) {}
 
+// SetCancel implements [Lease].
+func (NopLease) SetCancel(context.CancelCauseFunc) {}
+
+// AwaitCause implements [Lease].
+func (NopLease) AwaitCause(context.Context) {}
+
+// RecordHead implements [Lease].
+func (NopLease) RecordHead() {}
+
 // RecordFirstEvent implements [Lease].
 func (NopLease) RecordFirstEvent(time.Duration) {}
 
@@ -181,6 +220,8 @@
 	// Crashed reports that the endpoint broke the connection: it may have
 	// crashed, or lost the answer.
 	Crashed bool
+	// End says what the end of the attempt shows about the endpoint.
+	End AttemptEnd
 	// FirstEvent is the time to the first event, 0 if there was none. Pace is the
 	// mean time between events, 0 if there were too few.
 	FirstEvent, Pace time.Duration
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wigeonusher/wigeonusher/coord/crashcause"
 	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
@@ -50,6 +51,7 @@
 	AnyModel bool
 
 	fingerprint uint64
+	features    []crashcause.Use
 }
 
 // Fingerprint returns a hash of the account and of the parts of the request that
@@ -71,6 +73,15 @@
 	return hash.Sum64()
 }
 
+// Features returns what the request may have in common with others that crash endpoints:
+// all of it, and the parts of its prompt that may be shared.
+func (r *Request) Features(account route.AccountName) []crashcause.Use {
+	if r.features == nil {
+		r.features = crashcause.PartUses(r.Fingerprint(account), r.sharedParts())
+	}
+	return r.features
+}
+
 // remaining returns how long the client still waits, 0 or less if unknown or
 // over.
 func (r *Request) remaining() time.Duration { return r.Timeout - time.Since(r.Received) }
@@ -247,6 +258,7 @@
 	UnknownRoute     Reason = "no such route"
 	UnknownKey       Reason = "unknown key"
 	CrashSuspect     Reason = "request has crashed the endpoints that ran it"
+	SuspectPending   Reason = "a request like this is being tried"
 	NoEndpoint       Reason = "no endpoint"
 	EndpointsLimited Reason = "endpoints take no more requests"
 	EndpointsFailed  Reason = "endpoints failed"
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -248,6 +248,9 @@
 	if stop := r.takeRetry(a); stop != "" {
 		return r.giveUp(ctx, a, stop)
 	}
+	if a.crashed {
+		a.lease.AwaitCause(ctx)
+	}
 	if a.verdict == verdictNotExecuted && !a.misdirected {
 		r.backoff.rejections++
 		if r.backoff.rejections > 1 {
@@ -359,7 +362,7 @@
 // was sent or the context has ended, and none for a request that crashes
 // endpoints, because the request would crash them with any model.
 func (r *run) switchModel(ctx context.Context, refusal *Refusal) bool {
-	if r.headSent || ctx.Err() != nil || refusal.Reason == CrashSuspect {
+	if r.headSent || ctx.Err() != nil || refusal.Reason == CrashSuspect || refusal.Reason == SuspectPending {
 		return false
 	}
 	model, ok := r.relay.Planner.Alternative(r.model)
--- a/node/versions/versions_test.go
+++ b/node/versions/versions_test.go
@@ -68,14 +68,9 @@
 			})
 		}
 	}
-	return &relay.PooledPicker{Pools: pools, Versions: f.versions, Suspects: noSuspects{}}
+	return &relay.PooledPicker{Pools: pools, Versions: f.versions, Suspects: relay.NopSuspects{}}
 }
 
-type noSuspects struct{}
-
-func (noSuspects) Refused(uint64) bool        { return false }
-func (noSuspects) ReportCrash(uint64, string) {}
-
 // testQuery returns the query of a request whose first attempt used the version.
 func testQuery(version string) *relay.Query {
 	return &relay.Query{
