--- a/cmd/internal/platformdemo/check.go
+++ b/cmd/internal/platformdemo/check.go
@@ -53,6 +53,10 @@
 	// LimitWindow, from LimitDelay after it has named the limit.
 	LimitDelay, LimitWindow time.Duration
 	LimitArrivals           int
+	// BadPartArrivals is how many requests with a part that crashes engines may reach them
+	// later than BadPartDelay after the fifth crash.
+	BadPartDelay    time.Duration
+	BadPartArrivals int
 	// LateTolerance is how long after a client's timeout its answer may arrive.
 	LateTolerance time.Duration
 }
@@ -69,6 +73,10 @@
 	// RevokedAt is when the key RevokedKey was revoked.
 	RevokedAt  time.Time
 	RevokedKey string
+	// BadPart is a part of prompts that crashes engines, empty before it is in use. Crashes are
+	// the times of all crashes, in their order.
+	BadPart string
+	Crashes []time.Time
 }
 
 // Trace holds everything observed in a run.
@@ -122,6 +130,7 @@
 		checkRetries(trace, arrivals, bounds),
 		checkDrain(trace, bounds),
 		checkLimit(trace, bounds),
+		checkBadPart(trace, bounds),
 		checkRevocation(trace, bounds),
 		checkStop(trace),
 		checkRollout(trace),
@@ -211,6 +220,20 @@
 	return rule
 }
 
+func checkBadPart(trace *Trace, bounds Bounds) Rule {
+	const fifth = 5
+	rule := Rule{Name: "a part that crashes engines is not sent after the bound"}
+	late := 0
+	for _, a := range trace.Arrivals {
+		if len(trace.Timeline.Crashes) >= fifth && a.HasPart(trace.Timeline.BadPart) &&
+			a.ReceivedAt.Sub(trace.Timeline.Crashes[fifth-1]) > bounds.BadPartDelay {
+			late++
+		}
+	}
+	rule.check(late <= bounds.BadPartArrivals, "%d requests with the part, %d crashes", late, len(trace.Timeline.Crashes))
+	return rule
+}
+
 func checkRevocation(trace *Trace, bounds Bounds) Rule {
 	rule := Rule{Name: "a revoked key runs nothing after the bound"}
 	isLate := make(map[string]bool) // whether a request with the revoked key was sent after the bound, by ID
--- a/cmd/internal/platformdemo/demo.go
+++ b/cmd/internal/platformdemo/demo.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,11 @@
 	// revokedKey is valid at the start of the run and revoked during it. About one in
 	// five requests carries it.
 	revokedKey = "key-2"
+	// badPart is a part of prompts that crashes engines, which are back after crashedFor. Once
+	// it is in use, one in badPartRatio streams has it.
+	badPart      = "dead"
+	badPartRatio = 8
+	crashedFor   = time.Second
 	// stopGraceMillis is the longest time for the planned stop of an instance.
 	stopGraceMillis = 3000
 	// balancerLagMillis is how long a stopping instance keeps serving as before.
@@ -142,7 +148,10 @@
 func (d *demo) addFaultyEngine(engine *platformtest.Engine, seed uint64) {
 	random := rand.New(rand.NewPCG(d.config.Seed, seed))
 	var mu sync.Mutex
-	engine.SetBehaviour(func(platformtest.Arrival, int) platformtest.Behaviour {
+	engine.SetBehaviour(func(arrival platformtest.Arrival, _ int) platformtest.Behaviour {
+		if arrival.HasPart(badPart) {
+			return platformtest.Behaviour{Crash: true, RestartAfter: crashedFor}
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		behaviour := drawBehaviour(random)
@@ -246,6 +255,7 @@
 	return Bounds{
 		MaxAttempts: 3, DrainDelay: millis(s.EndpointDrainMillis), RevocationDelay: millis(s.RevocationMillis),
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, LateTolerance: time.Second,
+		BadPartDelay: 3 * time.Second, BadPartArrivals: 3,
 		LimitDelay: 4 * time.Second, LimitWindow: fleetlimit.Window, LimitArrivals: int(1.5*engineLimit*fleetlimit.Window.Seconds()) + 5,
 	}
 }
@@ -272,6 +282,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, engine := range d.engines {
+		d.trace.Timeline.Crashes = append(d.trace.Timeline.Crashes, engine.Crashes()...)
 		for _, arrival := range engine.Arrivals() {
 			d.trace.Arrivals = append(d.trace.Arrivals, EngineArrival{Engine: engine.ID, Arrival: arrival})
 		}
@@ -285,6 +296,7 @@
 			result.Refused++
 		}
 	}
+	slices.SortFunc(d.trace.Timeline.Crashes, time.Time.Compare)
 	d.trace.RolledBack = d.store.RolloutState(platformtest.ModelService) == platformtest.RolledBack
 	result.Rules = Check(&d.trace, boundsFromSettings(d.settings().Bounds))
 	for _, rule := range result.Rules {
--- a/cmd/internal/platformdemo/demo_test.go
+++ b/cmd/internal/platformdemo/demo_test.go
@@ -28,6 +28,7 @@
 
 var testBounds = Bounds{
 	MaxAttempts: 3, DrainDelay: 2 * time.Second, RevocationDelay: 5 * time.Second, RetryRatio: 0.5, RetrySlack: 1, LateTolerance: time.Second,
+	BadPartDelay: 2 * time.Second, BadPartArrivals: 1,
 	LimitDelay: time.Second, LimitWindow: time.Second, LimitArrivals: 1,
 }
 
@@ -43,12 +44,13 @@
 		Timeline: Timeline{
 			DrainedAt: start, DrainedEngine: "e2", RevokedAt: start, RevokedKey: "old",
 			LimitedAt: start.Add(-time.Second), LimitedEngine: "e1",
+			BadPart: "dead", Crashes: []time.Time{start, start, start, start, start},
 		},
 	}
 }
 
 func newArrival(id, engine string, at time.Time, ran bool) EngineArrival {
-	return EngineArrival{Engine: engine, Arrival: platformtest.NewArrival(id, at, ran)}
+	return EngineArrival{Engine: engine, Arrival: platformtest.NewArrival(id, "dead:1,own:1", at, ran)}
 }
 
 func TestCheckFindsEachBrokenRule(t *testing.T) {
@@ -73,6 +75,9 @@
 				o.Arrivals = append(o.Arrivals, newArrival("1", "e1", time.Unix(1000, 0), false))
 			}
 		},
+		"a part that crashes engines is not sent after the bound": func(o *Trace) {
+			o.Arrivals = append(o.Arrivals, newArrival("4", "e3", later, false), newArrival("5", "e3", later, false))
+		},
 		"a draining engine gets no request after the bound": func(o *Trace) { o.Arrivals[1].ReceivedAt = later },
 		"a revoked key runs nothing after the bound":        func(o *Trace) { o.Attempts[0].SentAt = later },
 		"a planned stop cuts off no request":                func(o *Trace) { o.Attempts[1].Answer = platformtest.Answer{Err: io.EOF} },
--- a/cmd/internal/platformdemo/script.go
+++ b/cmd/internal/platformdemo/script.go
@@ -22,6 +22,7 @@
 		{0.10, "an engine drains", d.drainEngine},
 		{0.15, "an engine names a limit", d.limitEngine},
 		{0.20, "an instance is stopped, another takes its place", d.replaceInstance},
+		{0.25, "a part of prompts crashes engines", d.useBadPart},
 		{0.35, "the store is silent", d.storeOutage},
 		{0.48, "the store is copied", d.copyStore},
 		{0.50, "a key is revoked", d.revokeKey},
@@ -56,6 +57,13 @@
 	return nil
 }
 
+func (d *demo) useBadPart(context.Context) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trace.Timeline.BadPart = badPart
+	return nil
+}
+
 // engineLimit is the limit of an engine in need, in requests a second.
 const engineLimit = 1.0
 
@@ -177,6 +185,9 @@
 	}
 	if kind == Stream {
 		request.Session = "s-" + strconv.Itoa(number)
+		if d.trace.Timeline.BadPart != "" && random.IntN(badPartRatio) == 0 {
+			request.Prompt = "aa:60," + badPart + ":20," + request.ID + ":20"
+		}
 	}
 	target := d.running[random.IntN(len(d.running))]
 	d.mu.Unlock()
--- a/node/crashes/crashes_test.go
+++ b/node/crashes/crashes_test.go
@@ -43,13 +43,30 @@
 	o.by[address] = outcome
 }
 
+// instanceProber is the prober of one instance, which may be cut off from all endpoints.
+type instanceProber struct {
+	*outcomes
+	isCutOff func() bool
+}
+
+func (p *instanceProber) Probe(ctx context.Context, address string) relay.ProbeOutcome {
+	if p.isCutOff != nil && p.isCutOff() {
+		return relay.ProbeTimedOut
+	}
+	return p.outcomes.Probe(ctx, address)
+}
+
 // fleet is a group of trackers that deliver their notices to each other.
 type fleet struct {
 	prober   *outcomes
+	proberOf []*instanceProber
 	log      *memoryLog
 	trackers []*Tracker
 }
 
+// noticeDelay is the time that a notice takes.
+const noticeDelay = 5 * time.Millisecond
+
 // link is the [Notifier] of one tracker. A cut one delivers nothing.
 type link struct {
 	fleet *fleet
@@ -63,7 +80,7 @@
 	}
 	for n, t := range l.fleet.trackers {
 		if n != l.from {
-			go t.HandleNotice(notice)
+			time.AfterFunc(noticeDelay, func() { t.HandleNotice(notice) })
 		}
 	}
 }
@@ -120,8 +137,9 @@
 	t.Cleanup(running.Wait)
 	t.Cleanup(cancel)
 	for n := range size {
+		f.proberOf = append(f.proberOf, &instanceProber{outcomes: f.prober})
 		tracker := New(Config{
-			Prober: f.prober, Pools: pools, Notifier: &link{fleet: f, from: n},
+			Prober: f.proberOf[n], Pools: pools, Notifier: &link{fleet: f, from: n},
 			Logger: logrus.NewEntry(logger), Count: func(string) {},
 		})
 		f.trackers = append(f.trackers, tracker)
