--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -120,6 +120,19 @@
 	e.cluster.Leave(ctx)
 }
 
+// reachesAny reports whether one of the addresses accepts a connection.
+func (e *Entry) reachesAny(ctx context.Context, addresses []string) bool {
+	reached := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { reached <- e.prober.Probe(ctx, address) == relay.ProbeReached }()
+	}
+	found := false
+	for range addresses {
+		found = <-reached || found
+	}
+	return found
+}
+
 // maintain evicts endpoints whose registration expired, probes those whose pause
 // is over, and updates this instance's share of the retry slack.
 func (e *Entry) maintain(ctx context.Context) error {
@@ -129,6 +142,9 @@
 			e.pools.SetLimitGroup(now, group)
 		}
 		e.budgets.setLiveInstances(now, e.cluster.LiveCount())
+		for _, check := range e.pools.PathChecks(now) {
+			go func() { check.Done(e.reachesAny(ctx, check.Addresses)) }()
+		}
 		for _, probe := range e.pools.Probes(now) {
 			go func() {
 				if outcome := e.prober.Probe(ctx, probe.Address); outcome != relay.ProbeFailed {
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/latency"
@@ -36,6 +37,10 @@
 	// paces is the moving average of the mean time between events, by model.
 	paces map[route.ModelName]time.Duration
 	work  workShares
+	path  path
+	// service and log describe the pool in log lines; log is nil in a pool of its own.
+	service route.ServiceName
+	log     *logrus.Entry
 	// onLongRead is called for each long prompt when its endpoint is chosen, with the
 	// expected time to read the prompt. The caller holds mu.
 	onLongRead func(endpoint platform.EndpointID, expected time.Duration)
@@ -157,7 +162,7 @@
 	chosen.inFlight++
 	return &Lease{
 		pool: p, member: chosen, Endpoint: chosen.record, model: query.Model, tokens: query.Tokens, LongPrompt: long,
-		Registration: p.registration(chosen), Cold: now.Before(chosen.warmAt),
+		started: now, Registration: p.registration(chosen), Cold: now.Before(chosen.warmAt),
 	}, true
 }
 
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -15,6 +15,8 @@
 	model  route.ModelName
 	tokens int
 	ended  bool
+	// started is when the endpoint was chosen.
+	started time.Time
 	// LongPrompt reports that the prompt counts as long and that the endpoint is
 	// reserved for such prompts.
 	LongPrompt bool
@@ -53,6 +55,8 @@
 	Replaced
 	// Broken: the request got no answer or an incomplete one.
 	Broken
+	// Unreached: no new connection to the endpoint could be made.
+	Unreached
 )
 
 // RecordActivity records that the endpoint sent something.
@@ -62,6 +66,13 @@
 // when it was listed if it has sent nothing.
 func (l *Lease) LastActivity() time.Time { return time.Unix(0, l.member.lastActivity.Load()) }
 
+// RecordReached records that the endpoint has answered.
+func (l *Lease) RecordReached() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.pool.recordReached(l.started)
+}
+
 // RecordLoad records the load that the endpoint reported with its answer.
 func (l *Lease) RecordLoad(running, waiting int) {
 	l.pool.mu.Lock()
@@ -116,6 +127,9 @@
 		l.member.fullUntil = now.Add(fullPause)
 	case Replaced, Broken:
 		l.member.recordBroken(now)
+	case Unreached:
+		l.member.recordBroken(now)
+		l.pool.recordUnreached(now, l.Endpoint.ID)
 	case Abandoned:
 	}
 }
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -120,7 +120,7 @@
 		return found
 	}
 	created := newPool(p.zone, p.limits)
-	created.viewedAt = &p.viewedAt
+	created.viewedAt, created.service, created.log = &p.viewedAt, name, p.log
 	created.onLongRead = func(endpoint platform.EndpointID, expected time.Duration) {
 		if p.onLongRead != nil {
 			p.onLongRead(string(name), string(endpoint), expected)
--- a/node/pool/probe.go
+++ b/node/pool/probe.go
@@ -11,6 +11,7 @@
 type Probe struct {
 	pool    *Pool
 	member  *member
+	begun   time.Time
 	Address string
 }
 
@@ -22,7 +23,7 @@
 	var probes []Probe
 	for _, m := range p.members {
 		if m.probing && !m.record.Leaving && !now.Before(m.pausedUntil) {
-			probes = append(probes, Probe{pool: p, member: m, Address: m.record.Address})
+			probes = append(probes, Probe{pool: p, member: m, begun: now, Address: m.record.Address})
 		}
 	}
 	return probes
@@ -34,6 +35,7 @@
 	defer p.pool.mu.Unlock()
 	if reachable {
 		p.member.probing = false
+		p.pool.recordReached(p.begun)
 		return
 	}
 	p.member.recordBroken(now)
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -138,7 +138,7 @@
 	if answer.Limit != nil {
 		a.lease.RecordLimit(*answer.Limit, a.started)
 	}
-	if answer.Authentic && !answer.NotExecuted {
+	if answer.Authentic {
 		a.lease.RecordHead()
 	}
 	switch {
@@ -361,6 +361,8 @@
 		return pool.Abandoned
 	}
 	switch a.verdict {
+	case verdictNotSent:
+		return pool.Unreached
 	case verdictDelivered, verdictLowConfidence:
 		return pool.Succeeded
 	case verdictFailure:
@@ -373,6 +375,9 @@
 	case verdictClientGone:
 		return pool.Abandoned
 	default:
+		if watchdogErr := new(*watchdogError); errors.As(a.err, watchdogErr) && (*watchdogErr).cause == CauseProbeTimedOut {
+			return pool.Unreached
+		}
 		return pool.Broken
 	}
 }
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -224,11 +224,16 @@
 	p.watch.RecordFirstEvent()
 }
 func (p *pooledLease) AwaitCause(ctx context.Context)           { p.watch.AwaitCause(ctx) }
-func (p *pooledLease) RecordHead()                              { p.watch.RecordHead() }
 func (p *pooledLease) SetCancel(cancel context.CancelCauseFunc) { p.watch.SetCancel(cancel) }
 
 func (p *pooledLease) RecordNoEvent(waited time.Duration) { p.lease.RecordNoEvent(waited) }
 
+// RecordHead implements [Lease].
+func (p *pooledLease) RecordHead() {
+	p.lease.RecordReached()
+	p.watch.RecordHead()
+}
+
 // HasAlternative implements [Lease]. The versions are chosen anew, because the
 // roll-out may have advanced during the attempt.
 func (p *pooledLease) HasAlternative(ctx context.Context, avoid []platform.EndpointID) bool {
