--- a/platform/dial.go
+++ b/node/dial/dial.go
@@ -1,4 +1,5 @@
-package platform
+// Package dial makes connections that fail if the other side falls silent.
+package dial
 
 import (
 	"net"
@@ -12,9 +13,9 @@
 // sent bytes are unacknowledged: some connections go silent without a reset.
 const unackedTimeout = 3 * time.Second
 
-// newDialer returns a dialer whose connections fail if the peer acknowledges no
+// New returns a dialer whose connections fail if the peer acknowledges no
 // sent bytes for unackedTimeout.
-func newDialer(timeout time.Duration) *net.Dialer {
+func New(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:   timeout,
 		KeepAlive: -1,
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -47,6 +47,8 @@
 	// ReadinessPath is the HTTP path of the load balancer's readiness check.
 	ReadinessPath() string
 	Endpoints() relay.Endpoints
+	// DialEndpoint connects to an endpoint.
+	DialEndpoint(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 	// Handler returns the handler that serves clients through the relay.
 	Handler(server *relay.Relay, limits func() route.Limits) http.Handler
 	// DecodeTable decodes a routing configuration. It returns nil if the change
@@ -147,7 +149,7 @@
 	}
 	e.currentSettings.Store(&settings)
 	e.pools = pool.New(settings.Zone, log)
-	e.prober = newDialProber()
+	e.prober = newDialProber(platform.DialEndpoint)
 	e.budgets = newBudgets(settings.Bounds, time.Now())
 	e.observer = newObserver(log)
 	e.initPeers()
--- a/node/entry/prober.go
+++ b/node/entry/prober.go
@@ -21,16 +21,22 @@
 
 // dialProber checks whether endpoints accept TCP connections.
 type dialProber struct {
+	dial     dialFunc
 	mu       sync.Mutex
 	outcomes map[string]cachedProbe
 }
 
+// dialFunc connects to an endpoint.
+type dialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
 type cachedProbe struct {
 	checkedAt time.Time
 	outcome   relay.ProbeOutcome
 }
 
-func newDialProber() *dialProber { return &dialProber{outcomes: make(map[string]cachedProbe)} }
+func newDialProber(dial dialFunc) *dialProber {
+	return &dialProber{dial: dial, outcomes: make(map[string]cachedProbe)}
+}
 
 // Probe implements [relay.Prober]. It reuses an outcome for probeCacheTTL, except for
 // [relay.ProbeFailed].
@@ -61,8 +67,7 @@
 }
 
 func (p *dialProber) connect(ctx context.Context, address string) relay.ProbeOutcome {
-	dialer := net.Dialer{Timeout: probeTimeout, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dial(ctx, address, probeTimeout)
 	switch {
 	case err == nil:
 		conn.Close()
