Requests of an instance that reaches no endpoint run at a peer

What callers saw: instances that were cut off from the endpoints served nothing, or after a second, while their peers reached the endpoints. Cause: an instance took its own broken path for the failure of the endpoints, and had no second way. Class: what the fleet can do, one instance cannot. Now endpoints that cannot be reached one after the other put the path in doubt, probes of others confirm it, and requests go to a peer as one of the kinds of attempts (node/forward, drpc): one hop, streamed, canceled in both directions, runs counted across it; the peer's gate, limits, seats, versions, suspects and retries decide, and the request counts in one retry budget only. Only instances of the cluster may forward, from their own address. A peer that is cut off too refuses at once and says so in its digests. Probes end the state.

--- a/node/broadcast/broadcast.go
+++ b/node/broadcast/broadcast.go
@@ -49,6 +49,11 @@
 	SessionVersion(service, target, session string) (onTarget, known bool)
 }
 
+// ForwardHandler runs requests that peers forward.
+type ForwardHandler interface {
+	Forward(stream peerpb.DRPCPeer_ForwardStream) error
+}
+
 // Broadcaster broadcasts notices to the live peers and serves the calls of peers. It
 // is safe for concurrent use.
 type Broadcaster struct {
@@ -57,6 +62,8 @@
 	client   *peer.Client
 	listener Listener
 	log      *logrus.Entry
+	// forwards handles forwarded requests, nil if this instance runs none.
+	forwards ForwardHandler
 
 	mu      sync.Mutex
 	pending peerpb.Notice
@@ -84,6 +91,18 @@
 	b.wakeSender()
 }
 
+// HandleForwards sets the handler of forwarded requests. It must be called before calls are
+// served.
+func (b *Broadcaster) HandleForwards(handler ForwardHandler) { b.forwards = handler }
+
+// Forward handles a request that a peer forwards.
+func (b *Broadcaster) Forward(stream peerpb.DRPCPeer_ForwardStream) error {
+	if b.forwards == nil {
+		return b.DRPCPeerUnimplementedServer.Forward(stream)
+	}
+	return b.forwards.Forward(stream)
+}
+
 // NotifyCrash announces evidence of crashes without a delay. It drops the evidence if too
 // much is waiting.
 func (b *Broadcaster) NotifyCrash(evidence *peerpb.Notice) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonusher/wigeonusher/node/broadcast"
 	"github.com/wigeonusher/wigeonusher/node/cluster"
 	"github.com/wigeonusher/wigeonusher/node/crashes"
+	"github.com/wigeonusher/wigeonusher/node/forward"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/node/versions"
@@ -124,6 +125,8 @@
 	pools              *pool.Pools
 	prober             *dialProber
 	crashes            *crashes.Tracker
+	forwardClient      *forward.Client
+	forwardServer      *forward.Server
 	budgets            *budgets
 
 	cluster     *cluster.Cluster
@@ -160,16 +163,22 @@
 	e.cluster.AddGossip(e.crashes)
 	e.pools.OnLongRead(e.broadcaster.BroadcastLongRead)
 	e.versions = versions.New(settings.Bounds.canaryTuning(), versions.Config{Pools: e.pools, Writer: e, Sessions: e.broadcaster, Logger: log})
+	e.forwardClient = forward.NewClient(e.cluster, e.pools, e.peerClient)
+	e.cluster.AddGossip(e.forwardClient)
 	e.relay = relay.New(relay.Config{
 		Gate:        &relay.TableGate{Tables: e, MaxAge: e.configMaxAge},
 		Planner:     &relay.SizePlanner{Pools: e.pools, Accept: e.acceptConfidence},
-		Picker:      &relay.PooledPicker{Pools: e.pools, Versions: e.versions, Suspects: e.crashes},
+		Picker:      &relay.PooledPicker{Pools: e.pools, Versions: e.versions, Suspects: e.crashes, Forwarder: e.forwardClient},
 		Endpoints:   platform.Endpoints(),
 		Budgets:     e.budgets,
 		Prober:      e.prober,
 		Observer:    e.observer,
 		DialTimeout: e.dialTimeout,
 	})
+	e.forwardServer = forward.NewServer(forward.ServerConfig{
+		Peers: e.cluster, Relay: e.relay, MaxBody: func() int64 { return e.limits().BodyBytes }, Count: e.observer.Count, Log: log,
+	})
+	e.broadcaster.HandleForwards(e.forwardServer)
 	e.observer.registerGauges(e)
 	return e, nil
 }
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -112,11 +112,13 @@
 	case <-work.Done():
 		return
 	}
+	e.forwardServer.Stop()
 	ctx, cancel := context.WithDeadline(work, started.Add(grace))
 	defer cancel()
 	if err := e.clientServer.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("grace period ended with requests running; their connections are closed")
 	}
+	e.forwardServer.AwaitIdle(ctx)
 	e.cluster.Leave(ctx)
 }
 
--- a/node/pool/path.go
+++ b/node/pool/path.go
@@ -57,7 +57,7 @@
 
 // isInDoubt reports whether the path needs a check.
 func (p *Pool) isInDoubt(now time.Time) bool {
-	if p.path.checking || len(p.path.unreached) < min(doubtAfter, len(p.members)) || len(p.path.unreached) == 0 {
+	if p.path.checking || len(p.path.unreached) == 0 || len(p.path.unreached) < min(doubtAfter, len(p.members)) {
 		return false
 	}
 	return !p.path.broken || now.Sub(p.path.checkedAt) >= pathCheckInterval
@@ -131,6 +131,14 @@
 	return p.path.broken
 }
 
+// IsPathInDoubt reports whether so many endpoints could not be reached, one after the other,
+// that the path may be broken.
+func (p *Pool) IsPathInDoubt() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.path.unreached) > 0 && len(p.path.unreached) >= min(doubtAfter, len(p.members))
+}
+
 // BrokenPaths returns the services of which this instance reaches no endpoint.
 func (p *Pools) BrokenPaths() []route.ServiceName {
 	p.mu.RLock()
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -36,10 +36,12 @@
 	verdictBroken
 	// verdictClientGone: the client disconnected.
 	verdictClientGone
+	// verdictRefused: a peer refused the request for good.
+	verdictRefused
 )
 
 var verdictNames = [...]string{
-	"not sent", "not executed", "delivered", "failure", "low confidence", "broken", "client gone",
+	"not sent", "not executed", "delivered", "failure", "low confidence", "broken", "client gone", "refused",
 }
 
 func (v verdict) String() string { return verdictNames[v] }
@@ -70,8 +72,10 @@
 
 // attempt is one call of a request to one endpoint.
 type attempt struct {
-	run      *run
-	lease    Lease
+	run   *run
+	lease Lease
+	// peer is the lease if it is one at a peer, nil otherwise.
+	peer     PeerLease
 	endpoint pool.Record
 	model    route.ModelName
 	started  time.Time
@@ -96,9 +100,13 @@
 	crashed      bool
 	inconclusive bool
 	misdirected  bool
-	answer       *Answer
-	failureBody  []byte
-	events       int
+	// refusal is that of the peer. peerRuns counts the attempts of the peer that may have
+	// run the request.
+	refusal     *Refusal
+	peerRuns    int
+	answer      *Answer
+	failureBody []byte
+	events      int
 	// partialEvent is the number of bytes received after the last complete event.
 	partialEvent int
 	firstEvent   time.Duration
@@ -110,9 +118,24 @@
 
 // mayHaveRun reports whether the endpoint may have run the request.
 func (a *attempt) mayHaveRun() bool {
-	return a.verdict != verdictNotSent && a.verdict != verdictNotExecuted
+	return a.verdict != verdictNotSent && a.verdict != verdictNotExecuted && (a.verdict != verdictRefused || !a.refusal.NotRun)
 }
 
+// runs returns how many attempts may have run the request, here or at the peer.
+func (a *attempt) runs() int {
+	if a.answer != nil && a.answer.Runs != nil {
+		a.peerRuns = a.answer.Runs()
+	}
+	if a.mayHaveRun() {
+		return max(1, a.peerRuns)
+	}
+	return a.peerRuns
+}
+
+// isFinalFailure reports whether a peer has answered with a failure: it has tried what the
+// request allows.
+func (a *attempt) isFinalFailure() bool { return a.peer != nil && a.verdict == verdictFailure }
+
 // execute sends the request, sets the verdict and forwards a successful answer to
 // the client.
 func (a *attempt) execute(ctx context.Context) {
@@ -124,7 +147,11 @@
 		watchdog := a.watch(ctx, cancel)
 		defer watchdog.stop()
 	}
-	answer, err := a.run.relay.Endpoints.Send(ctx, a.newCall(), a.run.deadline)
+	var endpoints Endpoints = a.run.relay.Endpoints
+	if a.peer != nil {
+		endpoints = a.peer
+	}
+	answer, err := endpoints.Send(ctx, a.newCall(), a.run.deadline)
 	if err != nil {
 		a.handleSendError(ctx, err)
 		return
@@ -184,6 +211,7 @@
 		Remaining:   time.Until(r.deadline),
 		ResumeAfter: r.lastEvent,
 		Priority:    r.permission.Priority,
+		Runs:        r.runs,
 		DialTimeout: dial,
 	}
 }
@@ -224,6 +252,11 @@
 }
 
 func (a *attempt) handleSendError(ctx context.Context, err error) {
+	var refused *PeerRefusal
+	if errors.As(err, &refused) {
+		a.handlePeerRefusal(refused)
+		return
+	}
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.MayBeSent {
 		a.verdict, a.err = verdictNotSent, err
@@ -234,6 +267,17 @@
 	a.markBroken(ctx, err)
 }
 
+// handlePeerRefusal sets the verdict of a request that a peer has refused. What the peer could
+// not run another one may.
+func (a *attempt) handlePeerRefusal(refused *PeerRefusal) {
+	a.err, a.refusal, a.peerRuns = refused, refused.Refusal, refused.Runs
+	if refused.Unable && refused.Refusal.NotRun {
+		a.verdict, a.inconclusive = verdictNotSent, true
+		return
+	}
+	a.verdict = verdictRefused
+}
+
 // markBroken sets the verdict of an attempt whose answer is missing or
 // incomplete.
 func (a *attempt) markBroken(ctx context.Context, err error) {
@@ -412,6 +456,7 @@
 		Number:       a.run.sent,
 		Service:      a.run.service,
 		Endpoint:     string(a.endpoint.ID),
+		ViaPeer:      a.peer != nil,
 		Version:      a.endpoint.Version,
 		Model:        a.model,
 		Revision:     a.run.permission.Revision,
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -112,6 +112,8 @@
 	Pools    Pools
 	Versions Versions
 	Suspects Suspects
+	// Forwarder selects a peer if this instance does not reach the endpoints; nil for none.
+	Forwarder Forwarder
 }
 
 // Pick implements [EndpointPicker]. It prefers the version of the first attempt if
@@ -132,6 +134,16 @@
 		return nil, &Refusal{Reason: SuspectPending, RetryAfter: request.retryAfter(), Cause: newSuspectError(decision)}
 	case crashcause.Normal, crashcause.Alone:
 	}
+	if p.isCutOff(query.Service, len(query.Avoid)) {
+		if request.Forwarded {
+			p.Suspects.Release(decision)
+			return nil, &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
+		}
+		if peer, ok := p.pickPeer(query); ok {
+			p.Suspects.Release(decision) // the peer decides again
+			return peer, nil
+		}
+	}
 	lease, refusal := p.pickAdmitted(ctx, query, decision)
 	if refusal != nil {
 		p.Suspects.Release(decision)
@@ -141,6 +153,29 @@
 	return lease, nil
 }
 
+// maxUnreached is the number of endpoints that one request tries to reach before it counts
+// as cut off from them, and maxPeerTries the number of peers that it is forwarded to in vain: if
+// the endpoints themselves are down, no peer reaches them.
+const (
+	maxUnreached = 3
+	maxPeerTries = 6
+)
+
+// isCutOff reports whether this instance does not reach the endpoints of the service, as far
+// as it knows, or as far as a request with the given number of failed attempts has shown.
+func (p *PooledPicker) isCutOff(service route.ServiceName, failed int) bool {
+	endpoints := p.Pools.Service(service)
+	return endpoints.IsPathBroken() || failed >= maxUnreached && endpoints.IsPathInDoubt()
+}
+
+// pickPeer selects a peer for a request that this instance cannot send to an endpoint.
+func (p *PooledPicker) pickPeer(query *Query) (PeerLease, bool) {
+	if p.Forwarder == nil || len(query.Avoid) >= maxUnreached+maxPeerTries {
+		return nil, false
+	}
+	return p.Forwarder.Pick(query.Service, query.Avoid)
+}
+
 // pickAdmitted selects the endpoint for a request that may be sent.
 func (p *PooledPicker) pickAdmitted(ctx context.Context, query *Query, decision crashcause.Decision) (*pooledLease, *Refusal) {
 	request := query.Request
@@ -239,7 +274,11 @@
 func (p *pooledLease) HasAlternative(ctx context.Context, avoid []platform.EndpointID) bool {
 	request := p.query.Request
 	choice := p.picker.Versions.Choose(ctx, p.query.Service, request.Session, request.ID)
-	return p.endpoints.HasUsable(time.Now(), pool.Query{Version: choice.mayContinue, Avoid: avoid})
+	if p.endpoints.HasUsable(time.Now(), pool.Query{Version: choice.mayContinue, Avoid: avoid}) {
+		return true
+	}
+	return !request.Forwarded && p.picker.Forwarder != nil && p.picker.isCutOff(p.query.Service, len(avoid)) &&
+		p.picker.Forwarder.CanForward(p.query.Service, avoid)
 }
 
 func (p *pooledLease) UsualFirstEvent() time.Duration {
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -148,6 +148,23 @@
 	AwaitCause(ctx context.Context)
 }
 
+// Forwarder selects peers that run requests for this instance while it does not reach the
+// endpoints itself.
+type Forwarder interface {
+	// Pick returns a lease at a peer that may reach the service. It reports false if there is
+	// none.
+	Pick(service route.ServiceName, avoid []platform.EndpointID) (PeerLease, bool)
+	// CanForward reports whether there is such a peer.
+	CanForward(service route.ServiceName, avoid []platform.EndpointID) bool
+}
+
+// PeerLease is a [Lease] at a peer instead of an endpoint.
+type PeerLease interface {
+	Lease
+	// Send forwards the call. Its errors are those of [Endpoints], and [PeerRefusal].
+	Send(ctx context.Context, call *Call, deadline time.Time) (*Answer, error)
+}
+
 // NopSuspects is the [Suspects] that admits all requests.
 type NopSuspects struct{}
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -18,11 +18,14 @@
 
 // AttemptEvent describes one attempt at one endpoint.
 type AttemptEvent struct {
-	RequestID  string
-	Session    string
-	Number     int
-	Service    route.ServiceName
+	RequestID string
+	Session   string
+	Number    int
+	Service   route.ServiceName
+	// Endpoint is the ID of the endpoint, or of the peer to which the request was forwarded
+	// if ViaPeer is set.
 	Endpoint   string
+	ViaPeer    bool
 	Version    string
 	Model      route.ModelName
 	Revision   int64
@@ -90,6 +93,8 @@
 	// StopNotResumable: the answer has begun, and it cannot be resumed (see
 	// [run.canResume]).
 	StopNotResumable StopReason = "not resumable"
+	// StopPeer: the peer that ran the request has given it up.
+	StopPeer StopReason = "a peer has given up"
 	// StopClientGone: the client has disconnected.
 	StopClientGone StopReason = "client gone"
 )
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -47,6 +47,11 @@
 	// PromptTokens and MaxAnswerTokens are the sizes declared by the client.
 	PromptTokens    int
 	MaxAnswerTokens int
+	// Forwarded reports that a peer has forwarded the request. It is not forwarded again, and
+	// the peer has counted it in its retry budget. RunsBefore counts the peer's attempts that
+	// may have run it.
+	Forwarded  bool
+	RunsBefore int
 	// AnyModel lets the relay choose a model from the route's list.
 	AnyModel bool
 
@@ -135,6 +140,8 @@
 	ResumeAfter string
 	// Priority ranks the request at the endpoint; 0 is the most urgent.
 	Priority int
+	// Runs counts the earlier attempts that may have run the request.
+	Runs int
 	// DialTimeout is the connect timeout; 0 if the endpoints' codec sets it.
 	DialTimeout time.Duration
 }
@@ -178,6 +185,9 @@
 	// says nothing that counts. InvalidLimit is a limit that could not be decoded.
 	Limit        *fleetlimit.Statement
 	InvalidLimit string
+	// Runs returns the number of the attempts that may have run the request, if a peer has
+	// made them; nil for the answer of an endpoint.
+	Runs func() int
 	// Complete reports that the whole body is buffered, so that it can be sent
 	// later if no other answer arrives.
 	Complete bool
@@ -211,6 +221,17 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// PeerRefusal reports that a peer to which a request was forwarded has refused it.
+type PeerRefusal struct {
+	Refusal *Refusal
+	// Unable reports that the peer could not run the request, though another instance may.
+	Unable bool
+	// Runs counts the attempts of the peer that may have run it.
+	Runs int
+}
+
+func (e *PeerRefusal) Error() string { return "relay: peer refused: " + string(e.Refusal.Reason) }
+
 // Head is the head of an answer as it is sent to the client.
 type Head struct {
 	Status int
@@ -248,6 +269,12 @@
 	End(end AnswerEnd)
 }
 
+// RunRecorder is implemented by a [Client] that is told how many attempts of this instance
+// may have run the request, before each other call.
+type RunRecorder interface {
+	RecordRuns(runs int)
+}
+
 // Reason is the reason for which a request was refused.
 type Reason string
 
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	r.useService(service)
-	r.lastEvent = r.request.ResumeAfter
+	r.lastEvent, r.runs = r.request.ResumeAfter, r.request.RunsBefore
 	r.model = r.relay.Planner.First(r.progress())
 	return true
 }
@@ -99,7 +99,9 @@
 func (r *run) useService(service route.ServiceName) {
 	r.service, r.version = service, ""
 	r.budget = r.relay.Budgets.Budget(service)
-	r.budget.RecordRequest(time.Now())
+	if !r.request.Forwarded {
+		r.budget.RecordRequest(time.Now())
+	}
 }
 
 func (r *run) progress() *Progress {
@@ -130,6 +132,7 @@
 		}
 		r.sent++
 		attempt := r.newAttempt(lease)
+		r.recordRuns(1) // it may run while its answer is sent
 		attempt.execute(ctx)
 		lease.End(attempt.attemptResult())
 		r.recordAttempt(attempt)
@@ -139,6 +142,14 @@
 	}
 }
 
+// recordRuns tells the client how many attempts of this instance may have run the request,
+// with those in progress.
+func (r *run) recordRuns(inProgress int) {
+	if recorder, ok := r.client.(RunRecorder); ok {
+		recorder.RecordRuns(r.runs - r.request.RunsBefore + inProgress)
+	}
+}
+
 func (r *run) recordAttempt(a *attempt) {
 	r.last = a.event()
 	if a.verdict == verdictBroken {
@@ -164,6 +175,7 @@
 		r.version = endpoint.Version
 	}
 	a := &attempt{run: r, lease: lease, endpoint: endpoint, model: r.model, started: time.Now()}
+	a.peer, _ = lease.(PeerLease)
 	a.lastActivity.Store(a.started.UnixNano())
 	return a
 }
@@ -216,9 +228,8 @@
 // attempt follows; otherwise the request has its final answer or the client has
 // disconnected.
 func (r *run) continueAfter(ctx context.Context, a *attempt) bool {
-	if a.mayHaveRun() {
-		r.runs++
-	}
+	r.runs += a.runs()
+	r.recordRuns(0)
 	r.reportDelivery(a)
 	if a.events > 0 {
 		r.backoff.recordEvent(a.lastEventAt)
@@ -229,6 +240,9 @@
 		return false
 	case verdictClientGone:
 		return false
+	case verdictRefused:
+		r.finish(ctx, a.refusal)
+		return false
 	case verdictLowConfidence:
 		// shouldEscalate has already withdrawn the cost from the budget.
 		r.escalated, r.model = true, a.nextModel
@@ -239,6 +253,9 @@
 		r.avoid = nil
 	}
 	r.avoid = append(r.avoid, a.endpoint.ID)
+	if a.isFinalFailure() {
+		return r.giveUp(ctx, a, StopPeer)
+	}
 	if a.verdict == verdictNotSent {
 		// Nothing reached the endpoint, so the attempt costs no retry.
 		r.sent--
@@ -362,6 +379,9 @@
 // was sent or the context has ended, and none for a request that crashes
 // endpoints, because the request would crash them with any model.
 func (r *run) switchModel(ctx context.Context, refusal *Refusal) bool {
+	if r.last != nil && r.last.ViaPeer {
+		return false // the peer has tried what the request allows
+	}
 	if r.headSent || ctx.Err() != nil || refusal.Reason == CrashSuspect || refusal.Reason == SuspectPending {
 		return false
 	}
--- a/node/relay/watch.go
+++ b/node/relay/watch.go
@@ -56,6 +56,8 @@
 	// this instance, for any request, for longer than longInactivity and for longer
 	// than half of the allowed silence.
 	longInactivity = time.Second
+	// A peer gets peerSilenceFactor times as long, as it watches the endpoint itself.
+	peerSilenceFactor = 2
 )
 
 // watchdog cancels an attempt whose endpoint is unresponsive. A busy endpoint
@@ -220,5 +222,8 @@
 	if time.Since(w.attempt.lease.LastActivity()) > max(longInactivity, silence/2) {
 		silence /= 2
 	}
+	if w.attempt.peer != nil {
+		silence *= peerSilenceFactor
+	}
 	return max(silence, minPatience)
 }
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -117,6 +117,10 @@
 	if event.Limit != nil && event.Limit.Named {
 		fields["limit_per_second"] = event.Limit.PerSecond
 	}
+	if event.ViaPeer {
+		t.Count(fmt.Sprintf(`wigeonusher_forwarded_attempts_total{service=%q,verdict=%q}`, event.Service, event.Verdict))
+		fields["via_peer"] = true
+	}
 	if event.HasLoad {
 		fields["endpoint_load"] = event.Load
 	}
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -121,6 +121,32 @@
 	})
 }
 
+// ForwardStream is a call of Forward on a connection of its own.
+type ForwardStream struct {
+	peerpb.DRPCPeer_ForwardClient
+	conn drpcpool.Conn
+}
+
+// Close ends the call and its connection.
+func (s *ForwardStream) Close() error { return s.conn.Close() }
+
+// Forward connects to the peer at the address and begins a call of Forward. Nothing is sent
+// if it fails. The context ends the call.
+func (c *Client) Forward(ctx context.Context, address string) (*ForwardStream, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
+	defer cancel()
+	conn, err := c.dial(dialCtx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := peerpb.NewDRPCPeerClient(conn).Forward(ctx)
+	if err != nil {
+		_ = conn.Close() // the call has failed already
+		return nil, eris.Wrapf(err, "peer: call to %s", address)
+	}
+	return &ForwardStream{DRPCPeer_ForwardClient: stream, conn: conn}, nil
+}
+
 // call runs one call on a pooled connection with the call timeout. drpc closes
 // the connection of a call that is cancelled or times out.
 func call[T any](ctx context.Context, c *Client, address string, run func(context.Context, peerpb.DRPCPeerClient) (T, error)) (T, error) {
