--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -139,10 +139,19 @@
 	if err != nil {
 		return nil, err
 	}
+	return openForward(ctx, conn)
+}
+
+// OpenForward begins a call of Forward on a connection.
+func OpenForward(ctx context.Context, conn net.Conn) (*ForwardStream, error) {
+	return openForward(ctx, drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}))
+}
+
+func openForward(ctx context.Context, conn drpcpool.Conn) (*ForwardStream, error) {
 	stream, err := peerpb.NewDRPCPeerClient(conn).Forward(ctx)
 	if err != nil {
 		_ = conn.Close() // the call has failed already
-		return nil, eris.Wrapf(err, "peer: call to %s", address)
+		return nil, eris.Wrap(err, "peer: begin a call")
 	}
 	return &ForwardStream{DRPCPeer_ForwardClient: stream, conn: conn}, nil
 }
