--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -181,8 +181,11 @@
 	ended := make(chan struct{})
 	client, _ := start(t, func(ctx context.Context, _ *relay.Request, c relay.Client) {
 		c.Begin(relay.Head{Status: 200})
-		<-ctx.Done()
-		close(ended)
+		select {
+		case <-ctx.Done():
+			close(ended)
+		case <-time.After(10 * time.Second):
+		}
 	})
 	reply, err := send(t, client, request(nil))
 	assert.NilError(t, err)
--- a/node/relay/forwarded_test.go
+++ b/node/relay/forwarded_test.go
@@ -16,7 +16,9 @@
 type scriptedPeers struct {
 	endpoints *scriptedEndpoints
 	refusal   *PeerRefusal
-	picked    int
+	// runs is the number of runs that the peer reports with its answers.
+	runs   int
+	picked int
 }
 
 func (p *scriptedPeers) Pick(route.ServiceName, []platform.EndpointID) (PeerLease, bool) {
@@ -37,7 +39,11 @@
 	if l.peers.refusal != nil {
 		return nil, l.peers.refusal
 	}
-	return l.peers.endpoints.Send(ctx, call, deadline)
+	answer, err := l.peers.endpoints.Send(ctx, call, deadline)
+	if answer != nil {
+		answer.Runs = func() int { return l.peers.runs }
+	}
+	return answer, err
 }
 
 // newCutHarness returns a harness whose instance reaches no endpoint.
@@ -133,3 +139,14 @@
 }
 
 func (o *observedVersions) Observe(route.ServiceName, string, VersionOutcome) { o.count++ }
+
+// The peer has used up the attempts of the route before its answer breaks off.
+func TestRunsOfThePeerCount(t *testing.T) {
+	for runs, want := range map[int]int{1: 3, 3: 1} {
+		h, peers := newCutHarness(route.Stream, func(*Call, int) behavior { return behavior{events: 1} })
+		peers.runs = runs
+		h.serve(testRequest())
+		assert.Assert(t, h.client.aborted)
+		assert.Equal(t, peers.picked, want, "%d runs each", runs)
+	}
+}
