Brittle endpoints get little that they must reject, of all instances together

Engines that say Server-Brittle = N fall over if they reject more than N requests a second. Cause, as with limits: each instance learns of a full endpoint by itself, so the rejections add up. Now the instances share the slots of a brittle endpoint (the seats of fleetlimit), tell each other of each rejection, and use more than their share only by a fresh report, or as one of the few that may explore. What finds no room is refused at once, with a time to retry after.

Bad values have no effect and are logged.

--- a/coord/fleetlimit/limits.go
+++ b/coord/fleetlimit/limits.go
@@ -72,7 +72,7 @@
 // SetGroup sets the instances that share the limits, in any order.
 func (l *Limits) SetGroup(now time.Time, group Group) {
 	group.Members, group.Zones = slices.Sorted(slices.Values(group.Members)), slices.Sorted(slices.Values(group.Zones))
-	if group.equal(l.group) {
+	if group.Equal(l.group) {
 		return
 	}
 	l.group, l.changedAt = group, now
@@ -161,7 +161,7 @@
 	if !known.isPlanned {
 		var seats int
 		seats, known.interval = plan(known.statement.PerSecond)
-		known.share, known.isPlanned = l.group.seatsOf(key, seats), true
+		known.share, known.isPlanned = l.group.SeatsOf(key, seats), true
 	}
 	if known.share < known.seats || now.Sub(l.changedAt) >= known.interval {
 		known.seats = known.share
--- a/coord/fleetlimit/seats.go
+++ b/coord/fleetlimit/seats.go
@@ -33,7 +33,8 @@
 	Zones []platform.Zone
 }
 
-func (g Group) equal(other Group) bool {
+// Equal reports whether the groups are the same.
+func (g Group) Equal(other Group) bool {
 	return g.Self == other.Self && g.Zone == other.Zone && slices.Equal(g.Members, other.Members) && slices.Equal(g.Zones, other.Zones)
 }
 
@@ -56,8 +57,8 @@
 	return seats, time.Duration(float64(seats) / target * float64(Window))
 }
 
-// seatsOf returns how many of the seats the instance has.
-func (g Group) seatsOf(key Key, seats int) int {
+// SeatsOf returns how many of the given number of seats the instance has.
+func (g Group) SeatsOf(key Key, seats int) int {
 	name := key.String()
 	inZone := dealt(seats, len(g.Zones), rankOf(name, g.Zones, g.Zone))
 	return dealt(inZone, len(g.Members), rankOf(name, g.Members, g.Self))
--- a/node/broadcast/broadcast.go
+++ b/node/broadcast/broadcast.go
@@ -38,6 +38,8 @@
 	// HandleLongRead records that an endpoint is processing a long prompt that a peer
 	// dispatched, and for how long it is expected to do so.
 	HandleLongRead(service, endpoint string, expected time.Duration)
+	// HandleFull records that a brittle endpoint had no room for a request of a peer.
+	HandleFull(endpoint string)
 	// HandleCrashNotice processes the evidence of crashes in a notice.
 	HandleCrashNotice(notice *peerpb.Notice)
 	// HandleEvidence records a peer's counts of a roll-out.
@@ -148,13 +150,48 @@
 		LongReads: b.pending.LongReads,
 		Evidence:  evidence,
 	}
-	b.pending.LongReads = nil
+	full := b.pending.Full
+	b.pending.LongReads, b.pending.Full = nil, nil
 	b.mu.Unlock()
-	b.sendTo(ctx, b.livePeers(), notice)
+	if len(notice.LongReads)+len(evidence) > 0 {
+		b.sendTo(ctx, b.livePeers(), notice)
+	}
+	if len(full) > 0 {
+		b.sendThroughZones(ctx, &peerpb.Notice{Instance: notice.Instance, Full: full})
+	}
 }
 
-// sendCrash sends evidence of crashes, and all that waits with it. An instance knows only
-// some of those in another zone, so contacts there pass it on.
+// BroadcastFull announces that a brittle endpoint had no room. It drops the notice if too many
+// are pending.
+func (b *Broadcaster) BroadcastFull(endpoint string) {
+	b.mu.Lock()
+	if len(b.pending.Full) < maxPerKind {
+		b.pending.Full = append(b.pending.Full, endpoint)
+	}
+	b.mu.Unlock()
+	b.wakeSender()
+}
+
+// sendThroughZones sends a notice to the peers of this zone, and to contacts in the others,
+// which pass it on: an instance knows only some of the instances of another zone.
+func (b *Broadcaster) sendThroughZones(ctx context.Context, notice *peerpb.Notice) {
+	local, contacts := b.peersByZone()
+	b.sendTo(ctx, local, notice)
+	passOn := passedOn(notice)
+	passOn.AskZone = true
+	for _, inZone := range contacts {
+		b.sendTo(ctx, inZone, passOn)
+	}
+}
+
+// passedOn returns a copy of what contacts in other zones pass on.
+func passedOn(notice *peerpb.Notice) *peerpb.Notice {
+	return &peerpb.Notice{
+		Instance: notice.Instance, Crashes: notice.Crashes, Survivals: notice.Survivals, Trials: notice.Trials, Full: notice.Full,
+	}
+}
+
+// sendCrash sends evidence of crashes, and all that waits with it.
 func (b *Broadcaster) sendCrash(ctx context.Context, first *peerpb.Notice) {
 	notice := &peerpb.Notice{Instance: string(b.cluster.Self().ID)}
 	for more := first; more != nil; {
@@ -167,14 +204,7 @@
 			more = nil
 		}
 	}
-	local, contacts := b.peersByZone()
-	b.sendTo(ctx, local, notice)
-	passOn := &peerpb.Notice{
-		Instance: notice.Instance, Crashes: notice.Crashes, Survivals: notice.Survivals, Trials: notice.Trials, AskZone: true,
-	}
-	for _, inZone := range contacts {
-		b.sendTo(ctx, inZone, passOn)
-	}
+	b.sendThroughZones(ctx, notice)
 }
 
 func (b *Broadcaster) sendTo(ctx context.Context, targets []membership.Peer, notice *peerpb.Notice) {
@@ -206,9 +236,7 @@
 // passOn passes evidence of crashes on to the other instances of this zone.
 func (b *Broadcaster) passOn(notice *peerpb.Notice) {
 	local, _ := b.peersByZone()
-	b.sendTo(context.Background(), local, &peerpb.Notice{
-		Instance: notice.Instance, Crashes: notice.Crashes, Survivals: notice.Survivals, Trials: notice.Trials,
-	})
+	b.sendTo(context.Background(), local, passedOn(notice))
 }
 
 // Tell handles a peer's notice.
@@ -216,6 +244,9 @@
 	for _, read := range notice.LongReads {
 		b.listener.HandleLongRead(read.Service, read.Endpoint, time.Duration(read.ExpectedMs)*time.Millisecond)
 	}
+	for _, endpoint := range notice.Full[:min(len(notice.Full), maxPerKind)] {
+		b.listener.HandleFull(endpoint)
+	}
 	b.listener.HandleCrashNotice(notice)
 	if notice.AskZone {
 		b.passOn(notice)
--- a/node/broadcast/broadcast_test.go
+++ b/node/broadcast/broadcast_test.go
@@ -34,6 +34,7 @@
 }
 
 func (i *instance) HandleLongRead(string, string, time.Duration)   {}
+func (i *instance) HandleFull(string)                              {}
 func (i *instance) HandleCrashNotice(*peerpb.Notice)               {}
 func (i *instance) HandleEvidence(string, *peerpb.VersionEvidence) {}
 func (i *instance) LocalEvidence() []*peerpb.VersionEvidence       { return nil }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	coordplatform "github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/broadcast"
 	"github.com/wigeonusher/wigeonusher/node/cluster"
@@ -161,6 +162,7 @@
 		Prober: e.prober, Pools: e.pools, Notifier: e.broadcaster, Logger: log, Count: e.observer.Count,
 	})
 	e.cluster.AddGossip(e.crashes)
+	e.pools.OnBrittleRejection(func(endpoint coordplatform.EndpointID) { e.broadcaster.BroadcastFull(string(endpoint)) })
 	e.pools.OnLongRead(e.broadcaster.BroadcastLongRead)
 	e.versions = versions.New(settings.Bounds.canaryTuning(), versions.Config{Pools: e.pools, Writer: e, Sessions: e.broadcaster, Logger: log})
 	e.forwardClient = forward.NewClient(e.cluster, e.pools, e.peerClient)
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -64,6 +64,11 @@
 	l.pools.Service(route.ServiceName(service)).RecordLongRead(time.Now(), platform.EndpointID(endpoint), expected)
 }
 
+// HandleFull implements [broadcast.Listener].
+func (l *noticeListener) HandleFull(endpoint string) {
+	l.pools.RecordPeerRejection(time.Now(), platform.EndpointID(endpoint))
+}
+
 // HandleCrashNotice implements [broadcast.Listener].
 func (l *noticeListener) HandleCrashNotice(notice *peerpb.Notice) { l.crashes.HandleNotice(notice) }
 
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/policy/latency"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -38,6 +39,11 @@
 	paces map[route.ModelName]time.Duration
 	work  workShares
 	path  path
+	// brittle is what is known of the brittleness of the endpoints, group lists the instances
+	// that share them, and onBrittleRejection is called for each rejection.
+	brittle            brittleness
+	group              *fleetlimit.Group
+	onBrittleRejection func(endpoint platform.EndpointID)
 	// service and log describe the pool in log lines; log is nil in a pool of its own.
 	service route.ServiceName
 	log     *logrus.Entry
@@ -228,12 +234,15 @@
 
 // candidates returns the endpoints that may run the request: those that are
 // neither full nor paused or, if there are none, the full ones, or else the paused
-// ones. Those whose limit allows this instance no request now are never among them.
+// ones. Those whose limit allows this instance no request now are never among them, nor
+// brittle ones without room.
 func (p *Pool) candidates(now time.Time, query Query) []*member {
 	var free, full, paused []*member
+	brittle := p.isBrittle(now)
 	for _, m := range p.members {
 		switch {
 		case !query.accepts(m) || !p.limits.allow(now, m.record):
+		case brittle && p.hasNoRoom(now, m):
 		case !m.isUsable(now):
 			paused = append(paused, m)
 		case m.isFull(now):
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -77,7 +77,7 @@
 func (l *Lease) RecordLoad(running, waiting int) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	l.member.recordLoad(running, waiting)
+	l.member.recordLoad(time.Now(), running, waiting)
 }
 
 // RecordLimit records what an answer says about the endpoint's limit. sent is when its
@@ -124,7 +124,7 @@
 	case Failed:
 		l.member.recordFailure()
 	case Full:
-		l.member.fullUntil = now.Add(fullPause)
+		l.pool.recordRejection(now, l.member)
 	case Replaced, Broken:
 		l.member.recordBroken(now)
 	case Unreached:
--- a/node/pool/limits.go
+++ b/node/pool/limits.go
@@ -65,11 +65,21 @@
 	log.WithField("per_second", statement.PerSecond).Info("endpoint names a limit")
 }
 
-// SetLimitGroup sets the instances that share the limits of endpoints.
+// SetLimitGroup sets the instances that share the limits of endpoints, and the slots of
+// brittle ones.
 func (p *Pools) SetLimitGroup(now time.Time, group fleetlimit.Group) {
 	p.limits.mu.Lock()
-	defer p.limits.mu.Unlock()
 	p.limits.known.SetGroup(now, group)
+	p.limits.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.group != nil && p.group.Equal(group) {
+		return
+	}
+	p.group = &group
+	for _, service := range p.services {
+		service.setGroup(p.group)
+	}
 }
 
 // LimitReports returns up to the given number of reports about limits for a peer.
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 )
 
 // Parameters of the health and load of an endpoint.
@@ -38,6 +40,7 @@
 	reported         int
 	inFlightAtReport int
 	hasReport        bool
+	reportedAt       time.Time
 	// failureRate is the moving average of the fraction of failed requests.
 	failureRate float64
 	// slowness is the moving average of this endpoint's time to the first event,
@@ -49,6 +52,15 @@
 	// the time in which the endpoint counts as full.
 	pausedUntil time.Time
 	fullUntil   time.Time
+	// rejections are the times of the known rejections while the endpoint is brittle,
+	// ownRejections counts those of this instance since its last success, and seats is this instance's share of its slots in the group seatsOf.
+	rejections    []time.Time
+	ownRejections int
+	seats         int
+	seatsOf       *fleetlimit.Group
+	// explored is the last window in which it was decided whether this instance may explore
+	// the endpoint.
+	explored int64
 	// readingUntil is when the endpoint is expected to have read all known long
 	// prompts.
 	readingUntil time.Time
@@ -75,12 +87,13 @@
 	return (m.load() + 1) * (1 + failureCost*m.failureRate) * max(1, m.slowness)
 }
 
-func (m *member) recordLoad(running, waiting int) {
+func (m *member) recordLoad(now time.Time, running, waiting int) {
+	m.reportedAt = now
 	m.reported, m.inFlightAtReport, m.hasReport = running+waiting, m.inFlight, true
 }
 
 func (m *member) recordSuccess() {
-	m.consecutiveFailures = 0
+	m.consecutiveFailures, m.ownRejections = 0, 0
 	m.pausedUntil = time.Time{}
 	m.probing = false
 	m.failureRate -= outcomeWeight * m.failureRate
--- a/node/pool/pool.go
+++ b/node/pool/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -73,6 +74,10 @@
 	// removed holds the endpoints whose registration was removed lately.
 	removed    map[platform.EndpointID]removal
 	onLongRead func(service, endpoint string, expected time.Duration)
+	// group lists the instances that share the endpoints, nil while it is not known.
+	group *fleetlimit.Group
+	// onBrittleRejection is described at OnBrittleRejection.
+	onBrittleRejection func(endpoint platform.EndpointID)
 }
 
 // removal is the last record of an endpoint whose registration was removed.
@@ -126,6 +131,12 @@
 			p.onLongRead(string(name), string(endpoint), expected)
 		}
 	}
+	created.group = p.group
+	created.onBrittleRejection = func(endpoint platform.EndpointID) {
+		if p.onBrittleRejection != nil {
+			p.onBrittleRejection(endpoint)
+		}
+	}
 	p.services[name] = created
 	return created
 }
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -132,6 +132,11 @@
 	return a.peerRuns
 }
 
+// isBrittleRejection reports whether a brittle endpoint had no room.
+func (a *attempt) isBrittleRejection() bool {
+	return a.verdict == verdictNotExecuted && !a.misdirected && a.answer != nil && a.answer.Brittle != nil && a.answer.Brittle.Named
+}
+
 // isFinalFailure reports whether a peer has answered with a failure: it has tried what the
 // request allows.
 func (a *attempt) isFinalFailure() bool { return a.peer != nil && a.verdict == verdictFailure }
@@ -165,6 +170,9 @@
 	if answer.Limit != nil {
 		a.lease.RecordLimit(*answer.Limit, a.started)
 	}
+	if answer.Brittle != nil {
+		a.lease.RecordBrittleness(*answer.Brittle, a.started)
+	}
 	if answer.Authentic {
 		a.lease.RecordHead()
 	}
@@ -478,6 +486,7 @@
 		event.WatchdogCause, event.Silence = watchdogErr.cause, watchdogErr.silence
 	}
 	if a.answer != nil {
+		event.Brittle, event.InvalidBrittle = a.answer.Brittle, a.answer.InvalidBrittle
 		event.Limit, event.InvalidLimit = a.answer.Limit, a.answer.InvalidLimit
 		event.Load, event.HasLoad = a.answer.Running+a.answer.Waiting, a.answer.HasLoad
 		event.Status, event.Confidence, event.Framing = a.answer.Status, a.answer.Confidence, a.answer.Framing
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -194,6 +194,9 @@
 		if wait, limited := endpoints.LimitWait(now, pool.Query{Version: choice.allows}); limited {
 			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
 		}
+		if wait, brittle := endpoints.BrittleWait(now, pool.Query{Version: choice.allows}); brittle {
+			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
+		}
 		poolQuery.Unlisted = true
 		lease, ok = choose(now, endpoints, query, choice, poolQuery)
 	}
@@ -258,6 +261,10 @@
 	p.lease.RecordFirstEvent(took)
 	p.watch.RecordFirstEvent()
 }
+
+func (p *pooledLease) RecordBrittleness(told pool.Brittleness, sent time.Time) {
+	p.lease.RecordBrittleness(told, sent)
+}
 func (p *pooledLease) AwaitCause(ctx context.Context)           { p.watch.AwaitCause(ctx) }
 func (p *pooledLease) SetCancel(cancel context.CancelCauseFunc) { p.watch.SetCancel(cancel) }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -137,6 +137,9 @@
 	SetCancel(cancel context.CancelCauseFunc)
 	// RecordHead records that the head of the endpoint's own answer has arrived.
 	RecordHead()
+	// RecordBrittleness records what an answer says about the endpoint's brittleness. sent is
+	// when its request was about to be sent.
+	RecordBrittleness(told pool.Brittleness, sent time.Time)
 	// RecordFirstEvent records the time to the first event, or to the complete
 	// answer if it is not a stream.
 	RecordFirstEvent(took time.Duration)
@@ -225,6 +228,9 @@
 // RecordHead implements [Lease].
 func (NopLease) RecordHead() {}
 
+// RecordBrittleness implements [Lease].
+func (NopLease) RecordBrittleness(pool.Brittleness, time.Time) {}
+
 // RecordFirstEvent implements [Lease].
 func (NopLease) RecordFirstEvent(time.Duration) {}
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -52,6 +52,10 @@
 	// nothing. InvalidLimit is a limit that could not be decoded.
 	Limit        *fleetlimit.Statement
 	InvalidLimit string
+	// Brittle is what the answer said about the brittleness of the endpoint, nil if nothing.
+	// InvalidBrittle is one that could not be decoded.
+	Brittle        *pool.Brittleness
+	InvalidBrittle string
 	// Load is the number of running and waiting requests that the endpoint reported with
 	// its answer; it is valid only if HasLoad is set.
 	Load    int
@@ -95,6 +99,8 @@
 	StopNotResumable StopReason = "not resumable"
 	// StopPeer: the peer that ran the request has given it up.
 	StopPeer StopReason = "a peer has given up"
+	// StopBrittle: [maxBrittleRejections] brittle endpoints had no room.
+	StopBrittle StopReason = "brittle endpoints have no room"
 	// StopClientGone: the client has disconnected.
 	StopClientGone StopReason = "client gone"
 )
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -185,6 +186,10 @@
 	// says nothing that counts. InvalidLimit is a limit that could not be decoded.
 	Limit        *fleetlimit.Statement
 	InvalidLimit string
+	// Brittle is what the answer says about the brittleness of its endpoint; nil if it says
+	// nothing that counts. InvalidBrittle is one that could not be decoded.
+	Brittle        *pool.Brittleness
+	InvalidBrittle string
 	// Runs returns the number of the attempts that may have run the request, if a peer has
 	// made them; nil for the answer of an endpoint.
 	Runs func() int
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -43,6 +43,8 @@
 	// avoid lists the endpoints whose attempts have failed, since the last time that
 	// there was no other.
 	avoid []platform.EndpointID
+	// brittleRejections counts the brittle endpoints that had no room.
+	brittleRejections int
 	// headSent reports that the head of an answer was sent to the client.
 	headSent bool
 	// lastEvent is the ID of the last event that the client has. gotEventID reports that
@@ -262,6 +264,11 @@
 		r.unsent++
 		return r.continueAfterUnsent(ctx, a, failedBefore) || r.giveUp(ctx, a, StopUnsent)
 	}
+	if a.isBrittleRejection() && !r.headSent {
+		if r.brittleRejections++; r.brittleRejections >= maxBrittleRejections {
+			return r.giveUp(ctx, a, StopBrittle)
+		}
+	}
 	if stop := r.takeRetry(a); stop != "" {
 		return r.giveUp(ctx, a, stop)
 	}
--- a/node/relay/tuning.go
+++ b/node/relay/tuning.go
@@ -26,6 +26,9 @@
 	// maxUnsent bounds the calls of one request that could not be sent, so that an
 	// outage of many endpoints causes no storm of connection attempts.
 	maxUnsent = 50
+	// maxBrittleRejections bounds the brittle endpoints that may reject one request whose answer
+	// has not begun.
+	maxBrittleRejections = 2
 	// minPaceEvents is the least number of events for which a stream's pace is
 	// computed.
 	minPaceEvents = 5
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -92,6 +92,9 @@
 	if event.Limit != nil && event.Limit.Named {
 		t.Count(fmt.Sprintf(`wigeonusher_attempts_limited_total{service=%q}`, event.Service))
 	}
+	if event.Brittle != nil && event.Brittle.Named {
+		t.Count(fmt.Sprintf(`wigeonusher_attempts_brittle_total{service=%q,verdict=%q}`, event.Service, event.Verdict))
+	}
 	if event.InvalidLimit != "" {
 		t.Count(fmt.Sprintf(`wigeonusher_invalid_limits_total{service=%q}`, event.Service))
 	}
@@ -124,6 +127,12 @@
 	if event.HasLoad {
 		fields["endpoint_load"] = event.Load
 	}
+	if event.Brittle != nil && event.Brittle.Named {
+		fields["brittle"] = event.Brittle.PerSecond
+	}
+	if event.InvalidBrittle != "" {
+		fields["invalid_brittle"] = event.InvalidBrittle
+	}
 	if event.InvalidLimit != "" {
 		fields["invalid_limit"] = event.InvalidLimit
 	}
