An instance that reaches no service, itself or through a peer, is not ready

TestInstanceThatCannotServeIsNotReady fails without it. While one service or one peer can be reached, it stays ready: in an outage of all endpoints of one service the others are served.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -243,13 +243,28 @@
 // Ready reports whether the instance can serve requests.
 func (e *Entry) Ready() bool {
 	table, verifiedAt := e.Table()
-	if table == nil || e.stopping.Load() || e.pools.Count() == 0 {
+	if table == nil || e.stopping.Load() || e.pools.Count() == 0 || !e.reachesEndpoints() {
 		return false
 	}
 	maxAge := e.configMaxAge()
 	return maxAge == 0 || boottime.Since(verifiedAt) < maxAge
 }
 
+// reachesEndpoints reports whether the instance can run requests to any service, itself or
+// through a peer.
+func (e *Entry) reachesEndpoints() bool {
+	broken := e.pools.BrokenPaths()
+	if len(broken) < e.pools.ServiceCount() {
+		return true
+	}
+	for _, service := range broken {
+		if e.forwardClient.CanForward(service, nil) {
+			return true
+		}
+	}
+	return len(broken) == 0
+}
+
 // Propose implements [versions.Writer].
 func (e *Entry) Propose(ctx context.Context, at keyed.Position, status canary.Status) error {
 	key, value, err := e.platform.EncodeStatus(status)
--- a/node/pool/path.go
+++ b/node/pool/path.go
@@ -139,6 +139,19 @@
 	return len(p.path.unreached) > 0 && len(p.path.unreached) >= min(doubtAfter, len(p.members))
 }
 
+// ServiceCount returns the number of services with endpoints.
+func (p *Pools) ServiceCount() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	count := 0
+	for _, service := range p.services {
+		if service.count() > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // BrokenPaths returns the services of which this instance reaches no endpoint.
 func (p *Pools) BrokenPaths() []route.ServiceName {
 	p.mu.RLock()
