--- a/coord/crashcause/decide.go
+++ b/coord/crashcause/decide.go
@@ -121,10 +121,10 @@
 
 // decide computes the standings of all features from the crashes and the verdicts.
 func (l *Ledger) decide(now time.Time) {
-	if !l.isStale && (now.Sub(l.decidedAt) < decisionTTL || len(l.crashes) == 0) {
+	if !l.isStale && (now.Before(l.decideAgainAt) || len(l.crashes) == 0) {
 		return
 	}
-	l.isStale, l.decidedAt = false, now
+	l.isStale, l.decideAgainAt = false, now.Add(decisionTTL)
 	suspicions := l.suspicions(now)
 	guilty := make(map[Feature]bool)
 	for feature := range l.verdicts {
@@ -136,6 +136,9 @@
 		if s.isSuspected(now) {
 			l.standings[feature] = Suspected
 		}
+		if patient := s.firstAt.Add(survivorPatience); s.survived && now.Before(patient) && patient.Before(l.decideAgainAt) {
+			l.decideAgainAt = patient
+		}
 	}
 	for feature := range guilty {
 		l.standings[feature] = Guilty
--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -41,8 +41,8 @@
 	settleTime = 300 * time.Millisecond
 	// trialTimeout bounds a trial whose end is not known.
 	trialTimeout = 10 * time.Second
-	// decisionTTL bounds the age of the decisions, which depend on the time.
-	decisionTTL = 100 * time.Millisecond
+	// decisionTTL bounds the age of the decisions, because survivals get too old.
+	decisionTTL = 2 * time.Second
 
 	maxCrashes   = 128
 	maxAccused   = 512
@@ -74,14 +74,16 @@
 	survivals *simplelru.LRU[Feature, time.Time]
 	verdicts  map[Feature]*verdict
 	trials    map[Feature]time.Time
-	// standings and suspected hold the decisions of decidedAt, and guiltySince the features that the
+	// standings and suspected hold the last decisions, which hold until decideAgainAt unless
+	// there is new evidence. guiltySince and guiltyUse hold the features that the
 	// crashes alone make guilty.
 	standings   map[Feature]Standing
 	suspected   map[Feature]*suspicion
 	guiltySince map[Feature]time.Time
 	guiltyUse   map[Feature]Use
-	decidedAt   time.Time
 	isStale     bool
+
+	decideAgainAt time.Time
 }
 
 // verdict is a [Verdict] that this instance holds.
