--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -294,10 +294,11 @@
 		return
 	}
 	at.confirming, at.settled = true, make(chan struct{})
+	brokenAt := at.brokenAt
 	go func() {
 		time.Sleep(probeDelay)
 		probe := t.config.Prober.Probe(context.Background(), at.record.Address)
-		crashed := (probe == relay.ProbeRefused || probe == relay.ProbeTimedOut) && t.reachesOthers(at)
+		crashed := (probe == relay.ProbeRefused || probe == relay.ProbeTimedOut) && t.reachesOthers(at.record, brokenAt)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		at.confirming = false
@@ -316,12 +317,12 @@
 // reachesOthers reports whether this instance reaches another endpoint of the service: one
 // that is itself cut off must not blame requests. If there is no other endpoint, nothing
 // speaks against the crash.
-func (t *Tracker) reachesOthers(at *endpoint) bool {
-	endpoints := t.config.Pools.Service(at.record.Service)
-	if endpoints.ActiveSince(at.record.ID, at.brokenAt) {
+func (t *Tracker) reachesOthers(record pool.Record, brokenAt time.Time) bool {
+	endpoints := t.config.Pools.Service(record.Service)
+	if endpoints.ActiveSince(record.ID, brokenAt) {
 		return true
 	}
-	others := endpoints.Addresses(at.record.ID, pathProbes)
+	others := endpoints.Addresses(record.ID, pathProbes)
 	if len(others) == 0 {
 		return true
 	}
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -134,18 +134,23 @@
 	if !s.isMember(head.Instance, peer.CallerIP(stream.Context())) {
 		return nil, "", errStranger
 	}
-	body := first.Body
-	for last := first.Last; !last; {
-		part, err := stream.Recv()
-		if err != nil {
-			return nil, "", eris.Wrap(err, "forward: receive request")
-		}
-		body, last = append(body, part.Body...), part.Last
+	body, err := s.receiveBody(stream, first)
+	return decodeRequest(head, body), head.Instance, err
+}
+
+func (s *Server) receiveBody(stream peerpb.DRPCPeer_ForwardStream, part *peerpb.ForwardUpload) (body []byte, err error) {
+	for {
+		body = append(body, part.Body...)
 		if limit := s.config.MaxBody(); limit > 0 && int64(len(body)) > limit {
-			return nil, "", errBodyTooLong
+			return nil, errBodyTooLong
+		}
+		if part.Last {
+			return body, nil
+		}
+		if part, err = stream.Recv(); err != nil {
+			return nil, eris.Wrap(err, "forward: receive request")
 		}
 	}
-	return decodeRequest(head, body), head.Instance, nil
 }
 
 // isMember reports whether an instance of that name is alive at the address.
--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -72,7 +72,8 @@
 	switch {
 	case known == nil || known.record.Born < record.Born:
 		added := &member{record: record, warmAt: time.Now().Add(record.ColdFor), longRank: longRank(record.ID)}
-		added.lastActivity.Store(time.Now().UnixNano())
+		added.listedAt = time.Now().UnixNano()
+		added.lastActivity.Store(added.listedAt)
 		p.members[record.ID] = added
 		return true
 	case record.older(known.record):
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -68,8 +68,9 @@
 	// requests again.
 	probing bool
 	// lastActivity is when the endpoint last sent something, in Unix nanoseconds;
-	// initially when it was listed.
+	// initially listedAt, when it was listed.
 	lastActivity atomic.Int64
+	listedAt     int64
 }
 
 // load estimates the current number of requests at the endpoint: its last report,
--- a/node/pool/probe.go
+++ b/node/pool/probe.go
@@ -47,7 +47,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, m := range p.members {
-		if id != other && m.lastActivity.Load() >= since.UnixNano() {
+		if last := m.lastActivity.Load(); id != other && last >= since.UnixNano() && last != m.listedAt {
 			return true
 		}
 	}
