--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -140,9 +140,6 @@
 	delete(l.crashes, oldest)
 }
 
-// HasCrash reports whether the crash is known.
-func (l *Ledger) HasCrash(lifetime Lifetime) bool { return l.crashes[lifetime] != nil }
-
 // HasSurvived reports whether the feature has survived lately.
 func (l *Ledger) HasSurvived(now time.Time, feature Feature) bool {
 	at, ok := l.survivals.Peek(feature)
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -122,7 +122,7 @@
 // confidence does not count as a failure. Endpoints that the registry does not list any
 // more are used only if it lists none that may run the request, not if limits keep the request
 // from those. The versions are chosen for each attempt, because the roll-out may have
-// advanced since the last one.
+// advanced since the last one. If this instance does not reach the endpoints, it selects a peer.
 func (p *PooledPicker) Pick(ctx context.Context, query *Query) (Lease, *Refusal) {
 	request := query.Request
 	uses := request.Features(query.Permission.Account)
