--- a/node/crashes/crashes_test.go
+++ b/node/crashes/crashes_test.go
@@ -335,3 +335,39 @@
 		waiting.End(relay.AttemptCanceled)
 	})
 }
+
+// Requests with the part come at one instance for long. The others, and the log, must keep the
+// verdict as well, and forget it only some time after the last request.
+func TestVerdictIsKeptByAllWhileRequestsComeAtOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 8)
+		for n := range 3 {
+			f.crash(f.trackers[n], endpointAt(n), request("bad"))
+		}
+		for begin := time.Now(); time.Since(begin) < 40*time.Minute; time.Sleep(10 * time.Second) {
+			assert.Equal(t, f.trackers[0].permission(request("bad")), crashcause.Refused, "after %v", time.Since(begin))
+		}
+		assert.Equal(t, f.trackers[1].permission(request("bad")), crashcause.Refused)
+		assert.Assert(t, len(f.log.records[len(f.log.records)-1].Value) > 0)
+		time.Sleep(3 * crashcause.VerdictMemory)
+		assert.Equal(t, f.trackers[2].permission(request("bad")), crashcause.Normal)
+		assert.Equal(t, len(f.log.records[len(f.log.records)-1].Value), 0, "the log forgets it too")
+	})
+}
+
+// The part comes back when the removal of its old verdict is due.
+func TestRemovalOfAnOldVerdictSparesANewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 8)
+		for n := range 3 {
+			f.crash(f.trackers[0], endpointAt(n), request("bad"))
+		}
+		time.Sleep(2*crashcause.VerdictMemory + time.Second)
+		for n := range 3 {
+			f.crash(f.trackers[0], endpointAt(3+n), request("bad"))
+		}
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, f.trackers[0].permission(request("bad")), crashcause.Refused)
+		assert.Equal(t, f.trackers[1].permission(request("bad")), crashcause.Refused)
+	})
+}
--- a/node/crashes/verdicts.go
+++ b/node/crashes/verdicts.go
@@ -46,6 +46,8 @@
 	feature crashcause.Feature
 	record  *record
 	at      time.Time
+	// expired reports that the feature is removed because its verdict is old.
+	expired bool
 }
 
 // recordCleared plans to remove features that have survived.
@@ -147,7 +149,7 @@
 		age := now.Sub(time.UnixMilli(listed.AtUnixMillis))
 		if age > 2*crashcause.VerdictMemory {
 			delete(t.verdicts.listed, feature) // at most one write of this instance
-			t.verdicts.add(write{feature: feature, at: now.Add(rand.N(time.Minute))})
+			t.verdicts.add(write{feature: feature, at: now.Add(rand.N(time.Minute)), expired: true})
 		}
 	}
 }
@@ -165,7 +167,11 @@
 		}
 		t.verdicts.writes = append(t.verdicts.writes[:i], t.verdicts.writes[i+1:]...)
 		listed, ok := t.verdicts.listed[w.feature]
-		if w.record != nil && (!ok || listed.AtUnixMillis < w.record.AtUnixMillis-time.Second.Milliseconds()) || w.record == nil {
+		isNeeded := !w.expired || !ok // an expired verdict may have been written anew
+		if w.record != nil {
+			isNeeded = !ok || listed.AtUnixMillis < w.record.AtUnixMillis-time.Second.Milliseconds()
+		}
+		if isNeeded {
 			return w, true
 		}
 	}
