The check of the own path before a crash counts probes endpoints that are not paused first, and more of them

The check probed three endpoints in the order of a map; if these were down too, the instance took itself for cut off, and the crash did not count. 40 of 40 runs pass now. TestEndpointsThatAreNotPausedAreProbedFirst fails without the order.

--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -42,8 +42,8 @@
 	// maintenanceInterval is the time between checks for verdicts to tell the others.
 	maintenanceInterval = 100 * time.Millisecond
 	// pathProbes bounds the endpoints that are probed to find out whether this instance
-	// reaches any.
-	pathProbes = 3
+	// reaches any: more than the few that may be down at the same time.
+	pathProbes = 6
 	// maxAgeMillis bounds an age in a notice, so that it does not overflow.
 	maxAgeMillis = uint32(time.Hour / time.Millisecond)
 )
--- a/node/pool/probe.go
+++ b/node/pool/probe.go
@@ -55,15 +55,21 @@
 }
 
 // Addresses returns the addresses of up to the given number of endpoints other than the
-// given one.
+// given one, those that are not paused first.
 func (p *Pool) Addresses(other platform.EndpointID, most int) []string {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var addresses []string
+	var usable, paused []string
 	for id, m := range p.members {
-		if id != other && !m.record.Leaving && len(addresses) < most {
-			addresses = append(addresses, m.record.Address)
+		switch {
+		case id == other || m.record.Leaving:
+		case m.isUsable(now):
+			usable = append(usable, m.record.Address)
+		default:
+			paused = append(paused, m.record.Address)
 		}
 	}
-	return addresses
+	addresses := append(usable, paused...)
+	return addresses[:min(most, len(addresses))]
 }
