Reports of one crash start no storm of notices

After each report of a crash, each instance that had seen one of its features survive told all others so: 310 notices after 10 reports in a fleet of 40, each to the whole fleet. Now it tells only of features that are suspected, a report that accuses nothing is not sent, and evidence of several notices is decided on once in 10 ms. TestReportsOfOneCrashStartNoStorm failed before (310 notices, 20 allowed).

--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -140,6 +140,17 @@
 	delete(l.crashes, oldest)
 }
 
+// Score adds up the accusations against a feature.
+func (l *Ledger) Score(feature Feature) int {
+	score := 0
+	for _, c := range l.crashes {
+		if accusation, ok := c.accused[feature]; ok {
+			score += accusation.weight()
+		}
+	}
+	return score
+}
+
 // HasSurvived reports whether the feature has survived lately.
 func (l *Ledger) HasSurvived(now time.Time, feature Feature) bool {
 	at, ok := l.survivals.Peek(feature)
--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -32,6 +32,8 @@
 	// arrives, and maxAwait bounds the wait for all evidence before the next attempt.
 	noticeTime = 40 * time.Millisecond
 	maxAwait   = 250 * time.Millisecond
+	// applyDelay is how long the evidence of a notice waits for that of others.
+	applyDelay = 10 * time.Millisecond
 	// A trial begins at least minTrialDelay after the last evidence, by which time that of the
 	// other instances has arrived, and up to trialSpread later.
 	minTrialDelay = 60 * time.Millisecond
@@ -78,7 +80,9 @@
 	endpoints map[crashcause.Lifetime]*endpoint
 	// standings are the last ones logged.
 	standings map[crashcause.Feature]crashcause.Standing
-	verdicts  verdictTopic
+	// isApplyDue reports that evidence of peers waits for apply.
+	isApplyDue bool
+	verdicts   verdictTopic
 }
 
 // endpoint holds the attempts at one lifetime of an endpoint.
@@ -135,7 +139,11 @@
 func (t *Tracker) Admit(uses []crashcause.Use) crashcause.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	decision := t.ledger.Admit(time.Now(), uses)
+	now := time.Now()
+	if t.isApplyDue {
+		t.apply(now) // delays the trials of features that are suspected since
+	}
+	decision := t.ledger.Admit(now, uses)
 	switch decision.Permission {
 	case crashcause.Alone:
 		t.config.Count(`wigeonusher_suspected_requests_total{decision="alone"}`)
@@ -360,7 +368,10 @@
 		"accused": len(accused), "attempts": len(at.ended), "after_ms": now.Sub(at.brokenAt).Milliseconds(),
 	}).Warn("endpoint crashed while it ran requests")
 	t.ledger.RecordCrash(lifetime, at.brokenAt, accused)
-	notice := &peerpb.Notice{Crashes: []*peerpb.EndpointCrash{encodeCrash(lifetime, now.Sub(at.brokenAt), accused)}}
+	notice := &peerpb.Notice{}
+	if len(accused) > 0 {
+		notice.Crashes = append(notice.Crashes, encodeCrash(lifetime, now.Sub(at.brokenAt), accused))
+	}
 	for a := range at.ended {
 		if len(a.trial) > 0 {
 			t.delayTrial(now, a.trial...)
@@ -368,7 +379,9 @@
 			a.trial = nil
 		}
 	}
-	t.notify(notice)
+	if len(notice.Crashes)+len(notice.Trials) > 0 {
+		t.notify(notice)
+	}
 	t.apply(now)
 }
 
@@ -408,9 +421,26 @@
 	return true, crashedAt.Sub(a.headAt) <= blameWindow
 }
 
+// applySoon applies the evidence of a notice after applyDelay, with that of the others that
+// arrive meanwhile: each decision goes through all evidence. The caller holds the lock.
+func (t *Tracker) applySoon() {
+	if t.isApplyDue {
+		return
+	}
+	t.isApplyDue = true
+	time.AfterFunc(applyDelay, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.isApplyDue {
+			t.apply(time.Now())
+		}
+	})
+}
+
 // apply acts on changed standings: it logs them, and cancels the attempts whose answers
 // have not begun and whose features are suspected now. The caller holds the lock.
 func (t *Tracker) apply(now time.Time) {
+	t.isApplyDue = false
 	for _, at := range t.endpoints {
 		for a := range at.running {
 			if a.cancel != nil && a.headAt.IsZero() && len(a.trial) == 0 && t.worstStanding(now, a.uses) != crashcause.Unsuspected {
--- a/node/crashes/crashes_test.go
+++ b/node/crashes/crashes_test.go
@@ -72,9 +72,22 @@
 	fleet *fleet
 	from  int
 	cut   bool
+
+	mu   sync.Mutex
+	sent int
+}
+
+// count returns the number of notices sent.
+func (l *link) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
 }
 
 func (l *link) NotifyCrash(notice *peerpb.Notice) {
+	l.mu.Lock()
+	l.sent++
+	l.mu.Unlock()
 	if l.cut {
 		return
 	}
@@ -371,3 +384,31 @@
 		assert.Equal(t, f.trackers[1].permission(request("bad")), crashcause.Refused)
 	})
 }
+
+// Many instances report a crash with a part that all others have seen survive. Each telling so
+// after each report is a storm, at the worst time.
+func TestReportsOfOneCrashStartNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, reporters = 40, 10
+		f := newFleet(t, size, 8)
+		for _, tracker := range f.trackers[reporters:] {
+			watch := tracker.Begin(endpointAt(1), request("subject"), crashcause.Decision{})
+			watch.RecordHead()
+			watch.RecordFirstEvent()
+			watch.End(relay.AttemptComplete)
+		}
+		for n, tracker := range f.trackers {
+			link := tracker.config.Notifier.(*link)
+			link.sent = 0
+			if n < reporters {
+				go f.crash(tracker, endpointAt(0), request("subject"))
+			}
+		}
+		time.Sleep(time.Second)
+		sent := 0
+		for _, tracker := range f.trackers {
+			sent += tracker.config.Notifier.(*link).count()
+		}
+		assert.Assert(t, sent <= 2*reporters, "%d notices after %d reports", sent, reporters)
+	})
+}
--- a/node/crashes/notices.go
+++ b/node/crashes/notices.go
@@ -41,11 +41,12 @@
 			t.ledger.StartTrial(now, crashcause.Feature(trial.Feature))
 		}
 	}
-	t.apply(now)
+	t.applySoon()
 }
 
 // handleCrash records a peer's report of a crash, and adds what this instance knows of it:
-// answers that it had broken off itself just before, and features that it has seen survive.
+// answers that it had broken off itself just before, and survivals of features that are
+// suspected now. Of the others it tells nothing: each instance would, after each report.
 func (t *Tracker) handleCrash(now time.Time, reported *peerpb.EndpointCrash) {
 	lifetime := crashcause.Lifetime{Endpoint: platform.EndpointID(reported.Endpoint), Born: reported.Born}
 	at := now.Add(-age(reported.AgeMs))
@@ -53,7 +54,7 @@
 	t.ledger.RecordCrash(lifetime, at, accused)
 	var own []crashcause.Accusation
 	for _, accusation := range accused {
-		if !accusation.Survived && t.ledger.HasSurvived(now, accusation.Feature) {
+		if !accusation.Survived && t.ledger.HasSurvived(now, accusation.Feature) && t.ledger.Score(accusation.Feature) >= crashcause.SuspectScore {
 			accusation.Survived = true
 			own = append(own, accusation)
 		}
