--- a/node/broadcast/broadcast.go
+++ b/node/broadcast/broadcast.go
@@ -25,6 +25,8 @@
 	// batchDelay is how long a notice waits for others to be sent in the same
 	// call.
 	batchDelay = 40 * time.Millisecond
+	// crashDelay is the same for evidence of crashes, which is urgent.
+	crashDelay = 5 * time.Millisecond
 	// evidenceInterval is the time between broadcasts of roll-out evidence.
 	evidenceInterval = time.Second
 	// maxPerKind bounds the notices of long prompts in one call, and the evidence of crashes
@@ -70,13 +72,16 @@
 	mu      sync.Mutex
 	pending peerpb.Notice
 	wake    chan struct{}
-	// crashes holds the evidence that is sent without a delay.
-	crashes chan *peerpb.Notice
+	// crashes holds evidence that is sent after crashDelay, and relays what contacts in other
+	// zones asked to pass on.
+	crashes, relays chan *peerpb.Notice
 }
 
 // New returns a broadcaster among the peers of a cluster.
 func New(cluster *cluster.Cluster, client *peer.Client, listener Listener, log *logrus.Entry) *Broadcaster {
-	return &Broadcaster{cluster: cluster, client: client, listener: listener, log: log, wake: make(chan struct{}, 1), crashes: make(chan *peerpb.Notice, maxPerKind)}
+	return &Broadcaster{
+		cluster: cluster, client: client, listener: listener, log: log, wake: make(chan struct{}, 1), crashes: make(chan *peerpb.Notice, maxPerKind), relays: make(chan *peerpb.Notice, maxPerKind),
+	}
 }
 
 // BroadcastLongRead announces that an endpoint is starting to process a long prompt
@@ -105,13 +110,14 @@
 	return b.forwards.Forward(stream)
 }
 
-// NotifyCrash announces evidence of crashes without a delay. It drops the evidence if too
-// much is waiting.
-func (b *Broadcaster) NotifyCrash(evidence *peerpb.Notice) {
+// NotifyCrash announces evidence of crashes. It drops the evidence if too much is waiting.
+func (b *Broadcaster) NotifyCrash(evidence *peerpb.Notice) { b.enqueue(b.crashes, evidence) }
+
+func (b *Broadcaster) enqueue(queue chan<- *peerpb.Notice, evidence *peerpb.Notice) {
 	select {
-	case b.crashes <- evidence:
+	case queue <- evidence:
 	default:
-		b.log.Warn("evidence of a crash dropped: too much is waiting")
+		b.log.Warn("evidence of crashes dropped: too much is waiting")
 	}
 }
 
@@ -134,7 +140,10 @@
 			loop.Sleep(ctx, batchDelay)
 			b.send(ctx, nil)
 		case evidence := <-b.crashes:
-			b.sendCrash(ctx, evidence)
+			b.sendThroughZones(ctx, b.collect(ctx, b.crashes, evidence))
+		case evidence := <-b.relays:
+			local, _ := b.peersByZone()
+			b.sendTo(ctx, local, b.collect(ctx, b.relays, evidence))
 		case <-ticker.C:
 			if evidence := b.listener.LocalEvidence(); len(evidence) > 0 {
 				b.send(ctx, evidence)
@@ -191,20 +200,23 @@
 	}
 }
 
-// sendCrash sends evidence of crashes, and all that waits with it.
-func (b *Broadcaster) sendCrash(ctx context.Context, first *peerpb.Notice) {
+// collect waits for crashDelay and merges what waits with the first notice: endpoints often
+// crash several at a time.
+func (b *Broadcaster) collect(ctx context.Context, queue <-chan *peerpb.Notice, first *peerpb.Notice) *peerpb.Notice {
+	loop.Sleep(ctx, crashDelay)
 	notice := &peerpb.Notice{Instance: string(b.cluster.Self().ID)}
 	for more := first; more != nil; {
 		notice.Crashes = append(notice.Crashes, more.Crashes...)
 		notice.Survivals = append(notice.Survivals, more.Survivals...)
 		notice.Trials = append(notice.Trials, more.Trials...)
+		notice.Full = append(notice.Full, more.Full...)
 		select {
-		case more = <-b.crashes:
+		case more = <-queue:
 		default:
 			more = nil
 		}
 	}
-	b.sendThroughZones(ctx, notice)
+	return notice
 }
 
 func (b *Broadcaster) sendTo(ctx context.Context, targets []membership.Peer, notice *peerpb.Notice) {
@@ -233,12 +245,6 @@
 	return handler.Exchange(ctx, digest)
 }
 
-// passOn passes evidence of crashes on to the other instances of this zone.
-func (b *Broadcaster) passOn(notice *peerpb.Notice) {
-	local, _ := b.peersByZone()
-	b.sendTo(context.Background(), local, passedOn(notice))
-}
-
 // Tell handles a peer's notice.
 func (b *Broadcaster) Tell(_ context.Context, notice *peerpb.Notice) (*peerpb.NoticeReply, error) {
 	for _, read := range notice.LongReads {
@@ -249,7 +255,7 @@
 	}
 	b.listener.HandleCrashNotice(notice)
 	if notice.AskZone {
-		b.passOn(notice)
+		b.enqueue(b.relays, notice)
 	}
 	for _, evidence := range notice.Evidence {
 		b.listener.HandleEvidence(notice.Instance, evidence)
