Survivals are told only of features that are suspected, and asked for by those that begin to suspect one

After a crash each instance told all others when a feature that was accused even once survived, and repeated so for each of a peer's accusations. TestSurvivalsAfterOneCrashStartNoStorm and TestPartThatOthersHaveSeenSurviveIsNotSuspected fail with the telling, and without the asking.

--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -140,41 +140,41 @@
 	delete(l.crashes, oldest)
 }
 
-// Score adds up the accusations against a feature.
-func (l *Ledger) Score(feature Feature) int {
-	score := 0
-	for _, c := range l.crashes {
-		if accusation, ok := c.accused[feature]; ok {
-			score += accusation.weight()
-		}
-	}
-	return score
-}
-
 // HasSurvived reports whether the feature has survived lately.
 func (l *Ledger) HasSurvived(now time.Time, feature Feature) bool {
+	_, ok := l.LastSurvival(now, feature)
+	return ok
+}
+
+// LastSurvival returns when the feature last survived, and whether that was lately.
+func (l *Ledger) LastSurvival(now time.Time, feature Feature) (time.Time, bool) {
 	at, ok := l.survivals.Peek(feature)
-	return ok && now.Sub(at) <= SurvivalMemory
+	return at, ok && now.Sub(at) <= SurvivalMemory
 }
 
 // RecordSurvival records that an endpoint has begun answers on the features, and has gone on
-// until the given time. It returns the features against which there is evidence: the other
-// instances need to know of them.
-func (l *Ledger) RecordSurvival(at time.Time, features ...Feature) (accused []Feature) {
+// until the given time. It returns the features that were suspected, guilty or being tried: the
+// other instances need to know of them.
+func (l *Ledger) RecordSurvival(at time.Time, features ...Feature) (cleared []Feature) {
 	for _, feature := range features {
 		if previous, ok := l.survivals.Get(feature); ok && previous.After(at) {
 			continue
 		}
 		l.survivals.Add(feature, at)
-		if l.clear(at, feature) {
-			accused = append(accused, feature)
+		standing := l.standings[feature]
+		_, tried := l.trials[feature]
+		if l.clear(at, feature) || l.suspected[feature] != nil {
 			l.isStale = true
 		}
+		if standing != Unsuspected || tried {
+			cleared = append(cleared, feature)
+		}
 	}
-	return accused
+	return cleared
 }
 
-// clear drops the evidence against a feature that is older than its survival.
+// clear drops the evidence against a feature that is older than its survival, and reports
+// whether there was any.
 func (l *Ledger) clear(at time.Time, feature Feature) bool {
 	cleared := false
 	for _, c := range l.crashes {
@@ -187,9 +187,8 @@
 		delete(l.verdicts, feature)
 		cleared = true
 	}
-	_, tried := l.trials[feature]
 	delete(l.trials, feature)
-	return cleared || tried
+	return cleared
 }
 
 // AddVerdict adds a verdict of another instance, unless the feature has survived since. It
--- a/node/broadcast/broadcast.go
+++ b/node/broadcast/broadcast.go
@@ -42,8 +42,9 @@
 	HandleLongRead(service, endpoint string, expected time.Duration)
 	// HandleFull records that a brittle endpoint had no room for a request of a peer.
 	HandleFull(endpoint string)
-	// HandleCrashNotice processes the evidence of crashes in a notice.
-	HandleCrashNotice(notice *peerpb.Notice)
+	// HandleCrashNotice processes the evidence of crashes in a notice, and returns what the
+	// peer asks for in it.
+	HandleCrashNotice(notice *peerpb.Notice) *peerpb.NoticeReply
 	// HandleEvidence records a peer's counts of a roll-out.
 	HandleEvidence(instance string, evidence *peerpb.VersionEvidence)
 	// LocalEvidence returns this instance's counts of the roll-outs under way.
@@ -187,7 +188,7 @@
 	local, contacts := b.peersByZone()
 	b.sendTo(ctx, local, notice)
 	passOn := passedOn(notice)
-	passOn.AskZone = true
+	passOn.Suspected, passOn.AskZone = notice.Suspected, true
 	for _, inZone := range contacts {
 		b.sendTo(ctx, inZone, passOn)
 	}
@@ -210,6 +211,7 @@
 		notice.Survivals = append(notice.Survivals, more.Survivals...)
 		notice.Trials = append(notice.Trials, more.Trials...)
 		notice.Full = append(notice.Full, more.Full...)
+		notice.Suspected = append(notice.Suspected, more.Suspected...)
 		select {
 		case more = <-queue:
 		default:
@@ -222,8 +224,13 @@
 func (b *Broadcaster) sendTo(ctx context.Context, targets []membership.Peer, notice *peerpb.Notice) {
 	for _, target := range targets {
 		go func() {
-			if err := b.client.Tell(ctx, target.Address, notice); err != nil {
+			reply, err := b.client.Tell(ctx, target.Address, notice)
+			if err != nil {
 				b.log.WithError(err).WithField("peer", target.ID).Debug("notice not delivered")
+				return
+			}
+			if len(reply.Survivals) > 0 {
+				b.listener.HandleCrashNotice(&peerpb.Notice{Survivals: reply.Survivals})
 			}
 		}()
 	}
@@ -253,12 +260,12 @@
 	for _, endpoint := range notice.Full[:min(len(notice.Full), maxPerKind)] {
 		b.listener.HandleFull(endpoint)
 	}
-	b.listener.HandleCrashNotice(notice)
-	if notice.AskZone {
-		b.enqueue(b.relays, notice)
+	reply := b.listener.HandleCrashNotice(notice)
+	if notice.AskZone && len(notice.Crashes)+len(notice.Survivals)+len(notice.Trials)+len(notice.Full) > 0 {
+		b.enqueue(b.relays, passedOn(notice))
 	}
 	for _, evidence := range notice.Evidence {
 		b.listener.HandleEvidence(notice.Instance, evidence)
 	}
-	return &peerpb.NoticeReply{}, nil
+	return reply, nil
 }
--- a/node/broadcast/broadcast_test.go
+++ b/node/broadcast/broadcast_test.go
@@ -33,9 +33,11 @@
 	sessions map[string]bool
 }
 
-func (i *instance) HandleLongRead(string, string, time.Duration)   {}
-func (i *instance) HandleFull(string)                              {}
-func (i *instance) HandleCrashNotice(*peerpb.Notice)               {}
+func (i *instance) HandleLongRead(string, string, time.Duration) {}
+func (i *instance) HandleFull(string)                            {}
+func (i *instance) HandleCrashNotice(*peerpb.Notice) *peerpb.NoticeReply {
+	return &peerpb.NoticeReply{}
+}
 func (i *instance) HandleEvidence(string, *peerpb.VersionEvidence) {}
 func (i *instance) LocalEvidence() []*peerpb.VersionEvidence       { return nil }
 func (i *instance) SessionVersion(_, _, session string) (onTarget, known bool) {
--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -467,9 +467,11 @@
 	}
 }
 
-// logChanges logs the features whose standing has changed since the last call.
+// logChanges logs the features whose standing has changed since the last call. It asks the
+// peers whether they have seen those survive that are suspected from now on.
 func (t *Tracker) logChanges(now time.Time) {
 	current := t.ledger.Standings(now)
+	asked := &peerpb.Notice{}
 	for feature, standing := range current {
 		previous := t.standings[feature]
 		if previous == standing.Standing {
@@ -479,6 +481,12 @@
 		if standing.Standing == crashcause.Suspected {
 			t.delayTrial(now, feature)
 		}
+		if previous == crashcause.Unsuspected {
+			asked.Suspected = append(asked.Suspected, uint64(feature))
+		}
+	}
+	if len(asked.Suspected) > 0 {
+		t.notify(asked)
 	}
 	for feature, previous := range t.standings {
 		if _, ok := current[feature]; !ok {
--- a/node/crashes/crashes_test.go
+++ b/node/crashes/crashes_test.go
@@ -93,7 +93,10 @@
 	}
 	for n, t := range l.fleet.trackers {
 		if n != l.from {
-			time.AfterFunc(noticeDelay, func() { t.HandleNotice(notice) })
+			time.AfterFunc(noticeDelay, func() {
+				reply := t.HandleNotice(notice)
+				time.AfterFunc(noticeDelay, func() { l.fleet.trackers[l.from].HandleNotice(&peerpb.Notice{Survivals: reply.Survivals}) })
+			})
 		}
 	}
 }
@@ -405,10 +408,52 @@
 			}
 		}
 		time.Sleep(time.Second)
-		sent := 0
+		sent := f.notices()
+		assert.Assert(t, sent <= 2*reporters, "%d notices after %d reports", sent, reporters)
+	})
+}
+
+// A part that is accused once is cleared by each instance for itself. Each telling so is a storm.
+func TestSurvivalsAfterOneCrashStartNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 40
+		f := newFleet(t, size, 8)
+		f.crash(f.trackers[0], endpointAt(0), request("subject"))
+		before := f.notices()
 		for _, tracker := range f.trackers {
-			sent += tracker.config.Notifier.(*link).count()
+			watch := tracker.Begin(endpointAt(1), request("subject"), crashcause.Decision{})
+			watch.RecordHead()
+			watch.RecordFirstEvent()
+			watch.End(relay.AttemptComplete)
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, f.notices()-before, 0)
+	})
+}
+
+func (f *fleet) notices() int {
+	sent := 0
+	for _, tracker := range f.trackers {
+		sent += tracker.config.Notifier.(*link).count()
+	}
+	return sent
+}
+
+// An instance that suspects a part asks whether others have seen it survive.
+func TestPartThatOthersHaveSeenSurviveIsNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 8)
+		watch := f.trackers[2].Begin(endpointAt(7), request("subject"), crashcause.Decision{})
+		watch.RecordHead()
+		watch.RecordFirstEvent()
+		watch.End(relay.AttemptComplete)
+		time.Sleep(time.Second)
+		for n := range 3 { // at the same moment, as many endpoints crash together
+			go f.crash(f.trackers[n%2], endpointAt(n), request("subject"))
+		}
+		time.Sleep(time.Second)
+		for n, tracker := range f.trackers {
+			assert.Equal(t, tracker.permission(request("subject")), crashcause.Normal, "instance %d", n)
 		}
-		assert.Assert(t, sent <= 2*reporters, "%d notices after %d reports", sent, reporters)
 	})
 }
--- a/node/crashes/notices.go
+++ b/node/crashes/notices.go
@@ -19,14 +19,21 @@
 // notify tells the other instances of evidence.
 func (t *Tracker) notify(notice *peerpb.Notice) { t.config.Notifier.NotifyCrash(notice) }
 
-// HandleNotice processes the evidence in a peer's notice.
-func (t *Tracker) HandleNotice(notice *peerpb.Notice) {
-	if len(notice.Crashes)+len(notice.Survivals)+len(notice.Trials) == 0 {
-		return
+// HandleNotice processes the evidence in a peer's notice. It returns which of the features
+// that the peer suspects have lately survived here.
+func (t *Tracker) HandleNotice(notice *peerpb.Notice) *peerpb.NoticeReply {
+	reply := &peerpb.NoticeReply{}
+	if len(notice.Crashes)+len(notice.Survivals)+len(notice.Trials)+len(notice.Suspected) == 0 {
+		return reply
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	for _, suspected := range bounded(notice.Suspected) {
+		if at, ok := t.ledger.LastSurvival(now, crashcause.Feature(suspected)); ok {
+			reply.Survivals = append(reply.Survivals, &peerpb.FeatureSurvival{Feature: suspected, AgeMs: ageMillis(now.Sub(at))})
+		}
+	}
 	for _, reported := range bounded(notice.Crashes) {
 		t.handleCrash(now, reported)
 	}
@@ -42,28 +49,21 @@
 		}
 	}
 	t.applySoon()
+	return reply
 }
 
-// handleCrash records a peer's report of a crash, and adds what this instance knows of it:
-// answers that it had broken off itself just before, and survivals of features that are
-// suspected now. Of the others it tells nothing: each instance would, after each report.
+// handleCrash records a peer's report of a crash, and adds the answers that this instance had
+// broken off itself just before.
 func (t *Tracker) handleCrash(now time.Time, reported *peerpb.EndpointCrash) {
 	lifetime := crashcause.Lifetime{Endpoint: platform.EndpointID(reported.Endpoint), Born: reported.Born}
 	at := now.Add(-age(reported.AgeMs))
-	accused := decodeAccused(reported)
-	t.ledger.RecordCrash(lifetime, at, accused)
+	t.ledger.RecordCrash(lifetime, at, decodeAccused(reported))
 	var own []crashcause.Accusation
-	for _, accusation := range accused {
-		if !accusation.Survived && t.ledger.HasSurvived(now, accusation.Feature) && t.ledger.Score(accusation.Feature) >= crashcause.SuspectScore {
-			accusation.Survived = true
-			own = append(own, accusation)
-		}
-	}
 	if known := t.endpoints[lifetime]; known != nil && !known.confirming {
 		if known.brokenAt.IsZero() {
 			known.brokenAt = at
 		}
-		own = append(own, t.accuse(known, now)...)
+		own = t.accuse(known, now)
 	}
 	if len(own) > 0 {
 		t.ledger.RecordCrash(lifetime, at, own)
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -70,7 +70,9 @@
 }
 
 // HandleCrashNotice implements [broadcast.Listener].
-func (l *noticeListener) HandleCrashNotice(notice *peerpb.Notice) { l.crashes.HandleNotice(notice) }
+func (l *noticeListener) HandleCrashNotice(notice *peerpb.Notice) *peerpb.NoticeReply {
+	return l.crashes.HandleNotice(notice)
+}
 
 // HandleEvidence implements [broadcast.Listener].
 func (l *noticeListener) HandleEvidence(instance string, evidence *peerpb.VersionEvidence) {
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -105,12 +105,11 @@
 	})
 }
 
-// Tell sends a notice to the peer at the address.
-func (c *Client) Tell(ctx context.Context, address string, notice *peerpb.Notice) error {
-	_, err := call(ctx, c, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.NoticeReply, error) {
+// Tell sends a notice to the peer at the address and returns the peer's reply.
+func (c *Client) Tell(ctx context.Context, address string, notice *peerpb.Notice) (*peerpb.NoticeReply, error) {
+	return call(ctx, c, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.NoticeReply, error) {
 		return peer.Tell(ctx, notice)
 	})
-	return err
 }
 
 // SessionVersion asks the peer whether a session runs on the new version of a
