--- a/node/relay/silent_test.go
+++ b/node/relay/silent_test.go
@@ -63,3 +63,18 @@
 		w.suspects.broken++
 	}
 }
+
+// The same if the endpoint does not answer probes either meanwhile.
+func TestEndpointThatIsSilentToProbesForAMomentKeepsItsRequests(t *testing.T) {
+	for _, kind := range []route.Kind{route.Stream, route.Idempotent} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(testTable(testRoute(kind)), 8, nil)
+			endpoints := &pausingEndpoints{pause: time.Second, resumable: true}
+			h.relay.Endpoints, h.relay.Prober = endpoints, slowUnanswered{}
+			h.relay.Serve(context.Background(), testRequest(), h.client)
+			assert.Equal(t, h.client.body.String(), wholeStream(0))
+			assert.Equal(t, endpoints.calls, 1, "no second run")
+			assert.Equal(t, len(h.paused()), 0, "it keeps its place")
+		})
+	}
+}
