Observability of roll-outs: attempts at the new version, e-values of failures and paces

The lines could not tell how much of the service each instance sent to the new version, nor how near the tests of failures and paces were to a verdict when the requests moved. An attempt counts for the new version when it is about to be sent, for the service when the endpoint answers. No decision changes.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -387,7 +387,7 @@
 
 // attemptResult returns the result that is passed to [Lease.End].
 func (a *attempt) attemptResult() AttemptResult {
-	result := AttemptResult{Result: a.poolResult(), Crashed: a.crashed, End: a.end(), FirstEvent: a.firstEvent, Pace: a.pace()}
+	result := AttemptResult{Result: a.poolResult(), Crashed: a.crashed, End: a.end(), FirstEvent: a.firstEvent, Pace: a.pace(), Unsent: a.verdict == verdictNotSent}
 	if a.answer != nil && a.answer.HasLoad {
 		result.Load = a.answer.Running + a.answer.Waiting
 	}
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -67,6 +67,9 @@
 	return f.choice
 }
 func (fixedChoice) Observe(route.ServiceName, string, VersionOutcome) {}
+func (fixedChoice) RecordSend(route.ServiceName, string)              {}
+func (fixedChoice) RecordArrival(route.ServiceName)                   {}
+func (fixedChoice) RecordUnsent(route.ServiceName, string)            {}
 
 // slowUnanswered is a [Prober] whose probes take a while and get no answer.
 type slowUnanswered struct{}
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -26,6 +26,11 @@
 	Choose(ctx context.Context, service route.ServiceName, session, requestID string) Choice
 	// Observe records the outcome of one answer by an endpoint of the version.
 	Observe(service route.ServiceName, version string, outcome VersionOutcome)
+	// RecordSend counts an attempt that is about to be sent to an endpoint of the version.
+	// RecordArrival follows if the endpoint answers, RecordUnsent if the attempt was not sent.
+	RecordSend(service route.ServiceName, version string)
+	RecordArrival(service route.ServiceName)
+	RecordUnsent(service route.ServiceName, version string)
 }
 
 // Choice selects the versions of a service that may run a request. A nil
@@ -203,6 +208,7 @@
 	if !ok {
 		return nil, &Refusal{Reason: NoEndpoint, RetryAfter: request.retryAfter()}
 	}
+	p.Versions.RecordSend(query.Service, lease.Endpoint.Version)
 	return &pooledLease{picker: p, lease: lease, endpoints: endpoints, query: *query}, nil
 }
 
@@ -274,6 +280,7 @@
 func (p *pooledLease) RecordHead() {
 	p.lease.RecordReached()
 	p.watch.RecordHead()
+	p.picker.Versions.RecordArrival(p.query.Service)
 }
 
 // HasAlternative implements [Lease]. The versions are chosen anew, because the
@@ -301,6 +308,9 @@
 		p.reportOutcome(result, true)
 	default:
 	}
+	if result.Unsent {
+		p.picker.Versions.RecordUnsent(p.query.Service, p.lease.Endpoint.Version)
+	}
 	p.lease.End(time.Now(), result.Result)
 	p.watch.End(result.End)
 }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -250,6 +250,8 @@
 	FirstEvent, Pace time.Duration
 	// Load is the number of requests that the endpoint reported, 0 if it reported none.
 	Load int
+	// Unsent reports that nothing was sent to the endpoint.
+	Unsent bool
 }
 
 // Budgets returns the retry budget of a service.
--- a/node/relay/relay_test.go
+++ b/node/relay/relay_test.go
@@ -146,6 +146,9 @@
 }
 
 func (firstOnly) Observe(route.ServiceName, string, VersionOutcome) {}
+func (firstOnly) RecordSend(route.ServiceName, string)              {}
+func (firstOnly) RecordArrival(route.ServiceName)                   {}
+func (firstOnly) RecordUnsent(route.ServiceName, string)            {}
 
 func TestGate(t *testing.T) {
 	public := testRoute(route.Idempotent)
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -83,6 +83,9 @@
 // RecordAttempt records and logs an attempt at an endpoint.
 func (t *Telemetry) RecordAttempt(event *relay.AttemptEvent) {
 	t.set.GetOrCreateCounter(fmt.Sprintf(`wigeonusher_attempts_total{service=%q,verdict=%q}`, event.Service, event.Verdict)).Inc()
+	if event.Version != "" {
+		t.Count(fmt.Sprintf(`wigeonusher_version_attempts_total{service=%q,version=%q}`, event.Service, event.Version))
+	}
 	if event.EndedBy == relay.EndedByWatchdog {
 		t.Count(fmt.Sprintf(`wigeonusher_attempts_canceled_total{service=%q,cause=%q}`, event.Service, event.WatchdogCause))
 	}
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -223,7 +223,7 @@
 		s.rollout.ApplyStatus(status)
 		s.recordRollback()
 		if before != s.rollout.Phase {
-			answers, paces := s.rollout.TotalEvidence().Answers, s.rollout.TotalEvidence().Paces
+			answers, paces, sends := s.rollout.TotalEvidence().Answers, s.rollout.TotalEvidence().Paces, s.rollout.LocalSends()
 			v.log.WithFields(logrus.Fields{
 				"service": status.Service, "target": status.Target, "phase": s.rollout.Phase.String(),
 				"answers": answers.Candidate(), "bad": answers.CandidateBad,
@@ -231,6 +231,8 @@
 				"paced": paces.Candidate(), "slow": paces.CandidateBad,
 				"incumbent_paced": paces.Incumbent(), "incumbent_slow": paces.IncumbentBad,
 				"slowness": s.rollout.TotalEvidence().Slowness, "slowness_log_e": s.rollout.SlownessLogE(),
+				"failure_log_e": s.rollout.FailureLogE(), "pace_log_e": s.rollout.PaceLogE(),
+				"arrived": sends.Arrived, "exposed": sends.Exposed,
 			}).Info("roll-out phase agreed")
 		}
 	}
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -152,6 +152,8 @@
 	answers, paces evidenceTest
 	slowness       [len(slownessLevels)]evidenceTest
 	peers          map[string]Evidence
+	// sends counts the attempts of this instance.
+	sends Sends
 }
 
 // New returns the roll-out of an order that was first read at seenAt, on the caller's
@@ -253,6 +255,13 @@
 // maxLogE bounds the log e-value of one level, so that the sum does not overflow.
 const maxLogE = 300
 
+// FailureLogE and PaceLogE return the log e-values against the new version of failures and
+// late first events, and of slow streams.
+func (r *Rollout) FailureLogE() float64 { return r.answers.test.LogEValue() }
+
+// PaceLogE is described at [Rollout.FailureLogE].
+func (r *Rollout) PaceLogE() float64 { return r.paces.test.LogEValue() }
+
 func (r *Rollout) isSlow() bool {
 	return r.slowness[0].total.CandidateBad >= minBadAnswers && r.SlownessLogE() > badLogE
 }
@@ -260,7 +269,7 @@
 // isUndecided reports whether there is too little evidence, or evidence against the new
 // version that does not suffice for a verdict.
 func (r *Rollout) isUndecided() bool {
-	logE := max(r.answers.test.LogEValue(), r.paces.test.LogEValue(), r.SlownessLogE())
+	logE := max(r.FailureLogE(), r.PaceLogE(), r.SlownessLogE())
 	timed := r.slowness[0].total.Candidate()
 	return logE > doubtLogE || timed > 0 && timed < minTimed
 }
