Failing test: a bad version that no test finds gets a third of the requests

The decisions of 9, 60, 78 and 380 instances in virtual time: calm, few requests, uneven load, bursts, the store away for some or all, peers cut off, old endpoints down, restarts. A second test holds today and must go on to: good versions are completed in time, sessions are pinned.

--- /dev/null
+++ b/node/entry/exposure_test.go
@@ -0,0 +1,352 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
+	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/node/versions"
+	"github.com/wigeonusher/wigeonusher/policy/canary"
+	"github.com/wigeonusher/wigeonusher/policy/route"
+)
+
+const (
+	exposureTick = 10 * time.Millisecond
+	// newVersionAfter is when the endpoints of the new version are listed.
+	newVersionAfter = 300 * time.Millisecond
+	sessionGap      = 5 * time.Second
+)
+
+var exposureBounds = Bounds{ExposureShare: 0.15, SessionGapMillis: 5000}
+
+// exposureScenario is a day of a roll-out whose new version never gives a bad answer, so that
+// no test finds it. Times are fractions of the order's duration.
+type exposureScenario struct {
+	name string
+	// rate is the number of requests a second at each instance.
+	rate float64
+	// burst multiplies the rate between two times.
+	burst                float64
+	burstFrom, burstTo   float64
+	oldDownFrom, oldDown float64
+	// noStore is the share of instances that neither read nor write the topic of phases
+	// after a tenth of the time; noPeers stops all exchange of evidence.
+	noStore float64
+	noPeers bool
+	// restarts replaces instances in turn, each once.
+	restarts bool
+	// skew gives the first instance this many times the requests of the others.
+	skew float64
+}
+
+// exposureFleet simulates the roll-out decisions of a fleet in virtual time.
+type exposureFleet struct {
+	exposureScenario
+	order     canary.Order
+	random    *rand.Rand
+	now       time.Duration
+	pools     *pool.Pools
+	instances []*exposureInstance
+	phases    []canary.Status
+	sessions  []*simulatedSession
+	pending   []pendingAnswer
+
+	arrived, exposed, refused, moves int
+	completedAt                      time.Duration
+}
+
+type exposureInstance struct {
+	fleet    *exposureFleet
+	name     string
+	versions *versions.Versions
+	read     int
+	hasStore bool
+}
+
+// simulatedSession is a session at one instance, with the version of its last request.
+type simulatedSession struct {
+	id      string
+	at      int
+	version string
+	last    time.Duration
+}
+
+type pendingAnswer struct {
+	at       time.Duration
+	instance *exposureInstance
+	version  string
+	outcome  relay.VersionOutcome
+}
+
+func newExposureFleet(instances int, scenario exposureScenario, seed uint64) *exposureFleet {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	f := &exposureFleet{
+		exposureScenario: scenario,
+		order:            canary.Order{Service: "s", Target: "v2", Duration: 16 * time.Second},
+		random:           rand.New(rand.NewPCG(seed, uint64(instances))),
+		now:              time.Hour,
+		pools:            pool.New("z", logrus.NewEntry(logger)),
+	}
+	f.putEndpoint("v1")
+	for n := range instances {
+		f.instances = append(f.instances, f.newInstance(n, 0))
+	}
+	return f
+}
+
+func (f *exposureFleet) putEndpoint(version string) {
+	f.pools.Put(pool.Record{ID: platform.EndpointID(version), Service: f.order.Service, Address: "127.0.0.1:1", Zone: "z", Version: version, Slots: 8})
+}
+
+func (f *exposureFleet) newInstance(n, generation int) *exposureInstance {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	i := &exposureInstance{fleet: f, name: fmt.Sprintf("%d-%d", n, generation), hasStore: true}
+	i.versions = versions.New(exposureBounds.canaryTuning(), versions.Config{
+		Pools: f.pools, Writer: i, Sessions: f, Logger: logrus.NewEntry(logger), Now: func() time.Duration { return f.now },
+	})
+	return i
+}
+
+// Propose implements [versions.Writer].
+func (i *exposureInstance) Propose(_ context.Context, at keyed.Position, status canary.Status) error {
+	if !i.hasStore || int(at.Offset) != len(i.fleet.phases) {
+		return keyed.ErrConflict
+	}
+	i.fleet.phases = append(i.fleet.phases, status)
+	if status.Phase == canary.Completed {
+		i.fleet.completedAt = i.fleet.now
+		i.fleet.pools.Remove(time.Now(), "v1")
+	}
+	return nil
+}
+
+// AskSession implements [versions.SessionLookup].
+func (f *exposureFleet) AskSession(_ context.Context, service, target, session string) (onTarget, known bool) {
+	for _, i := range f.instances {
+		if onTarget, known := i.versions.SessionVersion(route.ServiceName(service), target, session); known {
+			return onTarget, known
+		}
+	}
+	return false, false
+}
+
+// run plays the roll-out until its time is over.
+func (f *exposureFleet) run() {
+	start := f.now
+	for _, i := range f.instances {
+		i.versions.Order(f.order)
+	}
+	for tick := 0; f.now < start+f.order.Duration; tick++ {
+		if f.now == start+newVersionAfter {
+			f.putEndpoint("v2")
+		}
+		part := float64(f.now-start) / float64(f.order.Duration)
+		f.disturb(tick, part)
+		f.sendRequests(part)
+		f.deliver()
+		if tick%20 == 0 {
+			f.follow()
+		}
+		if tick%100 == 50 && !f.noPeers {
+			f.exchange()
+		}
+		f.now += exposureTick
+	}
+}
+
+func (f *exposureFleet) disturb(tick int, part float64) {
+	if part > 0.1 {
+		for n := range int(f.noStore * float64(len(f.instances))) {
+			f.instances[n].hasStore = false
+		}
+	}
+	every := int(f.order.Duration/exposureTick) / (len(f.instances) + 1)
+	if f.restarts && tick > 0 && tick%max(every, 1) == 0 {
+		if n := tick/max(every, 1) - 1; n < len(f.instances) {
+			f.instances[n] = f.newInstance(n, 1)
+			f.instances[n].versions.Order(f.order)
+		}
+	}
+}
+
+func (f *exposureFleet) sendRequests(part float64) {
+	rate := f.rate
+	if f.burst > 0 && part >= f.burstFrom && part < f.burstTo {
+		rate *= f.burst
+	}
+	if len(f.instances) > 100 {
+		rate *= 0.3 // keeps the run short
+	}
+	for n := range f.instances {
+		expected := rate * exposureTick.Seconds()
+		if n == 0 && f.skew > 0 {
+			expected *= f.skew
+		}
+		for f.random.Float64() < expected {
+			expected--
+			f.sendOne(n, part)
+		}
+	}
+}
+
+// sendOne sends a request, of a new or a running session in half of the cases.
+func (f *exposureFleet) sendOne(n int, part float64) {
+	var session *simulatedSession
+	switch f.random.IntN(4) {
+	case 0:
+		session = &simulatedSession{id: strconv.FormatUint(f.random.Uint64(), 36), at: n}
+		f.sessions = append(f.sessions, session)
+	case 1:
+		for range 20 {
+			if len(f.sessions) == 0 {
+				break
+			}
+			candidate := f.sessions[len(f.sessions)-1-f.random.IntN(min(len(f.sessions), 20*len(f.instances)))]
+			if candidate.at == n && f.now-candidate.last < sessionGap {
+				session = candidate
+				break
+			}
+		}
+	}
+	id := ""
+	if session != nil {
+		id = session.id
+	}
+	choice := f.instances[n].versions.Choose(context.Background(), f.order.Service, id, strconv.FormatUint(f.random.Uint64(), 36))
+	version := f.place(choice, part)
+	if version == "" {
+		f.refused++
+		return
+	}
+	if session != nil {
+		if session.version == "v2" && version == "v1" || session.version == "v1" && version == "v2" && part < 0.5 {
+			f.moves++
+		}
+		session.version, session.last = version, f.now
+	}
+	f.arrived++
+	if version == f.order.Target {
+		f.exposed++
+	}
+	instance := f.instances[n]
+	instance.versions.RecordSend(f.order.Service, version)
+	took := time.Duration(30+f.random.IntN(400)) * time.Millisecond
+	f.pending = append(f.pending, pendingAnswer{at: f.now + took, instance: instance, version: version, outcome: relay.VersionOutcome{FirstEvent: took}})
+}
+
+// place returns the version of the endpoint that a request goes to, empty for none.
+func (f *exposureFleet) place(choice relay.Choice, part float64) string {
+	oldIsDown := f.oldDown > 0 && part >= f.oldDownFrom && part < f.oldDownFrom+f.oldDown
+	var up []string
+	for _, version := range f.pools.Service(f.order.Service).Versions() {
+		if version != "v1" || !oldIsDown {
+			up = append(up, version)
+		}
+	}
+	f.random.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
+	for _, filter := range []func(string) bool{choice.Assigned, choice.Allowed} {
+		for _, version := range up {
+			if filter == nil || filter(version) {
+				return version
+			}
+		}
+	}
+	return ""
+}
+
+func (f *exposureFleet) deliver() {
+	var later []pendingAnswer
+	for _, answer := range f.pending {
+		if answer.at > f.now {
+			later = append(later, answer)
+			continue
+		}
+		answer.instance.versions.RecordArrival(f.order.Service)
+		answer.instance.versions.Observe(f.order.Service, answer.version, answer.outcome)
+	}
+	f.pending = later
+}
+
+func (f *exposureFleet) follow() {
+	for _, i := range f.instances {
+		if i.hasStore {
+			i.versions.ApplyStatuses(keyed.Position{Offset: keyed.Offset(len(f.phases))}, f.phases[i.read:]...)
+			i.read = len(f.phases)
+		}
+		i.versions.ProposeDue(context.Background())
+	}
+}
+
+// exchange sends the evidence of each instance to the others, in a large fleet to a few of them.
+func (f *exposureFleet) exchange() {
+	const most = 30
+	for n, i := range f.instances {
+		for _, evidence := range i.versions.LocalEvidence() {
+			for step := range min(most, len(f.instances)-1) {
+				f.instances[(n+1+step*max(1, len(f.instances)/most))%len(f.instances)].versions.MergePeerEvidence(i.name, evidence)
+			}
+		}
+	}
+}
+
+var exposureScenarios = []exposureScenario{
+	{name: "calm", rate: 8},
+	{name: "few requests", rate: 0.5},
+	{name: "uneven", rate: 6, skew: 8},
+	{name: "burst before the end", rate: 6, burst: 3, burstFrom: 0.7, burstTo: 1},
+	{name: "burst at the end", rate: 6, burst: 3, burstFrom: 0.93, burstTo: 1},
+	{name: "burst at the start", rate: 6, burst: 4, burstFrom: 0, burstTo: 0.2},
+	{name: "store away for a third", rate: 8, noStore: 0.34},
+	{name: "store away for all", rate: 8, noStore: 1},
+	{name: "peers cut off", rate: 8, noPeers: true},
+	{name: "old endpoints down for a while", rate: 8, oldDownFrom: 0.4, oldDown: 0.3},
+	{name: "instances restart in turn", rate: 8, restarts: true},
+}
+
+// TestVersionThatNoTestFindsStaysWithinTheExposure requires the users' bound: of all requests
+// that reach the service until the roll-out's time is over, the new version gets at most its
+// share and the slack, whether or not it is found to be bad.
+func TestVersionThatNoTestFindsStaysWithinTheExposure(t *testing.T) {
+	const share, slack = 0.15, 30
+	for _, instances := range []int{9, 60, 78, 380} {
+		for _, scenario := range exposureScenarios {
+			for seed := range uint64(max(1, 40/instances)) {
+				f := newExposureFleet(instances, scenario, seed)
+				f.run()
+				allowed := int(share*float64(f.arrived)) + slack
+				assert.Check(t, f.exposed <= allowed, "%d instances, %s, seed %d: %d of %d requests, allowed %d",
+					instances, scenario.name, seed, f.exposed, f.arrived, allowed)
+			}
+		}
+	}
+}
+
+// TestGoodVersionIsCompletedInTimeAndKeepsSessions requires that the bound on the exposure
+// does not keep a good version from being completed, and that no session moves back, or forward
+// in the first half.
+func TestGoodVersionIsCompletedInTimeAndKeepsSessions(t *testing.T) {
+	for _, instances := range []int{9, 60, 78, 380} {
+		for _, scenario := range exposureScenarios[:3] {
+			f := newExposureFleet(instances, scenario, 1)
+			start := f.now
+			f.run()
+			assert.Check(t, f.completedAt > 0, "%d instances, %s: not completed", instances, scenario.name)
+			assert.Check(t, f.completedAt < start+f.order.Duration, "%d instances, %s", instances, scenario.name)
+			assert.Check(t, f.moves <= 3, "%d instances, %s: %d requests left the version of their session", instances, scenario.name, f.moves)
+			assert.Check(t, f.refused == 0, "%d instances, %s: %d refused", instances, scenario.name, f.refused)
+		}
+	}
+}
--- a/node/versions/propose.go
+++ b/node/versions/propose.go
@@ -16,11 +16,14 @@
 
 // Run proposes due phases until the context is canceled.
 func (v *Versions) Run(ctx context.Context) error {
-	return loop.Every(ctx, checkInterval, func(time.Time) {
-		for _, due := range v.due() {
-			v.propose(ctx, due)
-		}
-	})
+	return loop.Every(ctx, checkInterval, func(time.Time) { v.ProposeDue(ctx) })
+}
+
+// ProposeDue proposes the phases that are due now.
+func (v *Versions) ProposeDue(ctx context.Context) {
+	for _, due := range v.due() {
+		v.propose(ctx, due)
+	}
 }
 
 // proposal is a status that this instance proposes, and the position at which the
--- a/node/versions/restore_test.go
+++ b/node/versions/restore_test.go
@@ -154,8 +154,4 @@
 	return f
 }
 
-func (f *follower) proposeDue() {
-	for _, due := range f.versions.due() {
-		f.versions.propose(context.Background(), due)
-	}
-}
+func (f *follower) proposeDue() { f.versions.ProposeDue(context.Background()) }
