The exposure of a new version is a budget that holds without a verdict

Cause: the bound rested on the verdict; the phases alone add up to twice the share. Class: a bound that holds only while a detector wins.

Now each instance counts its attempts. One at the new version needs surplus of the share of the instance's own arrivals, so that the sum holds with any membership, without the store and without peers. The overflow from old endpoints without room needs it too. Requests of a session that runs there are counted and not refused. All requests move when the known surplus covers what is expected until the time is over; the completion, which cannot be taken back, comes 0.6 s before the end and needs a margin. The first phase's share is a third of the allowed one (was 0.6). Attempts that were not sent count nowhere.

Tried: the slack planned by each view, a window of the rate without overlap, and no margin for views that know few others: each broke the bound at 60 to 380 instances with cut peers or a burst at the end.

--- a/node/entry/reload.go
+++ b/node/entry/reload.go
@@ -11,11 +11,14 @@
 
 // canaryExposureFraction is the fraction of the allowed exposure that is used by
 // the canary phase, in which a roll-out sends only some sessions to the candidate.
-const canaryExposureFraction = 0.6
+const canaryExposureFraction = 1.0 / 3
 
 // canaryTuning returns the bounds of roll-outs.
 func (b Bounds) canaryTuning() canary.Tuning {
-	return canary.Tuning{Share: canaryExposureFraction * b.ExposureShare, SessionGap: millis(b.SessionGapMillis)}
+	return canary.Tuning{
+		Share: canaryExposureFraction * b.ExposureShare, SessionGap: millis(b.SessionGapMillis),
+		ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack,
+	}
 }
 
 func (e *Entry) acceptConfidence() []float64 {
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -143,7 +143,9 @@
 		if group, ok := e.cluster.LimitGroup(); ok {
 			e.pools.SetLimitGroup(now, group)
 		}
-		e.budgets.setLiveInstances(now, e.cluster.LiveCount())
+		live := e.cluster.LiveCount()
+		e.budgets.setLiveInstances(now, live)
+		e.versions.SetFleetSize(live)
 		for _, check := range e.pools.PathChecks(now) {
 			go func() { check.Done(e.reachesAny(ctx, check.Addresses)) }()
 		}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -73,6 +73,9 @@
 	RetryWindowMillis float64 `json:"retry_window_ms"`
 	// ExposureShare bounds the share of requests that a bad version receives.
 	ExposureShare float64 `json:"exposure_share"`
+	// ExposureSlack is the number of requests that it may receive beyond the share, from all
+	// instances together.
+	ExposureSlack float64 `json:"exposure_slack"`
 	// SessionGapMillis is the longest pause between requests of one session.
 	SessionGapMillis float64 `json:"session_gap_ms"`
 }
@@ -217,7 +220,9 @@
 			findings.Add(path, fmt.Sprintf("%v is not in [0, 1]", value), "")
 		}
 	}
-	if s.Bounds.RetrySlack < 0 {
-		findings.Add("/bounds/retry_slack", "below 0", "")
+	for path, value := range map[string]float64{"/bounds/retry_slack": s.Bounds.RetrySlack, "/bounds/exposure_slack": s.Bounds.ExposureSlack} {
+		if value < 0 {
+			findings.Add(path, "below 0", "")
+		}
 	}
 }
--- a/node/versions/peers.go
+++ b/node/versions/peers.go
@@ -34,6 +34,8 @@
 			Target:  s.rollout.Order.Target,
 			Answers: encodeCounts(counts.Answers),
 			Paces:   encodeCounts(counts.Paces),
+			Arrived: uint32(s.rollout.LocalSends().Arrived),
+			Exposed: uint32(s.rollout.LocalSends().Exposed),
 		}
 		for _, level := range counts.Slowness {
 			encoded.Slowness = append(encoded.Slowness, encodeCounts(level))
@@ -74,6 +76,7 @@
 		counts.Slowness[i] = decodeCounts(level)
 	}
 	s.rollout.MergePeerEvidence(instance, counts)
+	s.rollout.MergePeerSends(instance, canary.Sends{Arrived: int(evidence.GetArrived()), Exposed: int(evidence.GetExposed())})
 }
 
 // Rollout is this instance's view of a roll-out.
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -77,6 +77,8 @@
 	topicEnd keyed.Position
 	// statuses holds the last status of each service in the topic.
 	statuses map[route.ServiceName]canary.Status
+	// fleetSize is the number of live instances.
+	fleetSize int
 }
 
 // Tuning bounds roll-outs.
@@ -154,6 +156,18 @@
 	return found
 }
 
+// SetFleetSize sets the number of live instances.
+func (v *Versions) SetFleetSize(live int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleetSize = live
+	for _, s := range v.services {
+		if s.rollout != nil {
+			s.rollout.SetFleetSize(live)
+		}
+	}
+}
+
 // Order starts a roll-out that the operator has ordered. The order that is already
 // in force has no effect.
 func (v *Versions) Order(order canary.Order) {
@@ -169,6 +183,7 @@
 	}
 	s.setBad(order.Target, false) // the operator may have fixed the version
 	s.rollout = canary.New(order, v.tuning, v.now())
+	s.rollout.SetFleetSize(v.fleetSize)
 	if status, ok := v.statuses[order.Service]; ok {
 		s.rollout.ApplyStatus(status)
 		s.recordRollback()
@@ -223,7 +238,7 @@
 		s.rollout.ApplyStatus(status)
 		s.recordRollback()
 		if before != s.rollout.Phase {
-			answers, paces, sends := s.rollout.TotalEvidence().Answers, s.rollout.TotalEvidence().Paces, s.rollout.LocalSends()
+			answers, paces, sends, total := s.rollout.TotalEvidence().Answers, s.rollout.TotalEvidence().Paces, s.rollout.LocalSends(), s.rollout.TotalSends()
 			v.log.WithFields(logrus.Fields{
 				"service": status.Service, "target": status.Target, "phase": s.rollout.Phase.String(),
 				"answers": answers.Candidate(), "bad": answers.CandidateBad,
@@ -232,7 +247,7 @@
 				"incumbent_paced": paces.Incumbent(), "incumbent_slow": paces.IncumbentBad,
 				"slowness": s.rollout.TotalEvidence().Slowness, "slowness_log_e": s.rollout.SlownessLogE(),
 				"failure_log_e": s.rollout.FailureLogE(), "pace_log_e": s.rollout.PaceLogE(),
-				"arrived": sends.Arrived, "exposed": sends.Exposed,
+				"arrived": sends.Arrived, "exposed": sends.Exposed, "known_arrived": total.Arrived, "known_exposed": total.Exposed,
 			}).Info("roll-out phase agreed")
 		}
 	}
@@ -254,7 +269,26 @@
 	if current == nil {
 		return relay.Choice{}
 	}
-	return s.choice(current, state.target != "")
+	return s.choice(current, state.target != "", v.mayFallBack(name, s))
+}
+
+// mayFallBack reports whether requests that are assigned to the incumbent may run on the target
+// if no endpoint of the incumbent has room for them.
+func (v *Versions) mayFallBack(name route.ServiceName, s *service) bool {
+	switch s.rollout.Phase {
+	case canary.Canary, canary.Full:
+		return s.rollout.MayExpose() || !v.hasIncumbent(name, s)
+	default:
+		return false
+	}
+}
+
+// hasIncumbent reports whether an endpoint of a version other than the target is listed that was
+// not rolled back.
+func (v *Versions) hasIncumbent(name route.ServiceName, s *service) bool {
+	return slices.ContainsFunc(v.pools.Service(name).Versions(), func(version string) bool {
+		return version != s.rollout.Order.Target && !s.bad[version]
+	})
 }
 
 // recordRollback marks the target version as bad if it was rolled back.
@@ -273,11 +307,10 @@
 }
 
 // choice returns the versions for a request on one side of the roll-out. Versions
-// known to be bad belong to neither side. Outside the canary phase, a request on
-// the incumbent side may not fall back to the candidate. If the incumbent is known,
-// all versions but it and the target are superseded: they are used only if there is no
-// other.
-func (s *service) choice(current *canary.Rollout, onTarget bool) relay.Choice {
+// known to be bad belong to neither side. A request on the incumbent side may fall back to
+// the candidate only if mayFallBack is set. If the incumbent is known, all versions but it and
+// the target are superseded: they are used only if there is no other.
+func (s *service) choice(current *canary.Rollout, onTarget, mayFallBack bool) relay.Choice {
 	target, incumbent, bad := current.Order.Target, s.incumbent, s.bad
 	onSide := func(version string) bool { return (version == target) == onTarget && !bad[version] }
 	superseded := func(version string) bool { return incumbent != "" && version != incumbent && version != target }
@@ -286,10 +319,10 @@
 		Allowed:  func(version string) bool { return !bad[version] },
 		Keeps:    func(version string) bool { return !superseded(version) },
 	}
-	switch {
-	case current.Phase == canary.Full || current.Phase == canary.Completed:
+	if onTarget && current.Phase.MovesAll() {
 		choice.Keeps = choice.Assigned
-	case !onTarget && current.Phase != canary.Canary:
+	}
+	if !onTarget && !mayFallBack {
 		choice.Allowed = onSide
 	}
 	return choice
@@ -299,27 +332,38 @@
 // the lock while it asks the peers.
 func (v *Versions) onTarget(ctx context.Context, s *service, current *canary.Rollout, session, requestID string) bool {
 	switch current.Phase {
-	case canary.Full, canary.Completed:
+	case canary.Full:
+		return current.MayExpose() || session != "" && v.runsOnTarget(ctx, s, current, session, false)
+	case canary.Completed:
 		return true
 	case canary.Canary:
 	default:
 		return false
 	}
 	if session == "" {
-		return current.IsInCanary(requestID)
+		return current.IsInCanary(requestID) && current.MayExpose()
 	}
 	if onTarget, known := v.sessionSide(s, current.Order.Target, session); known {
 		return onTarget
 	}
-	if !current.IsInCanary(session) {
-		return false
-	}
-	// The session may have started on the incumbent at another instance.
+	return current.IsInCanary(session) && v.runsOnTarget(ctx, s, current, session, true)
+}
+
+// runsOnTarget reports whether a session runs on the target version, as far as this instance and
+// its peers know. A session that none of them knows is new, and runs there if newOnTarget is set
+// and the exposure allows it.
+func (v *Versions) runsOnTarget(ctx context.Context, s *service, current *canary.Rollout, session string, newOnTarget bool) bool {
 	order := current.Order
+	if onTarget, known := v.sessionSide(s, order.Target, session); known {
+		return onTarget
+	}
 	v.mu.Unlock()
 	onTarget, known := v.peers.AskSession(ctx, string(order.Service), order.Target, session)
 	v.mu.Lock()
-	return onTarget || !known
+	if known {
+		return onTarget
+	}
+	return newOnTarget && current.MayExpose()
 }
 
 // sessionSide reports whether a session runs on the target version of a roll-out.
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -15,6 +15,15 @@
 // version, and the old one finishes its running requests. After [Completed] the old
 // endpoints stop, after [RolledBack] the new ones.
 //
+// # Exposure
+//
+// Until the order's time is over, the new version gets at most a share of all requests, and a
+// slack, whether or not it is found to be bad. Each instance counts its attempts: one
+// at the new version needs surplus of the share, unless an earlier request binds it. The move
+// to [Full] waits until the surplus of all known instances covers the requests that are
+// expected until the time is over, and so does [Completed]. Evidence only ends a roll-out
+// earlier.
+//
 // # Evidence
 //
 // One sequential test of package rollout compares the failures and late first events
@@ -53,6 +62,9 @@
 // IsFinal reports whether the roll-out has ended.
 func (p Phase) IsFinal() bool { return p == Completed || p == RolledBack }
 
+// MovesAll reports whether all requests move to the new version.
+func (p Phase) MovesAll() bool { return p == Full || p == Completed }
+
 // Order is an operator's order to move a service to a version.
 type Order struct {
 	Service route.ServiceName
@@ -74,14 +86,22 @@
 	Share float64
 	// SessionGap is the longest pause between two requests of one session.
 	SessionGap time.Duration
+	// ExposureShare is the share of a service's requests that the new version may get until the
+	// order's time is over, and ExposureSlack the number of requests beyond it, of all
+	// instances together.
+	ExposureShare, ExposureSlack float64
 }
 
 const (
-	// fullAfter and completeAfter are the fractions of the order's duration after which
-	// all requests move and after which the old endpoints may stop. The time in between
-	// lets the requests that run on the old endpoints finish.
-	fullAfter     = 0.7
-	completeAfter = 0.93
+	// fullAfter is the fraction of the order's duration after which all requests may move.
+	// The old endpoints may stop completeBefore, or the fraction completePart if that is
+	// less, before the time is over. minFull is the fraction for which all requests run on the
+	// new version until then. It shows how the new version bears the load, and lets requests on
+	// the old endpoints finish.
+	fullAfter      = 0.7
+	completeBefore = 600 * time.Millisecond
+	completePart   = 0.07
+	minFull        = 0.04
 	// badLogE is the log e-value above which a version is judged bad. Each of the three
 	// tests rejects a good version with a probability of at most e^-5, or once in about
 	// 150 roll-outs (e^5).
@@ -152,15 +172,21 @@
 	answers, paces evidenceTest
 	slowness       [len(slownessLevels)]evidenceTest
 	peers          map[string]Evidence
-	// sends counts the attempts of this instance.
-	sends Sends
+	// sends counts the attempts of this instance, peerSends those of its peers.
+	sends     Sends
+	peerSends map[string]Sends
+	rate      rateMeter
+	// fleetSize is the largest number of live instances since the order.
+	fleetSize int
+	// fullSince is when this instance first knew the roll-out to be in [Full], 0 before.
+	fullSince time.Duration
 }
 
 // New returns the roll-out of an order that was first read at seenAt, on the caller's
 // clock.
 func New(order Order, tuning Tuning, seenAt time.Duration) *Rollout {
 	r := &Rollout{
-		Order: order, tuning: tuning, seenAt: seenAt, peers: make(map[string]Evidence),
+		Order: order, tuning: tuning, seenAt: seenAt, peers: make(map[string]Evidence), peerSends: make(map[string]Sends),
 		answers: evidenceTest{test: rollout.NewSequentialTest()}, paces: evidenceTest{test: rollout.NewSequentialTest()},
 	}
 	for level := range r.slowness {
@@ -377,7 +403,11 @@
 // NextPhase returns the phase that this instance proposes at the time now. The argument
 // available is true if endpoints of the new version accept requests.
 func (r *Rollout) NextPhase(now time.Duration, available bool) Phase {
-	elapsed := float64(now-r.seenAt) / float64(max(r.Order.Duration, time.Second))
+	elapsed := r.part(now - r.seenAt)
+	r.rate.update(now, r.TotalSends().Arrived)
+	if r.Phase == Full && r.fullSince == 0 {
+		r.fullSince = now
+	}
 	switch {
 	case r.Phase.IsFinal():
 		return r.Phase
@@ -387,11 +417,16 @@
 		return Canary
 	case !available:
 		return r.Phase
-	case r.Phase == Canary && elapsed >= fullAfter && (elapsed >= decideBy || !r.isUndecided()):
+	case r.Phase == Canary && elapsed >= fullAfter && (elapsed >= decideBy || !r.isUndecided()) && r.canMoveAll(now):
 		return Full
-	case r.Phase == Full && elapsed >= completeAfter:
+	case r.Phase == Full && elapsed >= 1-min(completePart, r.part(completeBefore)) && r.part(now-r.fullSince) >= minFull && r.canComplete(now):
 		return Completed
 	default:
 		return r.Phase
 	}
 }
+
+// part returns a time as a fraction of the order's duration.
+func (r *Rollout) part(t time.Duration) float64 {
+	return float64(t) / float64(max(r.Order.Duration, time.Second))
+}
--- a/policy/canary/exposure.go
+++ b/policy/canary/exposure.go
@@ -1,5 +1,10 @@
 package canary
 
+import (
+	"math"
+	"time"
+)
+
 // Sends counts the attempts at endpoints of a service since its roll-out was ordered.
 type Sends struct {
 	// Arrived counts the attempts that an endpoint of any version has answered.
@@ -9,6 +14,13 @@
 	Exposed int
 }
 
+// surplus returns how many more attempts the new version may get at the given share.
+func (s Sends) surplus(share float64) float64 { return share*float64(s.Arrived) - float64(s.Exposed) }
+
+func (s Sends) plus(other Sends) Sends {
+	return Sends{Arrived: s.Arrived + other.Arrived, Exposed: s.Exposed + other.Exposed}
+}
+
 // RecordSend counts an attempt that is about to be sent to an endpoint of the version.
 func (r *Rollout) RecordSend(version string) {
 	if version == r.Order.Target {
@@ -28,3 +40,108 @@
 
 // LocalSends returns the attempts of this instance.
 func (r *Rollout) LocalSends() Sends { return r.sends }
+
+// TotalSends returns the attempts of this instance and its peers.
+func (r *Rollout) TotalSends() Sends {
+	total := r.sends
+	for _, sends := range r.peerSends {
+		total = total.plus(sends)
+	}
+	return total
+}
+
+// MergePeerSends merges the cumulative counts of another instance.
+func (r *Rollout) MergePeerSends(instance string, sends Sends) {
+	known := r.peerSends[instance]
+	r.peerSends[instance] = Sends{Arrived: max(known.Arrived, sends.Arrived), Exposed: max(known.Exposed, sends.Exposed)}
+}
+
+// MayExpose reports whether this instance may send another request to the new version. Each
+// instance keeps the share for its own requests, so that all of them together keep it
+// without knowing of each other.
+func (r *Rollout) MayExpose() bool { return r.sends.surplus(r.tuning.ExposureShare) >= 1 }
+
+const (
+	// rateWindow is the minimum time over which the rate of attempts is measured. It is the
+	// interval at which instances exchange their counts.
+	rateWindow = time.Second
+	// plannedSlack is the part of the slack that is planned with, less in a fleet of fewer than
+	// minFleetSize instances, which may have more. The rest covers what a plan did not expect.
+	plannedSlack = 0.5
+	minFleetSize = 12
+	// completeReserve and completeDeviations widen the number of requests that are expected
+	// after the completion, which cannot be taken back: by a factor, and by standard
+	// deviations of a Poisson distribution. isolatedDeviations applies to an instance that
+	// knows less than half of the others: the first of many such views to allow the completion
+	// is the one that errs most.
+	completeReserve    = 1.2
+	completeDeviations = 1
+	isolatedDeviations = 3
+)
+
+// rateMeter measures the rate of the attempts of all known instances.
+type rateMeter struct {
+	// samples are the counts since the last one that is at least rateWindow old.
+	samples []rateSample
+}
+
+type rateSample struct {
+	at      time.Duration
+	arrived int
+}
+
+func (m *rateMeter) update(now time.Duration, arrived int) {
+	m.samples = append(m.samples, rateSample{now, arrived})
+	for len(m.samples) > 1 && now-m.samples[1].at >= rateWindow {
+		m.samples = m.samples[1:]
+	}
+}
+
+// perSecond returns the rate over the last rateWindow.
+func (m *rateMeter) perSecond() float64 {
+	if len(m.samples) < 2 {
+		return 0
+	}
+	first, last := m.samples[0], m.samples[len(m.samples)-1]
+	return float64(last.arrived-first.arrived) / max(last.at-first.at, rateWindow).Seconds()
+}
+
+// canMoveAll reports whether the new version is expected to stay within its share if it gets all
+// requests from now until the roll-out's time is over. Instances that are not known keep the
+// share for themselves, so the known ones can be judged alone.
+func (r *Rollout) canMoveAll(now time.Duration) bool { return r.covers(r.expected(now)) }
+
+// canComplete reports whether the new version stays within its share if the old endpoints stop
+// now, also if more requests come than expected.
+func (r *Rollout) canComplete(now time.Duration) bool {
+	expected, deviations := completeReserve*r.expected(now), float64(completeDeviations)
+	if r.knownPart() < 0.5 {
+		deviations = isolatedDeviations
+	}
+	return r.covers(expected + deviations*math.Sqrt(expected))
+}
+
+// knownPart returns the part of the instances whose attempts are known.
+func (r *Rollout) knownPart() float64 {
+	return min(1, float64(1+len(r.peerSends))/float64(max(r.fleetSize, 1)))
+}
+
+// covers reports whether the surplus of all known instances covers further requests to the new
+// version.
+func (r *Rollout) covers(requests float64) bool {
+	slack := plannedSlack * r.tuning.ExposureSlack * r.knownPart() * min(1, float64(r.fleetSize)/minFleetSize)
+	return r.TotalSends().surplus(r.tuning.ExposureShare)+slack >= requests*(1-r.tuning.ExposureShare)
+}
+
+// SetFleetSize sets the number of live instances. An instance that loses sight of others does
+// not take them for gone.
+func (r *Rollout) SetFleetSize(live int) { r.fleetSize = max(r.fleetSize, live) }
+
+// expected returns the number of attempts of the known instances that are expected until the
+// roll-out's time is over.
+func (r *Rollout) expected(now time.Duration) float64 {
+	elapsed := now - r.seenAt
+	left := max(0, r.Order.Duration-elapsed)
+	mean := float64(r.TotalSends().Arrived) / max(elapsed, rateWindow).Seconds()
+	return max(mean, r.rate.perSecond()) * left.Seconds()
+}
