The few requests of the first phase go to few endpoints of the new version

Callers of the model service got a version with four times the time in a third of its answers. Cause: its first requests were spread over as many endpoints as the old version has, nearly idle ones; 47 ms between events there against 55 at the old version's loaded ones, and 23 for a good version. Class: a comparison under unlike conditions.

Now the share of the requests goes to the same share of the endpoints, the same at all instances by a hash, others every 4 s so that one slow endpoint does not decide; further ones are used while those have more load than the old version's mean.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -140,6 +140,8 @@
 	// Unlisted selects among the endpoints that the registry does not list any more,
 	// instead of those that it lists, see [Pools.Remove].
 	Unlisted bool
+	// Concentration limits a version to few of its endpoints; nil for none.
+	Concentration *Concentration
 }
 
 // accepts reports whether the query allows the endpoint, whatever its health and load.
@@ -201,6 +203,9 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
+	if query.Concentration != nil {
+		candidates = p.concentrate(candidates, query.Concentration)
+	}
 	if query.LeastLoaded {
 		return slices.MinFunc(candidates, func(a, b *member) int { return cmp.Compare(a.load(), b.load()) }), false
 	}
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -44,6 +44,8 @@
 	// Keeps reports whether a request may stay on a version after its first attempt. It
 	// does not hold for a version whose endpoints may all stop at once.
 	Keeps func(version string) bool
+	// Concentration limits a version to few of its endpoints; nil for none.
+	Concentration *pool.Concentration
 }
 
 // VersionOutcome describes one answer by an endpoint of a version.
@@ -195,6 +197,8 @@
 		Tokens:      request.PromptTokens,
 		GapTarget:   query.Permission.Route.TargetGap,
 		LeastLoaded: decision.Permission == crashcause.Alone,
+
+		Concentration: choice.Concentration,
 	}
 	lease, ok := choose(now, endpoints, query, choice, poolQuery)
 	if !ok {
--- a/node/versions/versions.go
+++ b/node/versions/versions.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
+	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -269,7 +270,11 @@
 	if current == nil {
 		return relay.Choice{}
 	}
-	return s.choice(current, state.target != "", v.mayFallBack(name, s))
+	choice := s.choice(current, state.target != "", v.mayFallBack(name, s))
+	if current.Phase == canary.Canary {
+		choice.Concentration = &pool.Concentration{Version: current.Order.Target, Share: v.tuning.Share, Turn: current.Turn(v.now())}
+	}
+	return choice
 }
 
 // mayFallBack reports whether requests that are assigned to the incumbent may run on the target
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -483,6 +483,14 @@
 	}
 }
 
+// turnInterval is the time after which the requests in [Canary] use other endpoints.
+const turnInterval = 4 * time.Second
+
+// Turn returns the number of the turn in which the requests in [Canary] use the same few
+// endpoints of the new version. They have load like those of the old version, and one that is
+// slow by itself does not decide.
+func (r *Rollout) Turn(now time.Duration) int { return int((now - r.seenAt) / turnInterval) }
+
 // part returns a time as a fraction of the order's duration.
 func (r *Rollout) part(t time.Duration) float64 {
 	return float64(t) / float64(max(r.Order.Duration, time.Second))
