--- a/node/crashes/simulation_test.go
+++ b/node/crashes/simulation_test.go
@@ -24,6 +24,8 @@
 	random *rand.Rand
 	// badFrom and end bound the time in which requests with bad parts come.
 	start, badFrom, end time.Time
+	// isSilent reports that engines crash before they write anything of their answer.
+	isSilent bool
 
 	mu        sync.Mutex
 	engines   []*engine
@@ -155,6 +157,11 @@
 	if end, ok := wait(s.between(20*time.Millisecond, 400*time.Millisecond)); !ok {
 		return end
 	}
+	if bad != "" && s.isSilent {
+		time.AfterFunc(crashTime, func() { s.kill(e, bad) })
+		end, _ := wait(s.between(200*time.Millisecond, 3*time.Second))
+		return end
+	}
 	watch.RecordHead()
 	if bad != "" {
 		time.AfterFunc(crashTime, func() { s.kill(e, bad) })
@@ -222,6 +229,33 @@
 }
 
 func runSimulation(t *testing.T, c simulationCase) *simulation {
+	t.Helper()
+	s := startSimulation(t, c)
+	const warmUp, length = 3 * time.Second, 9 * time.Second
+	s.badFrom, s.end = s.start.Add(warmUp), s.start.Add(warmUp+length)
+	var group sync.WaitGroup
+	s.sendSound(&group, c.soundRate)
+	time.Sleep(warmUp)
+	for n := range c.badParts {
+		bad := "bad" + strconv.Itoa(n)
+		s.traffic(&group, c.badRate, s.end, func(int) ([]string, string) { return []string{"route", bad}, bad })
+	}
+	if c.withFaults {
+		s.faults(c.size)
+	}
+	group.Wait()
+	time.Sleep(simulatedRestart + time.Second)
+	return s
+}
+
+func (s *simulation) sendSound(group *sync.WaitGroup, rate float64) {
+	s.traffic(group, rate, s.end, func(number int) ([]string, string) {
+		return []string{"route", "subject" + strconv.Itoa(s.draw(200)), "own" + strconv.Itoa(number)}[:2], ""
+	})
+}
+
+// startSimulation returns a fleet that has received no request yet.
+func startSimulation(t *testing.T, c simulationCase) *simulation {
 	t.Helper()
 	s := &simulation{
 		fleet: newFleet(t, c.size, c.engines), random: rand.New(rand.NewPCG(c.seed, 1)), start: time.Now(),
@@ -239,35 +273,18 @@
 			return i.cutOff
 		}
 	}
-	const warmUp, length = 3 * time.Second, 9 * time.Second
-	s.badFrom, s.end = s.start.Add(warmUp), s.start.Add(warmUp+length)
-	var group sync.WaitGroup
-	s.traffic(&group, c.soundRate, s.end, func(number int) ([]string, string) {
-		return []string{"route", "subject" + strconv.Itoa(s.draw(200)), "own" + strconv.Itoa(number)}[:2], ""
-	})
-	time.Sleep(warmUp)
-	for n := range c.badParts {
-		bad := "bad" + strconv.Itoa(n)
-		s.traffic(&group, c.badRate, s.end, func(int) ([]string, string) { return []string{"route", bad}, bad })
-	}
-	if c.withFaults {
-		s.faults(c.size)
-	}
-	group.Wait()
-	time.Sleep(simulatedRestart + time.Second)
 	return s
 }
 
-// lateArrivals counts the requests with a part that were sent later than the window after
-// the fifth crash.
-func (s *simulation) lateArrivals(bad string, window time.Duration) int {
-	const fifth = 5
-	if len(s.endedBy[bad]) < fifth {
+// lateArrivals counts the bad requests that were sent later than the window after the crash of
+// the given number.
+func (s *simulation) lateArrivals(bad string, number int, window time.Duration) int {
+	if len(s.endedBy[bad]) < number {
 		return 0
 	}
 	late := 0
 	for _, at := range s.arrivals[bad] {
-		if at.Sub(s.endedBy[bad][fifth-1]) > window {
+		if at.Sub(s.endedBy[bad][number-1]) > window {
 			late++
 		}
 	}
@@ -297,7 +314,7 @@
 						s := runSimulation(t, c.simulationCase)
 						for n := range c.badParts {
 							bad := "bad" + strconv.Itoa(n)
-							late := s.lateArrivals(bad, c.window)
+							late := s.lateArrivals(bad, 5, c.window)
 							t.Logf("%s: %d engines ended, %d arrivals, %d late", bad, len(s.endedBy[bad]), len(s.arrivals[bad]), late)
 							assert.Check(t, late <= maxLate)
 							ended[c.size > 9] += len(s.endedBy[bad])
