A crash counts in full against the whole request, also if nothing was written

A request that ended three endpoints of a large fleet went on to others. Where endpoints write nothing before they end, each crash counted half, so that suspicion came after four and guilt after six. Class: evidence weighed by what the endpoint has shown, not by how improbable the coincidence is: that the same request was at three endpoints that crashed is hardly chance.

--- a/coord/crashcause/feature.go
+++ b/coord/crashcause/feature.go
@@ -75,9 +75,11 @@
 	Survived bool
 }
 
-// weight is what the accusation adds to the score of its feature.
+// weight is what the accusation adds to the score of its feature. That the same request was at
+// several endpoints that crashed is hardly chance, while parts are shared by many requests
+// that wait.
 func (a Accusation) weight() int {
-	if a.Begun {
+	if a.Begun || a.Depth == WholeRequest {
 		return begunWeight
 	}
 	return waitingWeight
--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -12,8 +12,8 @@
 
 const (
 	// A crash adds begunWeight to the score of a feature of a request whose answer had just
-	// begun, and waitingWeight if no part of the answer had arrived: whether the endpoint had
-	// begun it is then not known.
+	// begun, and waitingWeight to that of a part if no part of the answer had arrived: whether
+	// the endpoint had begun it is then not known.
 	begunWeight   = 2
 	waitingWeight = 1
 	// SuspectScore and GuiltyScore are the scores from which on a feature is suspected and
