Observability: what endpoints ask for in their answers, rest and leaving

The lines could not tell whether an answer asked for rest or said that its endpoint leaves, nor whether a value could not be read. No decision changes.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -488,6 +488,8 @@
 	if a.answer != nil {
 		event.Brittle, event.InvalidBrittle = a.answer.Brittle, a.answer.InvalidBrittle
 		event.Limit, event.InvalidLimit = a.answer.Limit, a.answer.InvalidLimit
+		event.Rest, event.InvalidRest = a.answer.Rest, a.answer.InvalidRest
+		event.Leaving, event.InvalidLeaving = a.answer.Leaving, a.answer.InvalidLeaving
 		event.Load, event.HasLoad = a.answer.Running+a.answer.Waiting, a.answer.HasLoad
 		event.Status, event.Confidence, event.Framing = a.answer.Status, a.answer.Confidence, a.answer.Framing
 	}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -56,6 +56,10 @@
 	// InvalidBrittle is one that could not be decoded.
 	Brittle        *pool.Brittleness
 	InvalidBrittle string
+	// Rest, Leaving, InvalidRest and InvalidLeaving are those of the [Answer].
+	Rest                        time.Duration
+	Leaving                     bool
+	InvalidRest, InvalidLeaving string
 	// Load is the number of running and waiting requests that the endpoint reported with
 	// its answer; it is valid only if HasLoad is set.
 	Load    int
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -190,6 +190,12 @@
 	// nothing that counts. InvalidBrittle is one that could not be decoded.
 	Brittle        *pool.Brittleness
 	InvalidBrittle string
+	// Rest is the time for which the endpoint wants no request of this instance, 0 if it asks
+	// for none, and Leaving reports that it leaves. InvalidRest and InvalidLeaving are values
+	// that could not be decoded.
+	Rest                        time.Duration
+	Leaving                     bool
+	InvalidRest, InvalidLeaving string
 	// Runs returns the number of the attempts that may have run the request, if a peer has
 	// made them; nil for the answer of an endpoint.
 	Runs func() int
--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -98,6 +98,7 @@
 	if event.Brittle != nil && event.Brittle.Named {
 		t.Count(fmt.Sprintf(`wigeonusher_attempts_brittle_total{service=%q,verdict=%q}`, event.Service, event.Verdict))
 	}
+	t.countRequests(event)
 	if event.InvalidLimit != "" {
 		t.Count(fmt.Sprintf(`wigeonusher_invalid_limits_total{service=%q}`, event.Service))
 	}
@@ -139,6 +140,7 @@
 	if event.InvalidLimit != "" {
 		fields["invalid_limit"] = event.InvalidLimit
 	}
+	addEndpointRequests(fields, event)
 	AddAnswerEnd(fields, "", event)
 	if event.EndedBy != "" {
 		fields["ended_by"] = event.EndedBy
@@ -156,6 +158,35 @@
 	t.log.WithFields(fields).Info("attempt")
 }
 
+// countRequests counts what the endpoint asks for in its answer.
+func (t *Telemetry) countRequests(event *relay.AttemptEvent) {
+	if event.Rest > 0 {
+		t.Count(fmt.Sprintf(`wigeonusher_rests_total{service=%q}`, event.Service))
+	}
+	if event.Leaving {
+		t.Count(fmt.Sprintf(`wigeonusher_answers_leaving_total{service=%q}`, event.Service))
+	}
+	if event.InvalidRest != "" || event.InvalidLeaving != "" {
+		t.Count(fmt.Sprintf(`wigeonusher_invalid_rests_total{service=%q}`, event.Service))
+	}
+}
+
+// addEndpointRequests adds the fields of what the endpoint asks for in its answer.
+func addEndpointRequests(fields logrus.Fields, event *relay.AttemptEvent) {
+	if event.Rest > 0 {
+		fields["rest_ms"] = event.Rest.Milliseconds()
+	}
+	if event.Leaving {
+		fields["endpoint_leaving"] = true
+	}
+	if event.InvalidRest != "" {
+		fields["invalid_rest"] = event.InvalidRest
+	}
+	if event.InvalidLeaving != "" {
+		fields["invalid_leaving"] = event.InvalidLeaving
+	}
+}
+
 // AddAnswerEnd adds the fields that show whether an attempt's answer was whole: its
 // framing, and the bytes after the last complete event of a stream.
 func AddAnswerEnd(fields logrus.Fields, prefix string, event *relay.AttemptEvent) {
