An endpoint that asks for rest gets nothing of this instance until it is over

Callers were turned away by an endpoint that had asked for 3 s of rest, again and again: it looked idle, so it got the next request (three and more in that time; two are allowed). Cause: nothing read Retry-After of endpoints. Class: what an endpoint asks for in an answer must bind every kind of send at the moment of sending.

The endpoint is out of all choices (first sends, repeats, larger models, continued streams, trials, what a peer forwards) until the time is over; the check is made once more when the connection stands, and a request that is called back then was not sent and says nothing of its endpoint. A rest is neither full, for then it might be tried if all others are full, nor limited, for the limit is shared by all instances, nor failed: no vote in a roll-out, no crash evidence, no pause. If all endpoints rest, the request is refused at once, not run, with the shortest rest and up to half more. After a rest one request at a time goes there until one is accepted. It ends with the endpoint's lifetime, not with its registration. Others are not told: the rest is asked of one instance, and each learns its own.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -28,6 +28,7 @@
 type Pool struct {
 	zone   platform.Zone
 	limits *limits
+	rests  rests
 	// viewedAt is that of the [Pools], nil if there are none.
 	viewedAt *atomic.Int64
 
@@ -56,6 +57,7 @@
 	return &Pool{
 		zone:        zone,
 		limits:      limits,
+		rests:       make(rests),
 		members:     make(map[platform.EndpointID]*member),
 		firstEvents: make(map[route.ModelName]*latency.Line),
 		paces:       make(map[route.ModelName]time.Duration),
@@ -74,6 +76,8 @@
 		added := &member{record: record, warmAt: time.Now().Add(record.ColdFor), longRank: longRank(record.ID)}
 		added.listedAt = time.Now().UnixNano()
 		added.lastActivity.Store(added.listedAt)
+		added.restUntil = p.rests[added.lifetime()]
+		added.easing = !added.restUntil.IsZero()
 		p.members[record.ID] = added
 		return true
 	case record.older(known.record):
@@ -189,7 +193,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
-		if query.accepts(m) && m.isUsable(now) && p.limits.allow(now, m.record) {
+		if query.accepts(m) && m.isUsable(now) && !m.isResting(now) && p.limits.allow(now, m.record) {
 			return true
 		}
 	}
@@ -241,16 +245,17 @@
 // candidates returns the endpoints that may run the request: those that are
 // neither full nor paused or, if there are none, the full ones, or else the paused
 // ones. Those whose limit allows this instance no request now are never among them, nor
-// brittle ones without room.
+// brittle ones without room, nor those that rest.
 func (p *Pool) candidates(now time.Time, query Query) []*member {
 	var free, full, paused []*member
 	brittle := p.isBrittle(now)
 	for _, m := range p.members {
 		switch {
-		case !query.accepts(m) || !p.limits.allow(now, m.record):
+		case !query.accepts(m) || m.isResting(now) || !p.limits.allow(now, m.record):
 		case brittle && p.hasNoRoom(now, m):
 		case !m.isUsable(now):
 			paused = append(paused, m)
+		case m.isEasing(): // another request would be part of the wave that the rest is for
 		case m.isFull(now):
 			full = append(full, m)
 		default:
--- a/node/pool/lease.go
+++ b/node/pool/lease.go
@@ -70,6 +70,7 @@
 func (l *Lease) RecordReached() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
+	l.member.easing = l.member.easing && l.member.isResting(l.started)
 	l.pool.recordReached(l.started)
 }
 
@@ -120,6 +121,7 @@
 	l.member.inFlight--
 	switch result {
 	case Succeeded:
+		l.member.easing = false
 		l.member.recordSuccess()
 	case Failed:
 		l.member.recordFailure()
--- a/node/pool/member.go
+++ b/node/pool/member.go
@@ -58,6 +58,10 @@
 	ownRejections int
 	seats         int
 	seatsOf       *fleetlimit.Group
+	// restUntil is the end of the rest that the endpoint has asked this instance for. easing
+	// reports that it has accepted no request since.
+	restUntil time.Time
+	easing    bool
 	// explored is the last window in which it was decided whether this instance may explore
 	// the endpoint.
 	explored int64
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -176,6 +176,9 @@
 	if answer.Authentic {
 		a.lease.RecordHead()
 	}
+	if answer.Rest > 0 {
+		a.lease.RecordRest(answer.Rest)
+	}
 	switch {
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
@@ -221,6 +224,7 @@
 		Priority:    r.permission.Priority,
 		Runs:        r.runs,
 		DialTimeout: dial,
+		MaySend:     a.lease.MaySend,
 	}
 }
 
@@ -269,7 +273,7 @@
 	if errors.As(err, &sendErr) && !sendErr.MayBeSent {
 		a.verdict, a.err = verdictNotSent, err
 		// A refused connection counts even if the request ends at the same time.
-		a.inconclusive = isContextError(err) && a.isInconclusive(ctx)
+		a.inconclusive = errors.Is(err, ErrWithdrawn) || isContextError(err) && a.isInconclusive(ctx)
 		return
 	}
 	a.markBroken(ctx, err)
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -119,6 +119,8 @@
 	confidence float64
 	// limit is what the answer says about the endpoint's limit.
 	limit *fleetlimit.Statement
+	// rest is the time for which the endpoint wants no request, beside notExecuted.
+	rest time.Duration
 	// events is the number of events of the stream that the endpoint sends before
 	// it breaks the connection within the next one; -1 sends all.
 	events int
@@ -139,9 +141,17 @@
 	mu     sync.Mutex
 	script func(call *Call, number int) behavior
 	calls  []receivedCall
+	// beforeWrite runs when the connection stands; nil does nothing.
+	beforeWrite func(call *Call)
 }
 
 func (s *scriptedEndpoints) Send(ctx context.Context, call *Call, deadline time.Time) (*Answer, error) {
+	if s.beforeWrite != nil {
+		s.beforeWrite(call)
+	}
+	if !call.MaySend() {
+		return nil, &SendError{Err: ErrWithdrawn}
+	}
 	s.mu.Lock()
 	number := len(s.calls)
 	b := s.script(call, number)
@@ -160,7 +170,7 @@
 			return nil, &SendError{MayBeSent: true, Err: os.ErrDeadlineExceeded}
 		}
 	case b.notExecuted:
-		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Limit: b.limit, Body: body("")}, nil
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Limit: b.limit, Rest: b.rest, Body: body("")}, nil
 	}
 	status := b.status
 	if status == 0 {
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -205,6 +205,9 @@
 		if wait, limited := endpoints.LimitWait(now, pool.Query{Version: choice.allows}); limited {
 			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
 		}
+		if wait, resting := endpoints.RestWait(now, pool.Query{Version: choice.allows}); resting {
+			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: retryAfterRest(wait, request.remaining(), rand.Float64())}
+		}
 		if wait, brittle := endpoints.BrittleWait(now, pool.Query{Version: choice.allows}); brittle {
 			return nil, &Refusal{Reason: EndpointsLimited, RetryAfter: spreadRetryAfter(wait, request.remaining(), rand.Float64())}
 		}
@@ -277,6 +280,11 @@
 func (p *pooledLease) RecordBrittleness(told pool.Brittleness, sent time.Time) {
 	p.lease.RecordBrittleness(told, sent)
 }
+func (p *pooledLease) RecordRest(rest time.Duration) { p.lease.RecordRest(time.Now(), rest) }
+
+// MaySend implements [Lease].
+func (p *pooledLease) MaySend() bool { return !p.lease.IsResting(time.Now()) }
+
 func (p *pooledLease) AwaitCause(ctx context.Context)           { p.watch.AwaitCause(ctx) }
 func (p *pooledLease) SetCancel(cancel context.CancelCauseFunc) { p.watch.SetCancel(cancel) }
 
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -140,6 +140,11 @@
 	// RecordBrittleness records what an answer says about the endpoint's brittleness. sent is
 	// when its request was about to be sent.
 	RecordBrittleness(told pool.Brittleness, sent time.Time)
+	// RecordRest records that the endpoint wants no request of this instance for a time.
+	RecordRest(rest time.Duration)
+	// MaySend reports whether the request may still be sent: the endpoint may have asked for
+	// rest since it was chosen.
+	MaySend() bool
 	// RecordFirstEvent records the time to the first event, or to the complete
 	// answer if it is not a stream.
 	RecordFirstEvent(took time.Duration)
@@ -228,6 +233,12 @@
 // RecordHead implements [Lease].
 func (NopLease) RecordHead() {}
 
+// RecordRest implements [Lease].
+func (NopLease) RecordRest(time.Duration) {}
+
+// MaySend implements [Lease].
+func (NopLease) MaySend() bool { return true }
+
 // RecordBrittleness implements [Lease].
 func (NopLease) RecordBrittleness(pool.Brittleness, time.Time) {}
 
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonusher/wigeonusher/coord/crashcause"
 	"github.com/wigeonusher/wigeonusher/coord/fleetlimit"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
@@ -145,8 +147,14 @@
 	Runs int
 	// DialTimeout is the connect timeout; 0 if the endpoints' codec sets it.
 	DialTimeout time.Duration
+	// MaySend is asked when the request is about to be written. If it reports false, the call
+	// ends with a [SendError] of [ErrWithdrawn]. Nil always allows the request.
+	MaySend func() bool
 }
 
+// ErrWithdrawn is the cause of a call that was not sent because [Call.MaySend] did not allow it.
+var ErrWithdrawn = eris.New("endpoint wants no request any more")
+
 // Framing is how the sender of an answer marks the end of its body.
 type Framing string
 
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -463,6 +463,13 @@
 	return max(after, minRetryAfter)
 }
 
+// retryAfterRest is like [spreadRetryAfter], but not shorter than the rest unless the client
+// would not retry then.
+func retryAfterRest(rest, remaining time.Duration, draw float64) time.Duration {
+	const middle = 0.5 // the base delay itself
+	return spreadRetryAfter(rest+time.Duration(draw*float64(rest)/2), remaining, middle)
+}
+
 func (r *run) report(ctx context.Context) {
 	event := &DoneEvent{
 		RequestID:  r.request.ID,
