An endpoint that says in an answer that it leaves gets nothing more

Requests reached endpoints that had told the instance in their answers that they leave, until their registration said so. Cause: nothing read the header. It is the earliest evidence of a drain, and follows the one rule of DRAIN: final in the endpoint's lifetime, whatever its registration says or said, also after a lapse; a later birth at the same ID is not leaving. A request that was chosen before is called back when its connection stands.

TestEndpointThatSaysItLeavesGetsNoFurtherSend for each kind of send; TestEndpointThatSaysItLeavesIsFinalInItsLifetime.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -28,7 +28,9 @@
 type Pool struct {
 	zone   platform.Zone
 	limits *limits
-	rests  rests
+	// rests and leavings hold what endpoints have said in their answers.
+	rests    rests
+	leavings leavings
 	// viewedAt is that of the [Pools], nil if there are none.
 	viewedAt *atomic.Int64
 
@@ -58,6 +60,7 @@
 		zone:        zone,
 		limits:      limits,
 		rests:       make(rests),
+		leavings:    make(leavings),
 		members:     make(map[platform.EndpointID]*member),
 		firstEvents: make(map[route.ModelName]*latency.Line),
 		paces:       make(map[route.ModelName]time.Duration),
@@ -78,6 +81,9 @@
 		added.lastActivity.Store(added.listedAt)
 		added.restUntil = p.rests[added.lifetime()]
 		added.easing = !added.restUntil.IsZero()
+		if _, leaves := p.leavings[added.lifetime()]; leaves {
+			added.record.Leaving = true
+		}
 		p.members[record.ID] = added
 		return true
 	case record.older(known.record):
--- a/node/pool/rest_test.go
+++ b/node/pool/rest_test.go
@@ -63,7 +63,7 @@
 	other, _ := p.Choose(now, Query{})
 	one.RecordRest(now, 5*time.Second)
 	other.RecordRest(now, time.Second)
-	assert.Assert(t, other.IsResting(now.Add(4*time.Second)))
+	assert.Assert(t, !other.MaySend(now.Add(4*time.Second)))
 }
 
 func TestRestEndsWithTheLifetimeAndSurvivesALapse(t *testing.T) {
@@ -137,3 +137,28 @@
 		}
 	})
 }
+
+func TestEndpointThatSaysItLeavesIsFinalInItsLifetime(t *testing.T) {
+	now := time.Now()
+	p := restPool(1)
+	lease, _ := p.Choose(now, Query{})
+	lease.RecordLeaving(now)
+	assert.Assert(t, !lease.MaySend(now), "also for a request that was chosen before")
+	lease.End(now, Succeeded)
+	usable := func() bool {
+		_, ok := p.Choose(now, Query{})
+		return ok
+	}
+	assert.Assert(t, !usable())
+	record := p.members["0"].record
+	record.Leaving = false
+	record.Sequence++
+	p.put(record)
+	assert.Assert(t, !usable(), "its registration still says ready")
+	p.remove("0")
+	p.put(record)
+	assert.Assert(t, !usable(), "it registered again after a lapse")
+	record.Born++
+	p.put(record)
+	assert.Assert(t, usable(), "it has started again")
+}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -179,6 +179,9 @@
 	if answer.Rest > 0 {
 		a.lease.RecordRest(answer.Rest)
 	}
+	if answer.Leaving {
+		a.lease.RecordLeaving()
+	}
 	switch {
 	case answer.NotExecuted:
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -121,6 +121,8 @@
 	limit *fleetlimit.Statement
 	// rest is the time for which the endpoint wants no request, beside notExecuted.
 	rest time.Duration
+	// leaving says that the endpoint leaves.
+	leaving bool
 	// events is the number of events of the stream that the endpoint sends before
 	// it breaks the connection within the next one; -1 sends all.
 	events int
@@ -170,7 +172,7 @@
 			return nil, &SendError{MayBeSent: true, Err: os.ErrDeadlineExceeded}
 		}
 	case b.notExecuted:
-		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Limit: b.limit, Rest: b.rest, Body: body("")}, nil
+		return &Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Misdirected: b.misdirected, Authentic: true, Limit: b.limit, Rest: b.rest, Leaving: b.leaving, Body: body("")}, nil
 	}
 	status := b.status
 	if status == 0 {
@@ -178,7 +180,7 @@
 	}
 	answer := &Answer{
 		Status: status, Header: http.Header{}, Authentic: !b.foreign,
-		Confidence: b.confidence, HasConfidence: call.Model != "", Complete: b.complete, Limit: b.limit,
+		Confidence: b.confidence, HasConfidence: call.Model != "", Complete: b.complete, Limit: b.limit, Leaving: b.leaving,
 	}
 	answer.Body = streamBody(call, b)
 	return answer, nil
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -282,8 +282,11 @@
 }
 func (p *pooledLease) RecordRest(rest time.Duration) { p.lease.RecordRest(time.Now(), rest) }
 
+// RecordLeaving implements [Lease].
+func (p *pooledLease) RecordLeaving() { p.lease.RecordLeaving(time.Now()) }
+
 // MaySend implements [Lease].
-func (p *pooledLease) MaySend() bool { return !p.lease.IsResting(time.Now()) }
+func (p *pooledLease) MaySend() bool { return p.lease.MaySend(time.Now()) }
 
 func (p *pooledLease) AwaitCause(ctx context.Context)           { p.watch.AwaitCause(ctx) }
 func (p *pooledLease) SetCancel(cancel context.CancelCauseFunc) { p.watch.SetCancel(cancel) }
--- a/node/relay/ports.go
+++ b/node/relay/ports.go
@@ -142,8 +142,10 @@
 	RecordBrittleness(told pool.Brittleness, sent time.Time)
 	// RecordRest records that the endpoint wants no request of this instance for a time.
 	RecordRest(rest time.Duration)
+	// RecordLeaving records that the endpoint leaves.
+	RecordLeaving()
 	// MaySend reports whether the request may still be sent: the endpoint may have asked for
-	// rest since it was chosen.
+	// rest, or said that it leaves, since it was chosen.
 	MaySend() bool
 	// RecordFirstEvent records the time to the first event, or to the complete
 	// answer if it is not a stream.
@@ -236,6 +238,9 @@
 // RecordRest implements [Lease].
 func (NopLease) RecordRest(time.Duration) {}
 
+// RecordLeaving implements [Lease].
+func (NopLease) RecordLeaving() {}
+
 // MaySend implements [Lease].
 func (NopLease) MaySend() bool { return true }
 
--- a/node/relay/rest_test.go
+++ b/node/relay/rest_test.go
@@ -100,3 +100,24 @@
 		assert.Assert(t, known.Failing == 0 && !known.Paused, "%+v", known)
 	}
 }
+
+// An endpoint says that it leaves with whatever it answers.
+func TestEndpointThatSaysItLeavesGetsNoFurtherSend(t *testing.T) {
+	for _, c := range kindsOfSends() {
+		t.Run(c.name, func(t *testing.T) {
+			left := make(map[platform.EndpointID]bool)
+			h := newHarness(testTable(c.route), 4, func(call *Call, number int) behavior {
+				assert.Check(t, !left[call.Endpoint], "%s has left", call.Endpoint)
+				left[call.Endpoint] = true
+				b := c.script(call, number)
+				b.leaving = true
+				return b
+			})
+			request := testRequest()
+			request.AnyModel = len(c.route.Models) > 0
+			h.serve(request)
+			assert.Equal(t, h.client.end, AnswerComplete)
+			assert.Equal(t, len(h.endpoints.calls), c.sends)
+		})
+	}
+}
