--- a/cmd/internal/platformdemo/check.go
+++ b/cmd/internal/platformdemo/check.go
@@ -57,6 +57,12 @@
 	// later than BadPartDelay after the fifth crash.
 	BadPartDelay    time.Duration
 	BadPartArrivals int
+	// RestArrivals is how many requests an engine that asks for rest may get from RestDelay after
+	// it begins to, until RestTime: those that are told, and those on their way, of all
+	// instances. LeavingArrivals is the same for an engine that says in its answers that it
+	// leaves, from DrainDelay on.
+	RestDelay, RestTime           time.Duration
+	RestArrivals, LeavingArrivals int
 	// LateTolerance is how long after a client's timeout its answer may arrive.
 	LateTolerance time.Duration
 }
@@ -70,6 +76,12 @@
 	// LimitedAt is when the engine LimitedEngine began to name a limit.
 	LimitedAt     time.Time
 	LimitedEngine string
+	// RestedAt is when the engine RestedEngine began to ask for rest, AnnouncedAt when
+	// AnnouncedEngine began to say in its answers that it leaves.
+	RestedAt        time.Time
+	RestedEngine    string
+	AnnouncedAt     time.Time
+	AnnouncedEngine string
 	// RevokedAt is when the key RevokedKey was revoked.
 	RevokedAt  time.Time
 	RevokedKey string
@@ -130,6 +142,8 @@
 		checkRetries(trace, arrivals, bounds),
 		checkDrain(trace, bounds),
 		checkLimit(trace, bounds),
+		checkRest(trace, bounds),
+		checkLeaving(trace, bounds),
 		checkBadPart(trace, bounds),
 		checkRevocation(trace, bounds),
 		checkStop(trace),
@@ -220,6 +234,31 @@
 	return rule
 }
 
+func checkRest(trace *Trace, bounds Bounds) Rule {
+	rule := Rule{Name: "an engine that asks for rest gets it within the bound"}
+	count := 0
+	for _, a := range trace.Arrivals {
+		since := a.ReceivedAt.Sub(trace.Timeline.RestedAt)
+		if a.Engine == trace.Timeline.RestedEngine && since > bounds.RestDelay && since < bounds.RestTime {
+			count++
+		}
+	}
+	rule.check(count <= bounds.RestArrivals, "%d requests, %d allowed", count, bounds.RestArrivals)
+	return rule
+}
+
+func checkLeaving(trace *Trace, bounds Bounds) Rule {
+	rule := Rule{Name: "an engine that says it leaves gets nothing after the bound"}
+	count := 0
+	for _, a := range trace.Arrivals {
+		if a.Engine == trace.Timeline.AnnouncedEngine && a.ReceivedAt.Sub(trace.Timeline.AnnouncedAt) > bounds.DrainDelay {
+			count++
+		}
+	}
+	rule.check(count <= bounds.LeavingArrivals, "%d requests, %d allowed", count, bounds.LeavingArrivals)
+	return rule
+}
+
 func checkBadPart(trace *Trace, bounds Bounds) Rule {
 	const fifth = 5
 	rule := Rule{Name: "a part that crashes engines is not sent after the bound"}
--- a/cmd/internal/platformdemo/demo.go
+++ b/cmd/internal/platformdemo/demo.go
@@ -159,6 +159,7 @@
 			drawBrokenFraming(random, &behaviour)
 		}
 		behaviour.Limit = d.limitOf(engine)
+		d.addNeeds(engine, &behaviour)
 		return behaviour
 	})
 	d.engines = append(d.engines, engine)
@@ -174,6 +175,19 @@
 	return strconv.FormatFloat(engineLimit, 'g', -1, 64)
 }
 
+// addNeeds makes an engine ask for rest, or say that it leaves.
+func (d *demo) addNeeds(engine *platformtest.Engine, behaviour *platformtest.Behaviour) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	timeline := &d.trace.Timeline
+	if left := time.Until(timeline.RestedAt.Add(engineRest)); engine.ID == timeline.RestedEngine && left > 0 {
+		behaviour.Full, behaviour.Rest = true, strconv.FormatFloat(left.Seconds(), 'f', 3, 64)
+	}
+	if engine.ID == timeline.AnnouncedEngine {
+		behaviour.Leaving = "1"
+	}
+}
+
 // drawBehaviour draws how an engine handles a request: nine in ten are served
 // without a fault.
 func drawBehaviour(random *rand.Rand) platformtest.Behaviour {
@@ -256,6 +270,7 @@
 		MaxAttempts: 3, DrainDelay: millis(s.EndpointDrainMillis), RevocationDelay: millis(s.RevocationMillis),
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, LateTolerance: time.Second,
 		BadPartDelay: 3 * time.Second, BadPartArrivals: 3,
+		RestDelay: 500 * time.Millisecond, RestTime: engineRest, RestArrivals: instances * (1 + arrivalsOnTheirWay), LeavingArrivals: instances,
 		LimitDelay: 4 * time.Second, LimitWindow: fleetlimit.Window, LimitArrivals: int(1.5*engineLimit*fleetlimit.Window.Seconds()) + 5,
 	}
 }
--- a/cmd/internal/platformdemo/demo_test.go
+++ b/cmd/internal/platformdemo/demo_test.go
@@ -29,6 +29,7 @@
 var testBounds = Bounds{
 	MaxAttempts: 3, DrainDelay: 2 * time.Second, RevocationDelay: 5 * time.Second, RetryRatio: 0.5, RetrySlack: 1, LateTolerance: time.Second,
 	BadPartDelay: 2 * time.Second, BadPartArrivals: 1,
+	RestDelay: time.Second / 2, RestTime: 3 * time.Second, RestArrivals: 1, LeavingArrivals: 1,
 	LimitDelay: time.Second, LimitWindow: time.Second, LimitArrivals: 1,
 }
 
@@ -44,6 +45,7 @@
 		Timeline: Timeline{
 			DrainedAt: start, DrainedEngine: "e2", RevokedAt: start, RevokedKey: "old",
 			LimitedAt: start.Add(-time.Second), LimitedEngine: "e1",
+			RestedAt: start, RestedEngine: "e4", AnnouncedAt: start, AnnouncedEngine: "e5",
 			BadPart: "dead", Crashes: []time.Time{start, start, start, start, start},
 		},
 	}
@@ -78,6 +80,13 @@
 		"a part that crashes engines is not sent after the bound": func(o *Trace) {
 			o.Arrivals = append(o.Arrivals, newArrival("4", "e3", later, false), newArrival("5", "e3", later, false))
 		},
+		"an engine that asks for rest gets it within the bound": func(o *Trace) {
+			in := time.Unix(1001, 0)
+			o.Arrivals = append(o.Arrivals, newArrival("6", "e4", in, false), newArrival("7", "e4", in, false))
+		},
+		"an engine that says it leaves gets nothing after the bound": func(o *Trace) {
+			o.Arrivals = append(o.Arrivals, newArrival("8", "e5", later, true), newArrival("9", "e5", later, true))
+		},
 		"a draining engine gets no request after the bound": func(o *Trace) { o.Arrivals[1].ReceivedAt = later },
 		"a revoked key runs nothing after the bound":        func(o *Trace) { o.Attempts[0].SentAt = later },
 		"a planned stop cuts off no request":                func(o *Trace) { o.Attempts[1].Answer = platformtest.Answer{Err: io.EOF} },
--- a/cmd/internal/platformdemo/script.go
+++ b/cmd/internal/platformdemo/script.go
@@ -23,6 +23,8 @@
 		{0.15, "an engine names a limit", d.limitEngine},
 		{0.20, "an instance is stopped, another takes its place", d.replaceInstance},
 		{0.25, "a part of prompts crashes engines", d.useBadPart},
+		{0.28, "an engine asks for rest", d.restEngine},
+		{0.32, "an engine says in its answers that it leaves", d.announceLeaving},
 		{0.35, "the store is silent", d.storeOutage},
 		{0.48, "the store is copied", d.copyStore},
 		{0.50, "a key is revoked", d.revokeKey},
@@ -75,6 +77,28 @@
 	return nil
 }
 
+// arrivalsOnTheirWay is the number of requests of each instance that the users allow to reach an
+// endpoint in its rest.
+const arrivalsOnTheirWay = 2
+
+// engineRest is how long an engine turns requests away and asks for rest.
+const engineRest = 2 * time.Second
+
+func (d *demo) restEngine(context.Context) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trace.Timeline.RestedAt, d.trace.Timeline.RestedEngine = time.Now(), d.engines[2].ID
+	return nil
+}
+
+// announceLeaving lets an engine leave without a word in its registration.
+func (d *demo) announceLeaving(context.Context) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trace.Timeline.AnnouncedAt, d.trace.Timeline.AnnouncedEngine = time.Now(), d.engines[3].ID
+	return nil
+}
+
 // replaceInstance starts an instance and then gracefully stops another. Clients
 // keep calling the stopping instance for half of the time that it waits for the
 // balancer.
