Long prompts of a new version keep endpoints of their own in the first phase

Cause: concentrating the first requests on one endpoint came before long prompts were set apart, which needs four; one prompt delayed the first events of eight answers by 2 to 3.6 s, which counted as eight failures. Now long prompts are set apart among all endpoints of the version, and the others are concentrated after that.

--- a/node/pool/choose.go
+++ b/node/pool/choose.go
@@ -213,9 +213,6 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
-	if query.Concentration != nil {
-		candidates = p.concentrate(candidates, query.Concentration)
-	}
 	if query.LeastLoaded {
 		return slices.MinFunc(candidates, func(a, b *member) int { return cmp.Compare(a.load(), b.load()) }), false
 	}
@@ -223,6 +220,9 @@
 	if long {
 		return earliestToFinishReading(now, candidates), true
 	}
+	if query.Concentration != nil {
+		candidates = p.concentrate(candidates, query.Concentration)
+	}
 	return p.pickByAffinity(candidates, query), false
 }
 
--- a/node/pool/concentrate_test.go
+++ b/node/pool/concentrate_test.go
@@ -81,3 +81,26 @@
 	}
 	assert.Equal(t, len(used), 12)
 }
+
+// A single endpoint cannot keep long prompts apart, and one of them would delay all that the new
+// version answers.
+func TestLongPromptsOfAConcentratedVersionStayApart(t *testing.T) {
+	now := time.Now()
+	p := newVersionedPool(5)
+	p.onLongRead = func(platform.EndpointID, time.Duration) {}
+	for range 20 { // a millisecond for each token
+		p.learnFirstEvent("m", 100, 100*time.Millisecond)
+		p.learnFirstEvent("m", 2000, 2*time.Second)
+	}
+	query := onNewVersion(1)
+	query.Model, query.GapTarget, query.Tokens = "m", time.Second, 100
+	short, ok := p.Choose(now, query)
+	assert.Assert(t, ok && !short.LongPrompt)
+	query.Tokens = 5000
+	for range 3 {
+		long, ok := p.Choose(now, query)
+		assert.Assert(t, ok && long.LongPrompt)
+		assert.Assert(t, long.Endpoint.ID != short.Endpoint.ID)
+		assert.Equal(t, long.Endpoint.Version, "v2")
+	}
+}
