--- a/cmd/wigeonusherd/upgrade_test.go
+++ b/cmd/wigeonusherd/upgrade_test.go
@@ -75,7 +75,7 @@
 	d.command.Stdout = d.output
 	assert.NilError(f.t, d.command.Start())
 	f.t.Cleanup(func() { _ = d.command.Process.Kill() }) // it has ended unless the test failed
-	for end := time.Now().Add(20 * time.Second); !isReady(health); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); !platformtest.IsReady(health); time.Sleep(20 * time.Millisecond) {
 		assert.Assert(f.t, time.Now().Before(end), "%s is not ready: %s", name, binary)
 	}
 	f.mu.Lock()
@@ -84,15 +84,6 @@
 	return d
 }
 
-func isReady(health string) bool {
-	response, err := http.Get("http://" + health + "/api/ready")
-	if err != nil {
-		return false
-	}
-	defer response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // stop stops an instance as the platform does: clients leave it a little later.
 func (f *replacedFleet) stop(d *daemon) {
 	f.t.Helper()
--- a/node/entry/exposure_test.go
+++ b/node/entry/exposure_test.go
@@ -411,20 +411,32 @@
 		"three in ten":           func(int, float64) float64 { return 0.3 },
 		"three in ten, from 0.7": func(_ int, part float64) float64 { return 0.3 * step(part, 0.7) },
 		"half of a tenth":        func(route int, _ float64) float64 { return 0.5 * step(float64(route), 2) },
-		"half, from 0.87":        func(_ int, part float64) float64 { return 0.5 * step(part, 0.87) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(12) {
-				f := newExposureFleet(9, exposureScenario{rate: 4, failing: failing}, seed)
-				f.runFor(2 * f.order.Duration)
-				assert.Check(t, f.late == 0, "seed %d: %d requests later than %s after the fiftieth bad answer, %d bad in all, completed %t",
-					seed, f.late, rollbackTime, f.bad, f.completedAt > 0)
-			}
+			checkStopped(t, failing)
 		})
 	}
 }
 
+// TestVersionThatTurnsBadJustBeforeTheMoveIsStopped is the same for a version that turns bad half a
+// second before all requests move.
+func TestVersionThatTurnsBadJustBeforeTheMoveIsStopped(t *testing.T) {
+	checkStopped(t, func(_ int, part float64) float64 { return 0.5 * step(part, 0.87) })
+}
+
+// checkStopped requires that a failing version gets no request later than rollbackTime after its
+// fiftieth bad answer.
+func checkStopped(t *testing.T, failing func(route int, part float64) float64) {
+	t.Helper()
+	for seed := range uint64(12) {
+		f := newExposureFleet(9, exposureScenario{rate: 4, failing: failing}, seed)
+		f.runFor(2 * f.order.Duration)
+		assert.Check(t, f.late == 0, "seed %d: %d requests later than %s after the fiftieth bad answer, %d bad in all, completed %t",
+			seed, f.late, rollbackTime, f.bad, f.completedAt > 0)
+	}
+}
+
 // TestGoodVersionBesideARouteThatFailsIsCompleted limits how often doubt keeps a good version from
 // being completed in time.
 func TestGoodVersionBesideARouteThatFailsIsCompleted(t *testing.T) {
