--- a/node/versions/propose.go
+++ b/node/versions/propose.go
@@ -79,12 +79,17 @@
 }
 
 // proposalDelay returns a random delay, because all instances decide on a proposal
-// at the same time. A rollback is proposed without delay.
+// at the same time. A rollback is proposed without delay, and a completion, which must come
+// shortly before the end of the order's time, with a short one.
 func (v *Versions) proposalDelay(phase canary.Phase) time.Duration {
-	if phase == canary.RolledBack {
+	switch phase {
+	case canary.RolledBack:
 		return 0
+	case canary.Completed:
+		return rand.N(checkInterval)
+	default:
+		return rand.N(proposeSpread)
 	}
-	return rand.N(proposeSpread)
 }
 
 func (v *Versions) hasEndpoints(name route.ServiceName, target string) bool {
--- a/policy/canary/canary.go
+++ b/policy/canary/canary.go
@@ -101,7 +101,7 @@
 	// new version until then. It shows how the new version bears the load, and lets requests on
 	// the old endpoints finish.
 	fullAfter      = 0.7
-	completeBefore = 600 * time.Millisecond
+	completeBefore = 700 * time.Millisecond
 	completePart   = 0.07
 	minFull        = 0.04
 	// badLogE is the log e-value above which a version is judged bad. Each of the three
