--- a/review/player/main.go
+++ b/review/player/main.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -37,13 +38,31 @@
 	fmt.Fprintf(record, "%7.3f "+format+"\n", append([]any{time.Since(started).Seconds()}, values...)...)
 }
 
-// errCannotRun ends a play that could not run.
-type errCannotRun struct{ err error }
-
+// must ends the play if there is an error. It may be called from any goroutine.
 func must(err error) {
 	if err != nil {
-		panic(errCannotRun{err})
+		cannotRun(err)
+	}
+}
+
+// folder is the temporary folder of the play.
+var (
+	folder    string
+	endMu     sync.Mutex
+	isPlaying = true
+)
+
+// cannotRun ends a play that could not run, with its processes and its folder.
+func cannotRun(err error) {
+	endMu.Lock() // it is never released: the first caller ends the program
+	if !isPlaying {
+		select {}
 	}
+	note("the case could not run: %v", err)
+	fmt.Fprintln(os.Stderr, err)
+	end()
+	os.RemoveAll(folder)
+	os.Exit(2)
 }
 
 // atEnd holds what must be done before the program exits.
@@ -85,43 +104,25 @@
 		return 2
 	}
 	defer record.Close()
-	folder, err := os.MkdirTemp("", "review")
-	if err != nil {
+	if folder, err = os.MkdirTemp("", "review"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	defer func() {
-		if os.Getenv("KEEP") == "" {
-			os.RemoveAll(folder)
-		} else {
-			fmt.Fprintln(os.Stderr, folder)
-		}
-	}()
-	defer end()
-	defer func() {
-		if reason := recover(); reason != nil {
-			failed, ok := reason.(errCannotRun)
-			if !ok {
-				panic(reason)
-			}
-			note("the case could not run: %v", failed.err)
-			fmt.Fprintln(os.Stderr, failed.err)
-			code = 2
-		}
-	}()
 	interrupts := make(chan os.Signal, 1)
-	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
 		select {
 		case <-interrupts:
 		case <-time.After(longest):
 		}
-		note("the play was ended before its time")
-		end()
-		os.RemoveAll(folder)
-		os.Exit(2)
+		cannotRun(errors.New("the play was ended before its time"))
 	}()
 	broken := one(run{folder: folder, trouble: os.Getenv("TROUBLE") != "0"})
+	endMu.Lock()
+	isPlaying = false
+	endMu.Unlock()
+	end()
+	os.RemoveAll(folder)
 	if broken {
 		note("verdict: the rule was broken")
 		return 1
--- a/review/player/platform.go
+++ b/review/player/platform.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,10 +95,15 @@
 
 func (m *machine) run() {
 	defer close(m.done)
+	// The kernel kills the process if the thread that has started it ends, as it does when the player
+	// itself is killed. So this goroutine keeps its thread.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	for {
 		process := exec.Command("target/wigeonusherd", "entry")
 		process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "WIGEONUSHER_SETTINGS=" + m.settings}
 		process.Stdout, process.Stderr = m.log, m.log
+		process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		m.mu.Lock()
 		if m.stopped {
 			m.mu.Unlock()
@@ -175,7 +181,10 @@
 		m.process.Process.Kill()
 	}
 	m.mu.Unlock()
-	<-m.done
+	select {
+	case <-m.done:
+	case <-time.After(2 * time.Second): // the caller may be the goroutine that would close it
+	}
 	m.log.Close()
 }
 
--- a/review/player/revoke.go
+++ b/review/player/revoke.go
@@ -14,7 +14,7 @@
 const (
 	// The site file's largest doses: the store turns some machines away (share 0.35, here one of three)
 	// for 9 s; big_config adds 350 routes, here twice; revoke takes 3 keys away, 0.1 s apart, here
-	// three times.
+	// seven times.
 	turnedAwayFor = 9 * time.Second
 	moreRoutes    = 2 * 350
 	keysAtOnce    = 3
@@ -23,8 +23,8 @@
 	revokeMillis  = 5000
 	revokeLead    = 6 * time.Second
 	revokeClients = 24
-	revokePause   = 3 * time.Millisecond
-	revokeBursts  = 3
+	revokePause   = 223 * time.Millisecond // together as many requests a second as the site has, 107
+	revokeBursts  = 7
 )
 
 // playRevoke: the store turns one of three machines away, and serves the others and the operator.
@@ -97,7 +97,7 @@
 				}
 				time.Sleep(keysApart)
 			}
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
 		}
 	}()
 	time.AfterFunc(turnedAwayFor, func() {
@@ -111,6 +111,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
+			time.Sleep(time.Duration(client) * revokePause / revokeClients)
 			var c *channel
 			for n := 0; time.Now().Before(end); n++ {
 				if c == nil {
@@ -136,8 +137,10 @@
 					note("RAN %s, sent %.3f s after the confirmation: %v; engines ran it %d times", attempt, after.Seconds(), got, runs)
 				case got.status == 200:
 					served++
+					note("served %s: %v; engines ran it %d times", attempt, got, runs)
 				default:
 					refused++
+					note("refused %s: %v; engines ran it %d times", attempt, got, runs)
 				}
 				mu.Unlock()
 				if got.err != nil {
