Review, case 2: bodies no faster than the machine's link

The bodies came faster than link_mbps carries them, and a choked machine is excused. Now 25 a second, 800 Mbit/s.

--- a/review/player/memory.go
+++ b/review/player/memory.go
@@ -25,9 +25,11 @@
 	bigEvents   = 100
 	eventPause  = 100 * time.Millisecond
 	clientWaits = 25 * time.Second
-	// The burst is 1.7 times the site's traffic of 107.4 requests a second, for 0.44 s; without it the
-	// same requests come one after the other.
-	burstSpacing = 5477 * time.Microsecond
+	// The burst is 1.4 times the 18.2 cert-summary requests a second of the site, for 3.2 s: 100 MB a
+	// second, below the machine's link of 1,000 Mbit/s. Without it the same requests come one after the
+	// other.
+	burstSpacing = 40 * time.Millisecond
+	calmAfter    = 1500 * time.Millisecond // from the begin of the burst
 	calmSpacing  = 800 * time.Millisecond
 	burstClients = 80 // as many as the site has
 )
@@ -144,10 +146,10 @@
 		desk.Go(func() { deskClient(fmt.Sprintf("%02d", i)) })
 	}
 	time.Sleep(time.Second)
-	close(calm)
-	time.Sleep(300 * time.Millisecond)
 	note("%d clients send %d bytes each", number, bodyBytes)
 	close(burst)
+	time.Sleep(calmAfter)
+	close(calm)
 	group.Wait()
 	deskEnd.Store(true)
 	desk.Wait()
