--- a/review/player/header.go
+++ b/review/player/header.go
@@ -14,10 +14,10 @@
 
 const (
 	stabilityWindow = 3 * time.Second
-	cutFor          = 8 * time.Second
+	cutFor          = 5 * time.Second
 	headerClients   = 6 // at each machine
 	headerLead      = 6 * time.Second
-	pauseBetween    = 40 * time.Millisecond
+	pauseBetween    = 195 * time.Millisecond // together at most the 30.8 requests a second of a zone
 )
 
 // playHeader partitions one of three machines, each in a zone of its own, from all engines. One client
