--- a/review/player/interim.go
+++ b/review/player/interim.go
@@ -26,7 +26,7 @@
 	bookingWaits    = 4 * time.Second
 )
 
-// playInterim lets two of three engines of a plain service spoil one answer in twenty: bytes that are
+// playInterim lets three of five engines of a plain service spoil one answer in twenty: bytes that are
 // not the response come first, an interim head (HTTP status 103) that echoes the attempt and bears the
 // engine's proof. By default the whole answer follows; with CUT=1 the engine breaks off instead.
 func playInterim(r run) bool {
@@ -35,7 +35,7 @@
 	spoiled := map[string]string{} // what followed the interim head
 	follows := []string{"the whole answer", "a failure of the engine", "nothing: the engine broke off"}
 	var engines []*engine
-	number := 3
+	number := 5
 	bad := int(garbleShare*float64(number) + 0.5)
 	for i := range number {
 		isBad := r.trouble && i < bad
