--- a/review/player/grey.go
+++ b/review/player/grey.go
@@ -14,10 +14,15 @@
 func init() { cases["grey"] = playGrey }
 
 // The largest dose of the site file for engines that fail part of their requests (srv_grey): 0.14 of
-// the engines, here one of three, fail 0.45 of their requests for 6.5 s.
+// the engines, here one of eight, fail 0.45 of their requests for 6.5 s.
 const (
 	greyPart = 0.45
 	greyFor  = 6500 * time.Millisecond
+
+	// greyClients send together fewer requests a second than the site has in its largest burst (1.7
+	// times 107); the engines have places for more.
+	greyClients = 30
+	greyWork    = 150 * time.Millisecond
 )
 
 // playGrey lets one engine of a plain service run part of its requests and then fail with 503, without
@@ -28,14 +33,14 @@
 	ranBookings := map[string]int{} // by the number of the booking, which a client's retries share
 	var greyUntil time.Time
 	var engines []*engine
-	for i := range 3 {
+	for i := range 8 {
 		e := newEngine(fmt.Sprintf("i-desk-%d", i), "wuno96b", "bagmati-a", func(w *bufio.Writer, request *http.Request, body []byte) bool {
 			attempt := request.Header.Get("Wigeonusher-Attempt-Id")
 			mu.Lock()
 			ranBookings[string(body)]++
 			fails := i == 0 && time.Now().Before(greyUntil) && rand.Float64() < greyPart
 			mu.Unlock()
-			time.Sleep(serviceTime)
+			time.Sleep(greyWork)
 			if fails {
 				head(w, "503 Service Unavailable", request, "Content-Length: 0")
 				io.WriteString(w, "\r\n")
@@ -57,7 +62,7 @@
 	end := time.Now().Add(greyFor)
 	var group sync.WaitGroup
 	sent, whole, falsePromises := 0, 0, 0
-	for client := range interimClients {
+	for client := range greyClients {
 		group.Add(1)
 		go func() {
 			defer group.Done()
