--- a/review/player/platform.go
+++ b/review/player/platform.go
@@ -188,6 +188,13 @@
 	m.log.Close()
 }
 
+// terminate sends SIGTERM to the process, as the platform does to stop it; it is then started again.
+func (m *machine) terminate() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	must(m.process.Process.Signal(syscall.SIGTERM))
+}
+
 func (m *machine) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + m.ready + "/api/ready")
--- a/review/player/store.go
+++ b/review/player/store.go
@@ -29,6 +29,10 @@
 	topics  map[string]*topic
 	changed chan struct{}
 	address string
+	// era is the value of Store-Era, which is left out while it is 0, and isAway reports that the store
+	// resets every call.
+	era    int
+	isAway bool
 }
 
 // view is the store as one machine sees it: the addresses of engines are those of links of our own.
@@ -37,6 +41,8 @@
 	rewrite func(key string, value []byte) []byte
 
 	turnedAway atomic.Bool
+	// isCut reports that the machine is partitioned from the store; the store's lock guards it.
+	isCut bool
 }
 
 // guard answers the calls of a machine that the store turns away with 503: nothing is done.
@@ -46,6 +52,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		v.begin(w)
 		serve(w, r)
 	}
 }
@@ -191,6 +198,7 @@
 		}
 		select {
 		case <-changed:
+			s.begin(w)
 		case <-timer.C:
 			late = true
 		case <-r.Context().Done():
