--- /dev/null
+++ b/review/player/stale.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+func init() { cases["stale"] = playStale }
+
+const (
+	applyBound    = 2 * time.Second        // config_apply_ms
+	rollbackSlack = 250 * time.Millisecond // rollback_slack_ms
+	staleClients  = 6                      // in each zone
+	stalePause    = 200 * time.Millisecond
+	staleStoreCut = 5500 * time.Millisecond // core_cut
+	staleCut      = 5 * time.Second         // the machine is partitioned from the engines
+	staleLead     = 500 * time.Millisecond  // the cuts begin that long before the config
+)
+
+// playStale: the machine of one zone is partitioned from all engines, and that of another zone from the
+// store. Meanwhile a config moves a route to another service.
+func playStale(r run) bool {
+	s := newStore()
+	zones := []string{"bagmati-a", "bagmati-b", "bagmati-c"}
+	var engines []*engine
+	for _, service := range []string{"wuno96b", "pelo23c"} {
+		for i, zone := range zones {
+			e := newEngine(fmt.Sprintf("i-%s-%d", service, i), service, zone, func(w *bufio.Writer, request *http.Request, _ []byte) bool {
+				time.Sleep(serviceTime)
+				return sendPlain(w, request, plainBody(request.Header.Get("Wigeonusher-Attempt-Id")))
+			})
+			engines = append(engines, e)
+			s.put("keyed.servers", e.id, e.entry(e.address, 6))
+		}
+	}
+	put := func(version int, service string) time.Time {
+		document := config()
+		document["version"] = version
+		document["services"] = append(document["services"].([]any), map[string]any{"name": "pelo23c", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false})
+		lookups := document["routes"].([]any)[2].(map[string]any)
+		lookups["service"], lookups["public"] = service, true
+		s.put("keyed.op", "config", document)
+		note("operator: version %d is confirmed; the public route of lookups goes to %s", version, service)
+		return time.Now()
+	}
+	put(7, "wuno96b")
+	var stores []string
+	var views []*view
+	var cutLinks []*link
+	for i := range zones {
+		links, rewrite := linksTo(engines)
+		address, v := s.serve(rewrite)
+		stores, views = append(stores, address), append(views, v)
+		if i == 0 {
+			cutLinks = links
+		}
+	}
+	machines := newMachines(r.folder, memoryMB, stores, zones...)
+	awaitReady(machines, revokeLead)
+	in := newIngress(machines)
+	time.Sleep(time.Second)
+	var mu sync.Mutex
+	var confirmed time.Time
+	// seen is when an answer of the new service first came through the machine, and regressed counts the
+	// lookups that were sent more than rollbackSlack later and ran on the old one.
+	seen, regressed := make([]time.Time, len(zones)), make([]int, len(zones))
+	old, changed, failed := make([]int, len(zones)), make([]int, len(zones)), make([]int, len(zones))
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for _, zone := range zones {
+		for client := range staleClients {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				time.Sleep(time.Duration(client) * stalePause / staleClients)
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					at := in.pick(zone)
+					attempt := fmt.Sprintf("%s-%d-%d", zone, client, n)
+					sent := time.Now()
+					c, err := dialChannel(machines[at].front)
+					var got answer
+					if err == nil {
+						got = c.send("GET", "/stock77/2f", attempt, nil, bookingWaits)
+						c.conn.Close()
+					}
+					ranOld, ranNew := 0, 0
+					for _, e := range engines {
+						if e.service == "wuno96b" {
+							ranOld += e.runs(attempt)
+						} else {
+							ranNew += e.runs(attempt)
+						}
+					}
+					mu.Lock()
+					if ranNew > 0 && seen[at].IsZero() {
+						seen[at] = time.Now()
+					}
+					if ranOld > 0 && !seen[at].IsZero() && sent.Sub(seen[at]) > rollbackSlack {
+						regressed[at]++
+					}
+					isCounted := !confirmed.IsZero() && sent.Sub(confirmed) > applyBound
+					switch {
+					case isCounted && ranOld > 0:
+						old[at]++
+						note("OLD %s at %s, sent %.3f s after the confirmation: %v", attempt, machines[at].name, sent.Sub(confirmed).Seconds(), got)
+					case isCounted && ranNew > 0:
+						changed[at]++
+						note("new %s at %s, sent %.3f s after the confirmation: %v", attempt, machines[at].name, sent.Sub(confirmed).Seconds(), got)
+					default:
+						if isCounted {
+							failed[at]++
+						}
+						note("%s at %s: %v; the old service ran it %d times, the new one %d times", attempt, machines[at].name, got, ranOld, ranNew)
+					}
+					mu.Unlock()
+					time.Sleep(stalePause)
+				}
+			}()
+		}
+	}
+	if r.trouble {
+		note("%s is partitioned from all engines, %s from the store", machines[0].name, machines[1].name)
+		for _, l := range cutLinks {
+			l.cut()
+		}
+		views[1].setCut(true)
+		time.AfterFunc(staleCut, func() {
+			for _, l := range cutLinks {
+				l.heal()
+			}
+		})
+		time.AfterFunc(staleStoreCut, func() { views[1].setCut(false) })
+	}
+	time.Sleep(staleLead)
+	at := put(9, "pelo23c")
+	mu.Lock()
+	confirmed = at
+	mu.Unlock()
+	time.Sleep(staleCut - staleLead)
+	close(stop)
+	group.Wait()
+	in.stop()
+	for i, m := range machines {
+		note("at %s, of the lookups sent later than %v after the confirmation: %d ran on the new service, %d on the old one, %d failed or were refused; %d ran on the old one more than %v after the new one was seen through this machine", m.name, applyBound, changed[i], old[i], failed[i], regressed[i], rollbackSlack)
+	}
+	if changed[2] == 0 {
+		must(fmt.Errorf("nothing was shown"))
+	}
+	return old[0]+old[2] > 0 // the machine that is partitioned from the store is not in touch
+}
