--- a/review/player/interim.go
+++ b/review/player/interim.go
@@ -12,10 +12,10 @@
 
 func init() { cases["interim"] = playInterim }
 
-// The largest doses of the site file for engines that hand out wrong bytes (garble).
+// The largest dose of the site file for engines that hand out wrong bytes (garble): share = 0.6, x = 0.03.
 const (
 	garbleShare = 0.6
-	garblePart  = 0.05
+	garblePart  = 0.03
 )
 
 const (
@@ -26,9 +26,9 @@
 	bookingWaits    = 4 * time.Second
 )
 
-// playInterim lets three of five engines of a plain service spoil one answer in twenty: bytes that are
-// not the response come first, an interim head (HTTP status 103) that echoes the attempt and bears the
-// engine's proof. By default the whole answer follows; with CUT=1 the engine breaks off instead.
+// playInterim lets three of five engines of a plain service spoil three answers in a hundred: bytes that
+// are not the response come first, an interim head (HTTP status 103) that echoes the attempt and bears the
+// engine's proof. By turns, the whole answer, a failure or nothing follows.
 func playInterim(r run) bool {
 	s := newStore()
 	var mu sync.Mutex
