--- a/review/player/stale.go
+++ b/review/player/stale.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,12 +22,14 @@
 )
 
 // playStale: the machine of one zone is partitioned from all engines, and that of another zone from the
-// store. Meanwhile a config moves a route to another service.
+// store. Meanwhile a config moves two routes to another service: that of bookings, which need a key, and a
+// public one of lookups.
 func playStale(r run) bool {
 	s := newStore()
 	zones := []string{"bagmati-a", "bagmati-b", "bagmati-c"}
 	var engines []*engine
-	for _, service := range []string{"wuno96b", "pelo23c"} {
+	oldOnes, newOnes := []string{"wuno96b", "zeba41c"}, []string{"pelo23c", "hiku88d"} // of bookings and of lookups
+	for _, service := range slices.Concat(oldOnes, newOnes) {
 		for i, zone := range zones {
 			e := newEngine(fmt.Sprintf("i-%s-%d", service, i), service, zone, func(w *bufio.Writer, request *http.Request, _ []byte) bool {
 				time.Sleep(serviceTime)
@@ -36,17 +39,19 @@
 			s.put("keyed.servers", e.id, e.entry(e.address, 6))
 		}
 	}
-	put := func(version int, service string) time.Time {
+	put := func(version int, services []string) time.Time {
 		document := config()
 		document["version"] = version
-		document["services"] = append(document["services"].([]any), map[string]any{"name": "pelo23c", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false})
-		lookups := document["routes"].([]any)[2].(map[string]any)
-		lookups["service"], lookups["public"] = service, true
+		for _, name := range []string{"zeba41c", "pelo23c", "hiku88d"} {
+			document["services"] = append(document["services"].([]any), map[string]any{"name": name, "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false})
+		}
+		bookings, lookups := document["routes"].([]any)[1].(map[string]any), document["routes"].([]any)[2].(map[string]any)
+		bookings["service"], lookups["service"], lookups["public"] = services[0], services[1], true
 		s.put("keyed.op", "config", document)
-		note("operator: version %d is confirmed; the public route of lookups goes to %s", version, service)
+		note("operator: version %d is confirmed; bookings go to %s, lookups to %s", version, services[0], services[1])
 		return time.Now()
 	}
-	put(7, "wuno96b")
+	put(7, oldOnes)
 	var stores []string
 	var views []*view
 	var cutLinks []*link
@@ -64,9 +69,9 @@
 	time.Sleep(time.Second)
 	var mu sync.Mutex
 	var confirmed time.Time
-	// seen is when an answer of the new service first came through the machine, and regressed counts the
-	// lookups that were sent more than rollbackSlack later and ran on the old one.
-	seen, regressed := make([]time.Time, len(zones)), make([]int, len(zones))
+	// seen is when an answer of a new service first came through the machine, by kind, and regressed counts the
+	// requests that were sent more than rollbackSlack later and ran on the old one.
+	seen, regressed := map[string][]time.Time{"booking": make([]time.Time, len(zones)), "lookup": make([]time.Time, len(zones))}, map[string][]int{"booking": make([]int, len(zones)), "lookup": make([]int, len(zones))}
 	old, changed, failed := make([]int, len(zones)), make([]int, len(zones)), make([]int, len(zones))
 	stop := make(chan struct{})
 	var group sync.WaitGroup
@@ -75,6 +80,10 @@
 			group.Add(1)
 			go func() {
 				defer group.Done()
+				isBooking, kind := client%2 == 0, "lookup"
+				if isBooking {
+					kind = "booking"
+				}
 				time.Sleep(time.Duration(client) * stalePause / staleClients)
 				for n := 0; ; n++ {
 					select {
@@ -83,28 +92,33 @@
 					default:
 					}
 					at := in.pick(zone)
-					attempt := fmt.Sprintf("%s-%d-%d", zone, client, n)
+					attempt := fmt.Sprintf("%s-%s-%d-%d", kind, zone, client, n)
 					sent := time.Now()
 					c, err := dialChannel(machines[at].front)
 					var got answer
 					if err == nil {
-						got = c.send("GET", "/stock77/2f", attempt, nil, bookingWaits)
+						if isBooking {
+							got = c.send("POST", "/puxa403/2f", attempt, []byte("cut 12 m of coil"), bookingWaits)
+						} else {
+							got = c.sendWithKey("", "GET", "/stock77/2f", attempt, nil, bookingWaits)
+						}
 						c.conn.Close()
 					}
 					ranOld, ranNew := 0, 0
 					for _, e := range engines {
-						if e.service == "wuno96b" {
+						if slices.Contains(oldOnes, e.service) {
 							ranOld += e.runs(attempt)
 						} else {
 							ranNew += e.runs(attempt)
 						}
 					}
 					mu.Lock()
-					if ranNew > 0 && seen[at].IsZero() {
-						seen[at] = time.Now()
+					if ranNew > 0 && seen[kind][at].IsZero() {
+						seen[kind][at] = time.Now()
 					}
-					if ranOld > 0 && !seen[at].IsZero() && sent.Sub(seen[at]) > rollbackSlack {
-						regressed[at]++
+					if ranOld > 0 && !seen[kind][at].IsZero() && sent.Sub(seen[kind][at]) > rollbackSlack {
+						regressed[kind][at]++
+						note("REGRESSED %s at %s, %.3f s after the new service was seen through it: %v", attempt, machines[at].name, sent.Sub(seen[kind][at]).Seconds(), got)
 					}
 					isCounted := !confirmed.IsZero() && sent.Sub(confirmed) > applyBound
 					switch {
@@ -140,7 +154,7 @@
 		time.AfterFunc(staleStoreCut, func() { views[1].setCut(false) })
 	}
 	time.Sleep(staleLead)
-	at := put(9, "pelo23c")
+	at := put(9, newOnes)
 	mu.Lock()
 	confirmed = at
 	mu.Unlock()
@@ -149,10 +163,11 @@
 	group.Wait()
 	in.stop()
 	for i, m := range machines {
-		note("at %s, of the lookups sent later than %v after the confirmation: %d ran on the new service, %d on the old one, %d failed or were refused; %d ran on the old one more than %v after the new one was seen through this machine", m.name, applyBound, changed[i], old[i], failed[i], regressed[i], rollbackSlack)
+		note("at %s, of the requests sent later than %v after the confirmation: %d ran on the new services, %d on the old ones, %d failed or were refused; %d bookings and %d lookups ran on the old ones more than %v after a new one was seen through this machine", m.name, applyBound, changed[i], old[i], failed[i], regressed["booking"][i], regressed["lookup"][i], rollbackSlack)
 	}
 	if changed[2] == 0 {
 		must(fmt.Errorf("nothing was shown"))
 	}
-	return old[0]+old[2] > 0 // the machine that is partitioned from the store is not in touch
+	// The machine that is partitioned from the store is not in touch; its own requests don't count.
+	return old[0]+old[2]+regressed["booking"][0]+regressed["lookup"][0] > 0
 }
