--- a/review/player/client.go
+++ b/review/player/client.go
@@ -56,8 +56,11 @@
 func (c *channel) sendWithKey(key, method, path, attempt string, body []byte, remaining time.Duration, more ...string) answer {
 	c.conn.SetDeadline(time.Now().Add(remaining + time.Second))
 	var request strings.Builder
-	fmt.Fprintf(&request, "%s %s HTTP/1.1\r\nHost: %s\r\nWigeonusher-Attempt-Id: %s\r\nWigeonusher-Credential: %s\r\nWigeonusher-Deadline-Remaining-Ms: %d\r\n",
-		method, path, host, attempt, key, remaining.Milliseconds())
+	fmt.Fprintf(&request, "%s %s HTTP/1.1\r\nHost: %s\r\nWigeonusher-Attempt-Id: %s\r\nWigeonusher-Deadline-Remaining-Ms: %d\r\n",
+		method, path, host, attempt, remaining.Milliseconds())
+	if key != "" {
+		request.WriteString("Wigeonusher-Credential: " + key + "\r\n")
+	}
 	for _, line := range more {
 		request.WriteString(line + "\r\n")
 	}
--- a/review/player/revoke.go
+++ b/review/player/revoke.go
@@ -22,8 +22,8 @@
 
 	revokeMillis  = 5000
 	revokeLead    = 6 * time.Second
-	revokeClients = 24
-	revokePause   = 223 * time.Millisecond // together as many requests a second as the site has, 107
+	revokeClients = 12
+	revokePause   = 390 * time.Millisecond // together the 30.8 requests a second of the zone
 	revokeBursts  = 7
 )
 
