Review, case 4: garble for 5 s at a time, at the site's bookings

The script sent 145 bookings a second; now the site's 19.9, with answers spoiled for 5 s in each 7 s.

--- a/review/player/interim.go
+++ b/review/player/interim.go
@@ -20,10 +20,14 @@
 
 const (
 	interimClients  = 12
-	interimRequests = 40 // of each client
-	interimLead     = 4 * time.Second
-	serviceTime     = 60 * time.Millisecond
-	bookingWaits    = 4 * time.Second
+	interimRequests = 70                     // of each client
+	interimPause    = 603 * time.Millisecond // between those of a client: together the site's 19.9 bookings a second
+	// Answers are spoiled for garbleFor in each garbleEvery.
+	garbleFor    = 5 * time.Second
+	garbleEvery  = 7 * time.Second
+	interimLead  = 4 * time.Second
+	serviceTime  = 60 * time.Millisecond
+	bookingWaits = 4 * time.Second
 )
 
 // playInterim lets three of five engines of a plain service spoil three answers in a hundred: bytes that
@@ -35,13 +39,13 @@
 	spoiled := map[string]string{} // what followed the interim head
 	follows := []string{"the whole answer", "a failure of the engine", "nothing: the engine broke off"}
 	var engines []*engine
-	number := 5
+	begun, number := time.Now(), 5
 	bad := int(garbleShare*float64(number) + 0.5)
 	for i := range number {
 		isBad := r.trouble && i < bad
 		e := newEngine(fmt.Sprintf("i-desk-%d", i), "wuno96b", "bagmati-a", func(w *bufio.Writer, request *http.Request, _ []byte) bool {
 			attempt := request.Header.Get("Wigeonusher-Attempt-Id")
-			if isBad && rand.Float64() < garblePart {
+			if isBad && time.Since(begun)%garbleEvery < garbleFor && rand.Float64() < garblePart {
 				mu.Lock()
 				next := follows[len(spoiled)%len(follows)]
 				spoiled[attempt] = next
@@ -75,6 +79,8 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
+			time.Sleep(time.Duration(client) * interimPause / interimClients)
+			next := time.Now()
 			var c *channel
 			for n := range interimRequests {
 				attempt := fmt.Sprintf("%02d-%03d", client, n)
@@ -112,7 +118,8 @@
 					c.conn.Close()
 					c = nil
 				}
-				time.Sleep(20 * time.Millisecond)
+				next = next.Add(interimPause)
+				time.Sleep(time.Until(next))
 			}
 			if c != nil {
 				c.conn.Close()
