--- a/review/player/memory.go
+++ b/review/player/memory.go
@@ -18,7 +18,7 @@
 	memoryMB    = 284     // limits.memory_mb of the site's machines
 	bodyBytes   = 4000000 // below max_body_bytes, 4194304
 	calmClients = 20      // with a stream each
-	deskClients = 18      // as many as the plain service has places, each with one booking after the other
+	deskClients = 4       // each with one booking after the other, together the 19.9 a second of the site
 	deskTime    = 200 * time.Millisecond
 	calmEvents  = 120
 	calmFirst   = 2 * time.Second // their first event comes at the response-time goal of their kind
@@ -130,7 +130,7 @@
 	calm, burst := make(chan struct{}), make(chan struct{})
 	for i := range calmClients {
 		group.Add(1)
-		go client(fmt.Sprintf("ca%02d", i), []byte("a short body"), calm, 0)
+		go client(fmt.Sprintf("ca%02d", i), []byte("a short body"), calm, time.Duration(i)*burstSpacing)
 	}
 	for i := range number {
 		delay := time.Duration(i) * burstSpacing
