Crash evidence: log what is accused, what is not counted and what clears it

A request that crashes endpoints went on to others under four conditions, and the lines could not tell whether crashes were not seen, not blamed on it, or its accusations were dropped. A report now names the whole requests that it accuses; a crash that is not counted has a line with the reason; what drops accusations is logged with the requests and the endpoint. A failure of an endpoint is an end of its own (AttemptFailed), decided as before. No decision changes.

--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -160,8 +160,8 @@
 
 // RecordSurvival records that an endpoint has begun answers on the features, and has gone on
 // until the given time. It returns the features that were suspected, guilty or being tried: the
-// other instances need to know of them.
-func (l *Ledger) RecordSurvival(at time.Time, features ...Feature) (cleared []Feature) {
+// other instances need to know of them. acquitted are the whole requests that were accused.
+func (l *Ledger) RecordSurvival(at time.Time, features ...Feature) (cleared, acquitted []Feature) {
 	for _, feature := range features {
 		if previous, ok := l.survivals.Get(feature); ok && previous.After(at) {
 			continue
@@ -169,6 +169,9 @@
 		l.survivals.Add(feature, at)
 		standing := l.standings[feature]
 		_, tried := l.trials[feature]
+		if l.isAccusedRequest(feature) {
+			acquitted = append(acquitted, feature)
+		}
 		if l.clear(at, feature) || l.suspected[feature] != nil {
 			l.isStale = true
 		}
@@ -176,7 +179,17 @@
 			cleared = append(cleared, feature)
 		}
 	}
-	return cleared
+	return cleared, acquitted
+}
+
+// isAccusedRequest reports whether the feature is a whole request that a crash accuses.
+func (l *Ledger) isAccusedRequest(feature Feature) bool {
+	for _, c := range l.crashes {
+		if accusation, ok := c.accused[feature]; ok && accusation.Depth == WholeRequest {
+			return true
+		}
+	}
+	return false
 }
 
 // clear drops the evidence against a feature that is older than its survival, and reports
--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -109,7 +109,9 @@
 	// broke the connection, and reported that its features were accused.
 	headAt, firstEventAt, endedAt time.Time
 	isBroken, reported            bool
-	survival                      *time.Timer
+	// failed reports that the endpoint answered with a failure.
+	failed   bool
+	survival *time.Timer
 }
 
 // New returns a tracker without evidence.
@@ -240,7 +242,8 @@
 	case relay.AttemptBroken:
 		t.confirmCrash(a.endpoint, now)
 		return
-	case relay.AttemptComplete:
+	case relay.AttemptComplete, relay.AttemptFailed:
+		a.failed = end == relay.AttemptFailed
 		t.recordSurvival(a)
 	case relay.AttemptNotRun:
 		delete(a.endpoint.ended, a)
@@ -277,7 +280,10 @@
 	for _, use := range a.uses {
 		features = append(features, use.Feature)
 	}
-	accused := t.ledger.RecordSurvival(now, features...)
+	accused, acquitted := t.ledger.RecordSurvival(now, features...)
+	if len(accused)+len(acquitted) > 0 {
+		t.logSurvival(a, accused, acquitted)
+	}
 	if len(accused) == 0 {
 		return
 	}
@@ -305,10 +311,14 @@
 	go func() {
 		time.Sleep(probeDelay)
 		probe := t.config.Prober.Probe(context.Background(), at.record.Address)
-		crashed := (probe == relay.ProbeRefused || probe == relay.ProbeTimedOut) && t.reachesOthers(at.record, brokenAt)
+		gone := probe == relay.ProbeRefused || probe == relay.ProbeTimedOut
+		crashed := gone && t.reachesOthers(at.record, brokenAt)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		at.confirming = false
+		if gone && !crashed {
+			t.logUncounted(at, probe)
+		}
 		if crashed {
 			t.reportCrash(at, probe)
 			settled := at.settled
@@ -364,7 +374,8 @@
 	t.config.Count(`wigeonusher_endpoint_crashes_total{service="` + string(at.record.Service) + `"}`)
 	t.config.Logger.WithFields(logrus.Fields{
 		"endpoint": at.record.ID, "born": at.record.Born, "service": at.record.Service, "probe": probe,
-		"accused": len(accused), "attempts": len(at.ended), "after_ms": now.Sub(at.brokenAt).Milliseconds(),
+		"accused": len(accused), "requests": namesOfRequests(accused), "attempts": len(at.ended),
+		"after_ms": now.Sub(at.brokenAt).Milliseconds(),
 	}).Warn("endpoint crashed while it ran requests")
 	t.ledger.RecordCrash(lifetime, at.brokenAt, accused)
 	notice := &peerpb.Notice{}
@@ -506,6 +517,46 @@
 	}).Warn("suspicion of a feature changed")
 }
 
+// logUncounted logs an endpoint that seems to have ended, and for which nothing is accused.
+func (t *Tracker) logUncounted(at *endpoint, probe relay.ProbeOutcome) {
+	t.config.Count(`wigeonusher_uncounted_crashes_total`)
+	t.config.Logger.WithFields(logrus.Fields{
+		"endpoint": at.record.ID, "born": at.record.Born, "service": at.record.Service, "probe": probe, "attempts": len(at.ended),
+		"reason": "no other endpoint of the service reached",
+	}).Warn("endpoint that cannot be reached is not counted as crashed")
+}
+
+// logSurvival logs what cleared features that were suspected, guilty or being tried, and whole
+// requests that were accused.
+func (t *Tracker) logSurvival(a *attempt, cleared, acquitted []crashcause.Feature) {
+	t.config.Logger.WithFields(logrus.Fields{
+		"features": namesOf(cleared), "requests": namesOf(acquitted), "endpoint": a.endpoint.record.ID, "born": a.endpoint.record.Born,
+		"attempt_has_ended": !a.endedAt.IsZero(), "failed": a.failed,
+	}).Warn("endpoint survived what was accused of crashes")
+}
+
+// maxNames bounds the features in one line.
+const maxNames = 8
+
+func namesOf(features []crashcause.Feature) []string {
+	names := make([]string, 0, min(len(features), maxNames))
+	for _, feature := range features[:min(len(features), maxNames)] {
+		names = append(names, crashcause.Name(feature))
+	}
+	return names
+}
+
+// namesOfRequests returns the names of the whole requests among the accused features.
+func namesOfRequests(accused []crashcause.Accusation) []string {
+	var requests []crashcause.Feature
+	for _, a := range accused {
+		if a.Depth == crashcause.WholeRequest {
+			requests = append(requests, a.Feature)
+		}
+	}
+	return namesOf(requests)
+}
+
 // GuiltyCount returns the number of features that are refused.
 func (t *Tracker) GuiltyCount() int {
 	t.mu.Lock()
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -408,8 +408,10 @@
 	switch {
 	case a.crashed:
 		return AttemptBroken
-	case a.verdict == verdictDelivered, a.verdict == verdictFailure:
+	case a.verdict == verdictDelivered:
 		return AttemptComplete
+	case a.verdict == verdictFailure:
+		return AttemptFailed
 	case !a.mayHaveRun():
 		return AttemptNotRun
 	default:
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -95,6 +95,8 @@
 	AttemptNotRun
 	// AttemptComplete: the endpoint sent the whole answer.
 	AttemptComplete
+	// AttemptFailed: the endpoint answered with a failure.
+	AttemptFailed
 	// AttemptBroken: the endpoint broke the connection. It may have crashed, or lost the
 	// answer.
 	AttemptBroken
