--- a/node/crashes/crashes_test.go
+++ b/node/crashes/crashes_test.go
@@ -59,6 +59,7 @@
 
 // fleet is a group of trackers that deliver their notices to each other.
 type fleet struct {
+	pools    *pool.Pools
 	prober   *outcomes
 	proberOf []*instanceProber
 	log      *memoryLog
@@ -146,6 +147,7 @@
 	logger.SetOutput(io.Discard)
 	f := &fleet{prober: &outcomes{by: make(map[string]relay.ProbeOutcome)}, log: &memoryLog{}}
 	pools := pool.New("zone", logrus.NewEntry(logger))
+	f.pools = pools
 	for n := range endpoints {
 		pools.Put(endpointAt(n))
 	}
@@ -168,6 +170,9 @@
 	return f
 }
 
+// otherService is an endpoint of another service than that of [endpointAt].
+var otherService = pool.Record{ID: "other", Service: "other", Address: "other", Born: 1, Slots: 8}
+
 func endpointAt(n int) pool.Record {
 	name := "e" + strconv.Itoa(n)
 	return pool.Record{ID: platform.EndpointID(name), Service: service, Address: name, Born: 1, Slots: 8}
--- a/node/crashes/repeated_test.go
+++ b/node/crashes/repeated_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/coord/crashcause"
+	"github.com/wigeonusher/wigeonusher/node/relay"
 )
 
 // repeat sends the same request again and again, at any instance, until the end.
@@ -71,3 +72,77 @@
 		}
 	}
 }
+
+type (
+	waitFunc  = func(time.Duration) (relay.AttemptEnd, bool)
+	crashFunc = func(after time.Duration)
+)
+
+// The users' bound, whatever the end of an attempt looks like from here.
+func TestRequestThatCrashesEndpointsIsFoundHoweverItsAttemptsEnd(t *testing.T) {
+	const maxLate, warmUp, length, window = 3, 3 * time.Second, 15 * time.Second, 3 * time.Second
+	for name, newRun := range map[string]func(s *simulation) func(relay.AttemptWatch, waitFunc, crashFunc) relay.AttemptEnd{
+		"endpoints fail each third attempt": func(s *simulation) func(relay.AttemptWatch, waitFunc, crashFunc) relay.AttemptEnd {
+			return func(watch relay.AttemptWatch, wait waitFunc, crash crashFunc) relay.AttemptEnd {
+				watch.RecordHead()
+				if s.draw(3) == 0 {
+					return relay.AttemptFailed
+				}
+				crash(crashTime)
+				end, _ := wait(time.Second)
+				return end
+			}
+		},
+		"clients leave first": func(*simulation) func(relay.AttemptWatch, waitFunc, crashFunc) relay.AttemptEnd {
+			return func(_ relay.AttemptWatch, wait waitFunc, crash crashFunc) relay.AttemptEnd {
+				crash(crashTime)
+				if end, ok := wait(crashTime / 2); !ok {
+					return end
+				}
+				return relay.AttemptCanceled
+			}
+		},
+		"endpoints end long after the head": func(*simulation) func(relay.AttemptWatch, waitFunc, crashFunc) relay.AttemptEnd {
+			return func(watch relay.AttemptWatch, wait waitFunc, crash crashFunc) relay.AttemptEnd {
+				watch.RecordHead()
+				crash(800 * time.Millisecond)
+				end, _ := wait(2 * time.Second)
+				return end
+			}
+		},
+		"endpoints end while they stream": func(*simulation) func(relay.AttemptWatch, waitFunc, crashFunc) relay.AttemptEnd {
+			return func(watch relay.AttemptWatch, wait waitFunc, crash crashFunc) relay.AttemptEnd {
+				watch.RecordHead()
+				watch.RecordFirstEvent()
+				crash(800 * time.Millisecond)
+				end, _ := wait(2 * time.Second)
+				return end
+			}
+		},
+	} {
+		for _, c := range []simulationCase{
+			{size: 9, engines: 18, soundRate: 100, badRate: 6}, {size: 78, engines: 112, soundRate: 300, badRate: 6},
+			{size: 380, engines: 400, soundRate: 400, badRate: 10}, {size: 9, engines: 3, soundRate: 20, badRate: 4},
+		} {
+			t.Run(fmt.Sprintf("%s, %d instances, %d endpoints", name, c.size, c.engines), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c.seed = 7
+					s := startSimulation(t, c)
+					s.pools.Put(otherService)
+					s.runBad = newRun(s)
+					s.badFrom, s.end = s.start.Add(warmUp), s.start.Add(warmUp+length)
+					var group sync.WaitGroup
+					s.sendSound(&group, c.soundRate)
+					time.Sleep(warmUp)
+					s.repeat(&group, c.badRate, "again", crashcause.PartUses(4711, []string{"route", "subject7"}))
+					group.Wait()
+					time.Sleep(simulatedRestart + time.Second)
+					late := s.lateArrivals("again", 3, window)
+					t.Logf("%d engines ended, %d arrivals, %d late", len(s.endedBy["again"]), len(s.arrivals["again"]), late)
+					assert.Check(t, late <= maxLate, "%d late sends", late)
+					s.checkSound(t, window)
+				})
+			})
+		}
+	}
+}
--- a/node/crashes/simulation_test.go
+++ b/node/crashes/simulation_test.go
@@ -26,6 +26,8 @@
 	start, badFrom, end time.Time
 	// isSilent reports that engines crash before they write anything of their answer.
 	isSilent bool
+	// runBad replaces the run of a bad request once its engine has begun it; nil for the default.
+	runBad func(watch relay.AttemptWatch, wait func(time.Duration) (relay.AttemptEnd, bool), crash func(after time.Duration)) relay.AttemptEnd
 
 	mu        sync.Mutex
 	engines   []*engine
@@ -157,6 +159,9 @@
 	if end, ok := wait(s.between(20*time.Millisecond, 400*time.Millisecond)); !ok {
 		return end
 	}
+	if bad != "" && s.runBad != nil {
+		return s.runBad(watch, wait, func(after time.Duration) { time.AfterFunc(after, func() { s.kill(e, bad) }) })
+	}
 	if bad != "" && s.isSilent {
 		time.AfterFunc(crashTime, func() { s.kill(e, bad) })
 		end, _ := wait(s.between(200*time.Millisecond, 3*time.Second))
