Crash evidence: what the endpoint shows, not how the attempt ended

Cause, a class of fault: whether an attempt spoke for or against a request was decided by how it ended on this side. A failure counted as a survival; so did events for half a second; an answer that had gone on for long was no evidence; an attempt that ended here was not looked after; a crash did not count while the others of the service were down for the same reason.

Only a run to the end clears a whole request. Endpoints are looked at after attempts that ended here; a registration of a later lifetime tells of an end that was not clear; one that had announced that it leaves is no crash. Because a request is now accused whatever its answer did, crashes of one moment count once, a request that is accused by such crashes waits for 60 ms until others have told whether it has survived, and early accusations decide before late ones.

--- a/coord/crashcause/decide.go
+++ b/coord/crashcause/decide.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
 	"time"
 )
 
@@ -17,6 +15,8 @@
 	// Alone: the request is the one trial of its suspected features, which the caller holds
 	// until [Ledger.EndTrial]. It should run where it does the least damage.
 	Alone
+	// Undecided: the request is questioned, which is over within a moment. The caller asks again.
+	Undecided
 	// Pending: another request with a suspected feature is being tried.
 	Pending
 	// Refused requests have a guilty feature.
@@ -36,7 +36,7 @@
 		return Decision{}
 	}
 	l.decide(now)
-	var suspected []Feature
+	var suspected, questioned []Feature
 	for _, use := range uses {
 		switch l.standings[use.Feature] {
 		case Guilty:
@@ -46,9 +46,14 @@
 			return Decision{Permission: Refused, Features: []Feature{use.Feature}}
 		case Suspected:
 			suspected = append(suspected, use.Feature)
+		case Questioned:
+			questioned = append(questioned, use.Feature)
 		default:
 		}
 	}
+	if len(questioned) > 0 {
+		return Decision{Permission: Undecided, Features: questioned}
+	}
 	if len(suspected) == 0 {
 		return Decision{}
 	}
@@ -75,6 +80,8 @@
 	// feature explains. Survived reports that the feature had survived lately.
 	Score, Unexplained int
 	Survived           bool
+	// Independent counts the independent ones among the unexplained crashes of a whole request.
+	Independent int
 	// IsVerdict reports that the feature is guilty by a verdict.
 	IsVerdict bool
 }
@@ -86,7 +93,7 @@
 	for feature, standing := range l.standings {
 		e := Explanation{Standing: standing}
 		if s := l.suspected[feature]; s != nil {
-			e.Depth, e.Score, e.Unexplained, e.Survived = s.use.Depth, s.score, s.unexplained, s.survived
+			e.Depth, e.Score, e.Unexplained, e.Survived, e.Independent = s.use.Depth, s.score, s.unexplained, s.survived, s.independent
 		}
 		if v := l.verdicts[feature]; v != nil {
 			e.Depth, e.IsVerdict = v.Depth, true
@@ -137,9 +144,13 @@
 	for feature, s := range suspicions {
 		if s.isSuspected(now) {
 			l.standings[feature] = Suspected
+			if until := s.lastAt.Add(questionTime); s.isQuestionable() && now.Before(until) {
+				l.standings[feature] = Questioned
+				l.decideAgainAt = earlier(l.decideAgainAt, until)
+			}
 		}
-		if patient := s.firstAt.Add(survivorPatience); s.survived && now.Before(patient) && patient.Before(l.decideAgainAt) {
-			l.decideAgainAt = patient
+		if patient := s.firstAt.Add(survivorPatience); s.survived && now.Before(patient) {
+			l.decideAgainAt = earlier(l.decideAgainAt, patient)
 		}
 	}
 	for feature := range guilty {
@@ -147,29 +158,35 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // explain makes the features guilty that explain the crashes, and counts for each feature
 // the crashes that no guilty one explains.
 func (l *Ledger) explain(now time.Time, suspicions map[Feature]*suspicion, guilty map[Feature]bool) {
 	bySelf := make(map[Feature]time.Time)
-	for {
-		l.countUnexplained(suspicions, guilty)
-		var worst *suspicion
-		for feature, s := range suspicions {
-			if !guilty[feature] && s.isGuilty(now) && (worst == nil || s.compare(worst) > 0) {
-				worst = s
+	// Early accusations decide first: an answer that has gone on for a while is rarely the cause.
+	for _, withLate := range []bool{false, true} {
+		for {
+			l.countUnexplained(suspicions, guilty, withLate)
+			worst := worstGuilty(now, suspicions, guilty)
+			if worst == nil {
+				break
 			}
+			feature := worst.use.Feature
+			guilty[feature] = true
+			bySelf[feature] = now
+			if since, ok := l.guiltySince[feature]; ok {
+				bySelf[feature] = since
+			}
+			l.guiltyUse[feature] = worst.use
 		}
-		if worst == nil {
-			break
-		}
-		feature := worst.use.Feature
-		guilty[feature] = true
-		bySelf[feature] = now
-		if since, ok := l.guiltySince[feature]; ok {
-			bySelf[feature] = since
-		}
-		l.guiltyUse[feature] = worst.use
 	}
+	l.countUnexplained(suspicions, guilty, false)
 	l.guiltySince = bySelf
 	for feature := range l.guiltyUse {
 		if _, ok := bySelf[feature]; !ok {
@@ -178,6 +195,18 @@
 	}
 }
 
+// worstGuilty returns the suspicion that explains most of the crashes that nothing explains yet, nil if
+// none suffices.
+func worstGuilty(now time.Time, suspicions map[Feature]*suspicion, guilty map[Feature]bool) *suspicion {
+	var worst *suspicion
+	for feature, s := range suspicions {
+		if !guilty[feature] && s.isGuilty(now) && (worst == nil || s.compare(worst) > 0) {
+			worst = s
+		}
+	}
+	return worst
+}
+
 // suspicions adds up the accusations against each feature.
 func (l *Ledger) suspicions(now time.Time) map[Feature]*suspicion {
 	all := make(map[Feature]*suspicion)
@@ -190,36 +219,47 @@
 			}
 			s.score += accusation.weight()
 			s.survived = s.survived || accusation.Survived
-			if c.at.Before(s.firstAt) {
-				s.firstAt = c.at
-			}
+			s.lastAt = c.at
 		}
 	}
 	return all
 }
 
-func (l *Ledger) countUnexplained(suspicions map[Feature]*suspicion, guilty map[Feature]bool) {
+func (l *Ledger) countUnexplained(suspicions map[Feature]*suspicion, guilty map[Feature]bool, withLate bool) {
 	for _, s := range suspicions {
-		s.unexplained, s.lastEventAt = 0, time.Time{}
+		s.unexplained, s.early, s.independent, s.lastEventAt = 0, 0, 0, time.Time{}
 	}
-	for _, c := range l.inOrder() {
+	for _, c := range l.crashes {
 		if isExplained(c, guilty) {
 			continue
 		}
 		for feature, accusation := range c.accused {
-			s := suspicions[feature]
-			if s.survived && !s.lastEventAt.IsZero() && c.at.Sub(s.lastEventAt) < eventTime {
-				continue
+			if withLate || !accusation.Late {
+				suspicions[feature].count(c.at, accusation)
 			}
-			s.unexplained += accusation.weight()
-			s.lastEventAt = c.at
 		}
 	}
 }
 
-// inOrder returns the crashes in order of time.
-func (l *Ledger) inOrder() []*crash {
-	return slices.SortedFunc(maps.Values(l.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+// count adds an accusation after a crash that nothing explains. Crashes are counted in order of
+// time.
+func (s *suspicion) count(at time.Time, accusation Accusation) {
+	if !accusation.Late {
+		s.early++
+	}
+	if s.use.isRequest() {
+		s.unexplained += accusation.weight()
+		if sentAt := at.Add(-accusation.Held); !sentAt.Before(s.lastEventAt) || at.Sub(s.lastEventAt) >= eventTime {
+			s.independent++
+			s.lastEventAt = at
+		}
+		return
+	}
+	if s.survived && !s.lastEventAt.IsZero() && at.Sub(s.lastEventAt) < eventTime {
+		return
+	}
+	s.unexplained += accusation.weight()
+	s.lastEventAt = at
 }
 
 func isExplained(c *crash, guilty map[Feature]bool) bool {
@@ -234,25 +274,43 @@
 // isGuilty reports whether the crashes that nothing else explains suffice.
 func (s *suspicion) isGuilty(now time.Time) bool {
 	if s.survived {
-		return s.unexplained >= survivorGuiltyScore && now.Sub(s.firstAt) >= survivorPatience
+		return s.isPatient(now, survivorGuiltyScore)
 	}
-	return s.unexplained >= GuiltyScore
+	return s.unexplained >= GuiltyScore && (s.independent >= independentCrashes || !s.use.isRequest())
 }
 
 // isSuspected reports whether the feature may be the cause. One whose crashes a guilty
-// feature explains remains suspected if they would make it guilty too.
+// feature explains remains suspected if they would make it guilty too. Late accusations alone make
+// nothing suspected before it is guilty: an answer that goes on would be broken off for them.
 func (s *suspicion) isSuspected(now time.Time) bool {
 	if s.survived {
-		return s.unexplained >= survivorSuspectScore && now.Sub(s.firstAt) >= survivorPatience
+		return s.isPatient(now, survivorSuspectScore)
 	}
 	return s.unexplained >= SuspectScore || s.score >= GuiltyScore
 }
 
+// isPatient reports whether a feature that has survived lately has the given score, and was
+// accused for a while without a survival. Of the crashes of a request only independent ones count.
+func (s *suspicion) isPatient(now time.Time, score int) bool {
+	evidence := s.unexplained
+	if s.use.isRequest() {
+		evidence = s.independent * begunWeight
+	}
+	return evidence >= score && now.Sub(s.firstAt) >= survivorPatience
+}
+
+// isQuestionable reports whether the feature is a request that was at endpoints which crashed at
+// the same time, as in a rack that fails.
+func (s *suspicion) isQuestionable() bool {
+	return s.use.isRequest() && s.independent < independentCrashes
+}
+
 // compare orders features by how well they explain crashes; of equal ones the more specific
 // is the greater.
 func (s *suspicion) compare(other *suspicion) int {
 	return cmp.Or(
 		cmp.Compare(s.unexplained, other.unexplained),
+		cmp.Compare(s.early, other.early),
 		cmp.Compare(s.use.Depth, other.use.Depth),
 		cmp.Compare(s.use.Feature, other.use.Feature),
 	)
--- a/coord/crashcause/doc.go
+++ b/coord/crashcause/doc.go
@@ -4,10 +4,11 @@
 // # Evidence
 //
 // An endpoint that crashes takes all its requests with it. Each instance accuses the
-// features of those that it had there and whose answers had just begun, or could have
-// begun: an answer that has gone on for a while did not cause the crash. A feature
-// survives if an endpoint goes on after it has begun an answer on it; that refutes all
-// earlier accusations. Instances exchange both, so that all decide alike.
+// whole requests that it had there and that were not run to their end, and the parts of those whose
+// answers had just begun, or could have begun: parts are shared by many requests, so an answer that
+// has gone on for a while did not cause the crash by one of them. A request survives if an endpoint
+// runs it to its end, a part also if an endpoint goes on after it has begun an answer on it; that
+// refutes all earlier accusations. Instances exchange both, so that all decide alike.
 //
 // # Decision
 //
@@ -21,6 +22,9 @@
 // feature that has survived lately needs more, and some time without a survival: endpoints
 // that crash for another reason take the features of all their requests with them.
 //
+// A whole request is guilty only if its crashes are not all of one moment. One that is accused by
+// crashes of one moment is [Questioned] before it is suspected.
+//
 // Features that only ever come together cannot be told apart: the most specific one becomes
 // guilty, and the others remain suspected until one survives, or crashes an endpoint alone.
 //
--- a/coord/crashcause/feature.go
+++ b/coord/crashcause/feature.go
@@ -73,13 +73,20 @@
 	Begun bool
 	// Survived reports that the accusing instance has seen the feature survive lately.
 	Survived bool
+	// Late reports that the answer had gone on for a while, which speaks less against the request.
+	Late bool
+	// Held is the time from the sending of the request to the crash.
+	Held time.Duration
 }
 
+// isRequest reports whether the feature is a whole request.
+func (u Use) isRequest() bool { return u.Depth == WholeRequest }
+
 // weight is what the accusation adds to the score of its feature. That the same request was at
 // several endpoints that crashed is hardly chance, while parts are shared by many requests
 // that wait.
 func (a Accusation) weight() int {
-	if a.Begun || a.Depth == WholeRequest {
+	if a.Begun || a.isRequest() {
 		return begunWeight
 	}
 	return waitingWeight
@@ -91,11 +98,14 @@
 // Standings, from the best to the worst.
 const (
 	Unsuspected Standing = iota
+	// Questioned requests wait a moment while the instances ask each other whether they have seen
+	// them survive.
+	Questioned
 	Suspected
 	Guilty
 )
 
-var standingNames = [...]string{"unsuspected", "suspected", "guilty"}
+var standingNames = [...]string{"unsuspected", "questioned", "suspected", "guilty"}
 
 func (s Standing) String() string { return standingNames[s] }
 
--- a/coord/crashcause/ledger.go
+++ b/coord/crashcause/ledger.go
@@ -30,6 +30,12 @@
 	// ends many endpoints at the same moment, and common features were at all of them. Requests
 	// end endpoints one after the other.
 	eventTime = 150 * time.Millisecond
+	// A request is guilty only after independentCrashes: one is independent of the one before if the
+	// request was sent after that, or if eventTime lies between them.
+	independentCrashes = 2
+	// questionTime is how long a request whose crashes are not independent is questioned, in which
+	// other instances tell whether it has survived.
+	questionTime = 60 * time.Millisecond
 
 	// CrashMemory is how long a crash counts, and SurvivalMemory how long a survival is
 	// remembered.
@@ -57,8 +63,12 @@
 
 // crash is a crash of an endpoint.
 type crash struct {
-	at      time.Time
-	accused map[Feature]Accusation
+	lifetime Lifetime
+	at       time.Time
+	accused  map[Feature]Accusation
+	// returnedAt is when the endpoint was reached again, though its lifetime is not known to have
+	// changed; zero if it was not.
+	returnedAt time.Time
 }
 
 // suspicion is the evidence against a feature.
@@ -66,16 +76,24 @@
 	use Use
 	// score counts all crashes, and unexplained those that no guilty feature explains.
 	score, unexplained int
-	firstAt            time.Time
-	survived           bool
-	// lastEventAt is the time of the crash that began the last event.
+	// early counts the unexplained crashes before whose end no answer had gone on for a while.
+	early int
+	// independent counts the unexplained crashes that are independent of the one before; 0 for
+	// parts.
+	independent int
+	// firstAt and lastAt are the times of the first and the last crash.
+	firstAt, lastAt time.Time
+	survived        bool
+	// lastEventAt is the time of the last crash that was independent or, for parts, that began an
+	// event.
 	lastEventAt time.Time
 }
 
 // Ledger is an instance's evidence and its decisions. The zero value is not usable, see
 // [New].
 type Ledger struct {
-	crashes map[Lifetime]*crash
+	// crashes are in order of time.
+	crashes []*crash
 	// survivals holds when a feature last survived.
 	survivals *simplelru.LRU[Feature, time.Time]
 	verdicts  map[Feature]*verdict
@@ -106,20 +124,20 @@
 		panic(eris.Wrap(err, "crashcause: create LRU cache"))
 	}
 	return &Ledger{
-		crashes: make(map[Lifetime]*crash), survivals: survivals, verdicts: make(map[Feature]*verdict),
+		survivals: survivals, verdicts: make(map[Feature]*verdict),
 		trials: make(map[Feature]time.Time), standings: make(map[Feature]Standing),
 		guiltySince: make(map[Feature]time.Time), guiltyUse: make(map[Feature]Use),
 	}
 }
 
 // RecordCrash adds the accusations of one instance after a crash. Accusations of several
-// instances after one crash add up to one: each feature counts once, with its highest weight.
+// instances after one crash add up to one: each feature counts once, with its highest weight. A
+// lifetime crashes once, unless [Ledger.RecordReturn] was called in between.
 func (l *Ledger) RecordCrash(lifetime Lifetime, at time.Time, accused []Accusation) {
-	known := l.crashes[lifetime]
+	known := l.findCrash(lifetime, at)
 	if known == nil {
-		l.makeRoomForCrash()
-		known = &crash{at: at, accused: make(map[Feature]Accusation)}
-		l.crashes[lifetime] = known
+		known = &crash{lifetime: lifetime, at: at, accused: make(map[Feature]Accusation)}
+		l.addCrash(known)
 	}
 	for _, accusation := range accused {
 		previous, isKnown := known.accused[accusation.Feature]
@@ -128,22 +146,38 @@
 		}
 		accusation.Begun = accusation.Begun || previous.Begun
 		accusation.Survived = accusation.Survived || previous.Survived
+		accusation.Late = accusation.Late && (previous.Late || !isKnown)
+		accusation.Held = max(accusation.Held, previous.Held)
 		known.accused[accusation.Feature] = accusation
 	}
 	l.isStale = true
 }
 
-func (l *Ledger) makeRoomForCrash() {
-	if len(l.crashes) < maxCrashes {
-		return
+// RecordReturn records that an endpoint that has crashed was reached at the given time, though no
+// new lifetime of it is known.
+func (l *Ledger) RecordReturn(lifetime Lifetime, at time.Time) {
+	if known := l.findCrash(lifetime, at); known != nil && at.After(known.at) && known.returnedAt.IsZero() {
+		known.returnedAt = at
 	}
-	var oldest Lifetime
-	for lifetime, c := range l.crashes {
-		if known := l.crashes[oldest]; known == nil || c.at.Before(known.at) {
-			oldest = lifetime
+}
+
+// findCrash returns the crash of a lifetime to which a report of the given time belongs, nil if it
+// is a new one.
+func (l *Ledger) findCrash(lifetime Lifetime, at time.Time) *crash {
+	for _, c := range l.crashes {
+		if c.lifetime == lifetime && (c.returnedAt.IsZero() || !at.After(c.returnedAt)) {
+			return c
 		}
 	}
-	delete(l.crashes, oldest)
+	return nil
+}
+
+func (l *Ledger) addCrash(added *crash) {
+	if len(l.crashes) >= maxCrashes {
+		l.crashes = slices.Delete(l.crashes, 0, 1)
+	}
+	place, _ := slices.BinarySearchFunc(l.crashes, added.at, func(c *crash, at time.Time) int { return c.at.Compare(at) })
+	l.crashes = slices.Insert(l.crashes, place, added)
 }
 
 // HasSurvived reports whether the feature has survived lately.
@@ -175,7 +209,7 @@
 		if l.clear(at, feature) || l.suspected[feature] != nil {
 			l.isStale = true
 		}
-		if standing != Unsuspected || tried {
+		if standing > Questioned || tried {
 			cleared = append(cleared, feature)
 		}
 	}
@@ -185,7 +219,7 @@
 // isAccusedRequest reports whether the feature is a whole request that a crash accuses.
 func (l *Ledger) isAccusedRequest(feature Feature) bool {
 	for _, c := range l.crashes {
-		if accusation, ok := c.accused[feature]; ok && accusation.Depth == WholeRequest {
+		if accusation, ok := c.accused[feature]; ok && accusation.isRequest() {
 			return true
 		}
 	}
@@ -270,12 +304,9 @@
 
 // expire removes what is too old.
 func (l *Ledger) expire(now time.Time) {
-	for lifetime, c := range l.crashes {
-		if now.Sub(c.at) > CrashMemory {
-			delete(l.crashes, lifetime)
-			l.isStale = true
-		}
-	}
+	known := len(l.crashes)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool { return now.Sub(c.at) > CrashMemory })
+	l.isStale = l.isStale || len(l.crashes) < known
 	for feature, v := range l.verdicts {
 		if now.Sub(v.At) > VerdictMemory && now.Sub(v.refusedAt) > VerdictMemory {
 			delete(l.verdicts, feature)
--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/crashcause"
 	"github.com/wigeonusher/wigeonusher/coord/keyed"
+	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
@@ -22,8 +24,6 @@
 )
 
 const (
-	// probeDelay is the time until a crashed endpoint refuses connections.
-	probeDelay = 20 * time.Millisecond
 	// blameWindow is the time from the head of an answer within which it may be the cause of
 	// a crash. An answer that goes on for longer after its first event shows that the endpoint
 	// survives its features.
@@ -39,13 +39,10 @@
 	minTrialDelay = 60 * time.Millisecond
 	trialSpread   = 300 * time.Millisecond
 	// endedMemory is how long attempts that have ended are kept for a crash that is noticed
-	// later.
-	endedMemory = time.Second
+	// later. A request whose attempt has ended on this side may crash its endpoint within it.
+	endedMemory = 1200 * time.Millisecond
 	// maintenanceInterval is the time between checks for verdicts to tell the others.
 	maintenanceInterval = 100 * time.Millisecond
-	// pathProbes bounds the endpoints that are probed to find out whether this instance
-	// reaches any: more than the few that may be down at the same time.
-	pathProbes = 6
 	// maxAgeMillis bounds an age in a notice, so that it does not overflow.
 	maxAgeMillis = uint32(time.Hour / time.Millisecond)
 )
@@ -59,6 +56,11 @@
 // Pools returns the endpoints of a service.
 type Pools interface {
 	Service(name route.ServiceName) *pool.Pool
+	// ActiveSince reports whether an endpoint of any service, other than the given one, has sent
+	// something since the given time.
+	ActiveSince(other platform.EndpointID, since time.Time) bool
+	// Addresses returns up to the given number of addresses of other endpoints, of all services.
+	Addresses(other platform.EndpointID, most int) []string
 }
 
 // Config lists what a [Tracker] uses.
@@ -90,11 +92,21 @@
 	record pool.Record
 	// running are in progress, and ended have ended lately.
 	running, ended map[*attempt]struct{}
-	// brokenAt is when an attempt broke first, zero if none has.
+	// brokenAt is when an attempt broke first or the endpoint was first found gone, zero if neither
+	// has happened.
 	brokenAt   time.Time
 	confirming bool
 	// settled is closed when it is known whether the endpoint has crashed.
 	settled chan struct{}
+	// checkAt is when to check next whether the endpoint ends after attempts that have ended on this
+	// side, zero if there are none.
+	checkAt time.Time
+	// unclearAt is when the endpoint was found gone though the path of this instance may be the
+	// reason, zero if it was not; examinedAt is when it was last examined since.
+	unclearAt, examinedAt time.Time
+	// crashedAt is when the endpoint last crashed, and returnedAt when it was reached again in
+	// the same lifetime, as far as that is known.
+	crashedAt, returnedAt time.Time
 }
 
 // attempt implements [relay.AttemptWatch].
@@ -105,13 +117,12 @@
 	// trial holds the features of which the attempt is the trial.
 	trial  []crashcause.Feature
 	cancel context.CancelCauseFunc
-	// headAt and firstEventAt are zero if nothing arrived. isBroken reports that the endpoint
-	// broke the connection, and reported that its features were accused.
-	headAt, firstEventAt, endedAt time.Time
-	isBroken, reported            bool
-	// failed reports that the endpoint answered with a failure.
-	failed   bool
-	survival *time.Timer
+	// headAt is zero if nothing arrived, and endedAt while the attempt is in progress. end is valid
+	// once it has ended. reported reports that its features were accused.
+	sentAt, headAt, endedAt time.Time
+	end                     relay.AttemptEnd
+	reported                bool
+	survival                *time.Timer
 }
 
 // New returns a tracker without evidence.
@@ -131,6 +142,7 @@
 // Run writes the verdicts of this instance to the topic until the context ends.
 func (t *Tracker) Run(ctx context.Context, log keyed.Log, topic keyed.Topic) error {
 	return loop.Every(ctx, maintenanceInterval, func(now time.Time) {
+		t.examineDue(now)
 		t.removeEnded(now)
 		t.publishDue(ctx, now, log, topic)
 	})
@@ -149,6 +161,8 @@
 	case crashcause.Alone:
 		t.config.Count(`wigeonusher_suspected_requests_total{decision="alone"}`)
 		t.notify(&peerpb.Notice{Trials: encodeTrials(decision.Features, false)})
+	case crashcause.Undecided:
+		t.config.Count(`wigeonusher_suspected_requests_total{decision="undecided"}`)
 	case crashcause.Pending:
 		t.config.Count(`wigeonusher_suspected_requests_total{decision="pending"}`)
 	case crashcause.Refused:
@@ -182,12 +196,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	lifetime := crashcause.Lifetime{Endpoint: record.ID, Born: record.Born}
-	at := t.endpoints[lifetime]
-	if at == nil {
-		at = &endpoint{record: record, running: make(map[*attempt]struct{}), ended: make(map[*attempt]struct{})}
-		t.endpoints[lifetime] = at
-	}
-	a := &attempt{tracker: t, endpoint: at, uses: uses}
+	at := t.endpoint(lifetime)
+	at.record = record
+	a := &attempt{tracker: t, endpoint: at, uses: uses, sentAt: time.Now()}
 	if decision.Permission == crashcause.Alone {
 		a.trial = decision.Features
 	}
@@ -195,6 +206,20 @@
 	return a
 }
 
+// endpoint returns the state of a lifetime of an endpoint, which is created at the first call.
+func (t *Tracker) endpoint(lifetime crashcause.Lifetime) *endpoint {
+	at := t.endpoints[lifetime]
+	if at == nil {
+		at = &endpoint{running: make(map[*attempt]struct{}), ended: make(map[*attempt]struct{})}
+		t.endpoints[lifetime] = at
+	}
+	return at
+}
+
+func (at *endpoint) lifetime() crashcause.Lifetime {
+	return crashcause.Lifetime{Endpoint: at.record.ID, Born: at.record.Born}
+}
+
 // SetCancel implements [relay.AttemptWatch].
 func (a *attempt) SetCancel(cancel context.CancelCauseFunc) {
 	a.tracker.mu.Lock()
@@ -213,19 +238,23 @@
 func (a *attempt) RecordFirstEvent() {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
-	a.firstEventAt = time.Now()
-	a.survival = time.AfterFunc(blameWindow, a.survive)
+	a.survival = time.AfterFunc(blameWindow, a.surviveParts)
 }
 
-// survive records that the endpoint goes on after it has begun the answer.
-func (a *attempt) survive() {
+// surviveParts records that the endpoint goes on after it has begun the answer: it survives the
+// parts that requests share, while the whole request may still end it.
+func (a *attempt) surviveParts() {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
 	if a.endedAt.IsZero() {
-		a.tracker.recordSurvival(a)
+		a.tracker.recordSurvival(a, partsOf(a.uses))
 	}
 }
 
+func partsOf(uses []crashcause.Use) []crashcause.Use {
+	return slices.DeleteFunc(slices.Clone(uses), func(use crashcause.Use) bool { return use.Depth == crashcause.WholeRequest })
+}
+
 // End implements [relay.AttemptWatch].
 func (a *attempt) End(end relay.AttemptEnd) {
 	t := a.tracker
@@ -235,21 +264,19 @@
 		a.survival.Stop()
 	}
 	now := time.Now()
-	a.endedAt, a.isBroken = now, end == relay.AttemptBroken
+	a.endedAt, a.end = now, end
 	delete(a.endpoint.running, a)
-	a.endpoint.ended[a] = struct{}{}
 	switch end {
 	case relay.AttemptBroken:
+		a.endpoint.ended[a] = struct{}{}
 		t.confirmCrash(a.endpoint, now)
-		return
-	case relay.AttemptComplete, relay.AttemptFailed:
-		a.failed = end == relay.AttemptFailed
-		t.recordSurvival(a)
-	case relay.AttemptNotRun:
-		delete(a.endpoint.ended, a)
 	case relay.AttemptCanceled:
-	}
-	if end != relay.AttemptCanceled || a.headAt.IsZero() {
+		a.endpoint.ended[a] = struct{}{}
+		a.endpoint.checkLater(now)
+	case relay.AttemptComplete:
+		t.recordSurvival(a, a.uses)
+		t.endTrial(a.trial)
+	case relay.AttemptFailed, relay.AttemptNotRun:
 		t.endTrial(a.trial)
 	}
 }
@@ -258,9 +285,8 @@
 func (a *attempt) AwaitCause(ctx context.Context) {
 	a.tracker.mu.Lock()
 	settled := a.endpoint.settled
-	_, mayBeCause := a.mayBeCause(a.endedAt)
 	a.tracker.mu.Unlock()
-	if settled == nil || !mayBeCause {
+	if settled == nil {
 		return
 	}
 	timer := time.NewTimer(maxAwait)
@@ -272,12 +298,12 @@
 	}
 }
 
-// recordSurvival records evidence for the features of an attempt, and tells the others if
+// recordSurvival records evidence for features of an attempt, and tells the others if
 // there is evidence against them. The caller holds the lock.
-func (t *Tracker) recordSurvival(a *attempt) {
+func (t *Tracker) recordSurvival(a *attempt, uses []crashcause.Use) {
 	now := time.Now()
-	features := make([]crashcause.Feature, 0, len(a.uses))
-	for _, use := range a.uses {
+	features := make([]crashcause.Feature, 0, len(uses))
+	for _, use := range uses {
 		features = append(features, use.Feature)
 	}
 	accused, acquitted := t.ledger.RecordSurvival(now, features...)
@@ -287,7 +313,7 @@
 	if len(accused) == 0 {
 		return
 	}
-	a.trial = nil
+	a.trial = slices.DeleteFunc(slices.Clone(a.trial), func(f crashcause.Feature) bool { return slices.Contains(accused, f) })
 	notice := &peerpb.Notice{}
 	for _, feature := range accused {
 		notice.Survivals = append(notice.Survivals, &peerpb.FeatureSurvival{Feature: uint64(feature)})
@@ -297,140 +323,6 @@
 	t.apply(now)
 }
 
-// confirmCrash finds out in the background whether an endpoint that broke a connection has
-// crashed. The caller holds the lock.
-func (t *Tracker) confirmCrash(at *endpoint, now time.Time) {
-	if at.brokenAt.IsZero() {
-		at.brokenAt = now
-	}
-	if at.confirming {
-		return
-	}
-	at.confirming, at.settled = true, make(chan struct{})
-	brokenAt := at.brokenAt
-	go func() {
-		time.Sleep(probeDelay)
-		probe := t.config.Prober.Probe(context.Background(), at.record.Address)
-		gone := probe == relay.ProbeRefused || probe == relay.ProbeTimedOut
-		crashed := gone && t.reachesOthers(at.record, brokenAt)
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		at.confirming = false
-		if gone && !crashed {
-			t.logUncounted(at, probe)
-		}
-		if crashed {
-			t.reportCrash(at, probe)
-			settled := at.settled
-			time.AfterFunc(noticeTime, func() { close(settled) })
-			return
-		}
-		close(at.settled)
-		at.brokenAt = time.Time{}
-		t.releaseBroken(at)
-	}()
-}
-
-// reachesOthers reports whether this instance reaches another endpoint of the service: one
-// that is itself cut off must not blame requests. If there is no other endpoint, nothing
-// speaks against the crash.
-func (t *Tracker) reachesOthers(record pool.Record, brokenAt time.Time) bool {
-	endpoints := t.config.Pools.Service(record.Service)
-	if endpoints.ActiveSince(record.ID, brokenAt) {
-		return true
-	}
-	others := endpoints.Addresses(record.ID, pathProbes)
-	if len(others) == 0 {
-		return true
-	}
-	reached := make(chan bool, len(others))
-	for _, address := range others {
-		go func() { reached <- t.config.Prober.Probe(context.Background(), address) == relay.ProbeReached }()
-	}
-	for range others {
-		if <-reached {
-			return true
-		}
-	}
-	return false
-}
-
-// releaseBroken ends the trials of attempts that broke without a crash.
-func (t *Tracker) releaseBroken(at *endpoint) {
-	for a := range at.ended {
-		if a.isBroken {
-			delete(at.ended, a)
-			t.endTrial(a.trial)
-		}
-	}
-}
-
-// reportCrash accuses the features of the attempts at an endpoint that has crashed, and
-// tells the others. The caller holds the lock.
-func (t *Tracker) reportCrash(at *endpoint, probe relay.ProbeOutcome) {
-	now := time.Now()
-	lifetime := crashcause.Lifetime{Endpoint: at.record.ID, Born: at.record.Born}
-	accused := t.accuse(at, now)
-	t.config.Count(`wigeonusher_endpoint_crashes_total{service="` + string(at.record.Service) + `"}`)
-	t.config.Logger.WithFields(logrus.Fields{
-		"endpoint": at.record.ID, "born": at.record.Born, "service": at.record.Service, "probe": probe,
-		"accused": len(accused), "requests": namesOfRequests(accused), "attempts": len(at.ended),
-		"after_ms": now.Sub(at.brokenAt).Milliseconds(),
-	}).Warn("endpoint crashed while it ran requests")
-	t.ledger.RecordCrash(lifetime, at.brokenAt, accused)
-	notice := &peerpb.Notice{}
-	if len(accused) > 0 {
-		notice.Crashes = append(notice.Crashes, encodeCrash(lifetime, now.Sub(at.brokenAt), accused))
-	}
-	for a := range at.ended {
-		if len(a.trial) > 0 {
-			t.delayTrial(now, a.trial...)
-			notice.Trials = append(notice.Trials, encodeTrials(a.trial, true)...)
-			a.trial = nil
-		}
-	}
-	if len(notice.Crashes)+len(notice.Trials) > 0 {
-		t.notify(notice)
-	}
-	t.apply(now)
-}
-
-// accuse returns the features of the attempts that may have crashed the endpoint.
-func (t *Tracker) accuse(at *endpoint, now time.Time) []crashcause.Accusation {
-	byFeature := make(map[crashcause.Feature]crashcause.Accusation)
-	for a := range at.ended {
-		begun, ok := a.mayBeCause(at.brokenAt)
-		if !ok || a.reported {
-			continue
-		}
-		a.reported = true
-		for _, use := range a.uses {
-			previous := byFeature[use.Feature]
-			byFeature[use.Feature] = crashcause.Accusation{
-				Use: use, Begun: begun || previous.Begun, Survived: t.ledger.HasSurvived(now, use.Feature),
-			}
-		}
-	}
-	accused := make([]crashcause.Accusation, 0, len(byFeature))
-	for _, accusation := range byFeature {
-		accused = append(accused, accusation)
-	}
-	return accused
-}
-
-// mayBeCause reports whether the attempt may have crashed its endpoint at the given time,
-// and whether its answer had begun. An answer that has gone on for longer than blameWindow
-// is not the cause.
-func (a *attempt) mayBeCause(crashedAt time.Time) (begun, ok bool) {
-	if !a.isBroken && crashedAt.Sub(a.endedAt) > blameWindow {
-		return false, false
-	}
-	if a.headAt.IsZero() {
-		return false, true
-	}
-	return true, crashedAt.Sub(a.headAt) <= blameWindow
-}
-
 // applySoon applies the evidence of a notice after applyDelay, with that of the others that
 // arrive meanwhile: each decision goes through all evidence. The caller holds the lock.
 func (t *Tracker) applySoon() {
@@ -453,7 +345,7 @@
 	t.isApplyDue = false
 	for _, at := range t.endpoints {
 		for a := range at.running {
-			if a.cancel != nil && a.headAt.IsZero() && len(a.trial) == 0 && t.worstStanding(now, a.uses) != crashcause.Unsuspected {
+			if a.cancel != nil && a.headAt.IsZero() && len(a.trial) == 0 && t.worstStanding(now, a.uses) >= crashcause.Suspected {
 				a.cancel(relay.ErrSuspected)
 			}
 		}
@@ -509,54 +401,6 @@
 	}
 }
 
-func (t *Tracker) logStanding(feature crashcause.Feature, former crashcause.Standing, e crashcause.Explanation) {
-	t.config.Count(`wigeonusher_feature_standings_total{standing="` + e.Standing.String() + `"}`)
-	t.config.Logger.WithFields(logrus.Fields{
-		"feature": crashcause.Name(feature), "standing": e.Standing.String(), "former": former.String(), "depth": e.Depth,
-		"score": e.Score, "unexplained": e.Unexplained, "has_survived": e.Survived, "verdict": e.IsVerdict,
-	}).Warn("suspicion of a feature changed")
-}
-
-// logUncounted logs an endpoint that seems to have ended, and for which nothing is accused.
-func (t *Tracker) logUncounted(at *endpoint, probe relay.ProbeOutcome) {
-	t.config.Count(`wigeonusher_uncounted_crashes_total`)
-	t.config.Logger.WithFields(logrus.Fields{
-		"endpoint": at.record.ID, "born": at.record.Born, "service": at.record.Service, "probe": probe, "attempts": len(at.ended),
-		"reason": "no other endpoint of the service reached",
-	}).Warn("endpoint that cannot be reached is not counted as crashed")
-}
-
-// logSurvival logs what cleared features that were suspected, guilty or being tried, and whole
-// requests that were accused.
-func (t *Tracker) logSurvival(a *attempt, cleared, acquitted []crashcause.Feature) {
-	t.config.Logger.WithFields(logrus.Fields{
-		"features": namesOf(cleared), "requests": namesOf(acquitted), "endpoint": a.endpoint.record.ID, "born": a.endpoint.record.Born,
-		"attempt_has_ended": !a.endedAt.IsZero(), "failed": a.failed,
-	}).Warn("endpoint survived what was accused of crashes")
-}
-
-// maxNames bounds the features in one line.
-const maxNames = 8
-
-func namesOf(features []crashcause.Feature) []string {
-	names := make([]string, 0, min(len(features), maxNames))
-	for _, feature := range features[:min(len(features), maxNames)] {
-		names = append(names, crashcause.Name(feature))
-	}
-	return names
-}
-
-// namesOfRequests returns the names of the whole requests among the accused features.
-func namesOfRequests(accused []crashcause.Accusation) []string {
-	var requests []crashcause.Feature
-	for _, a := range accused {
-		if a.Depth == crashcause.WholeRequest {
-			requests = append(requests, a.Feature)
-		}
-	}
-	return namesOf(requests)
-}
-
 // GuiltyCount returns the number of features that are refused.
 func (t *Tracker) GuiltyCount() int {
 	t.mu.Lock()
@@ -575,18 +419,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for lifetime, at := range t.endpoints {
-		if at.confirming {
+		if at.confirming || !at.unclearAt.IsZero() {
 			continue
 		}
 		for a := range at.ended {
 			if now.Sub(a.endedAt) > endedMemory {
 				delete(at.ended, a)
-				if !a.isBroken {
+				if a.end == relay.AttemptCanceled {
 					t.endTrial(a.trial)
 				}
 			}
 		}
-		if len(at.running)+len(at.ended) == 0 {
+		if len(at.running)+len(at.ended) == 0 && now.Sub(at.crashedAt) > returnMemory {
 			delete(t.endpoints, lifetime)
 		}
 	}
--- a/node/crashes/notices.go
+++ b/node/crashes/notices.go
@@ -1,7 +1,6 @@
 package crashes
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wigeonusher/wigeonusher/coord/crashcause"
@@ -52,23 +51,31 @@
 	return reply
 }
 
-// handleCrash records a peer's report of a crash, and adds the answers that this instance had
-// broken off itself just before.
+// handleCrash records a peer's report of a crash, and adds the attempts that ended here just
+// before.
 func (t *Tracker) handleCrash(now time.Time, reported *peerpb.EndpointCrash) {
 	lifetime := crashcause.Lifetime{Endpoint: platform.EndpointID(reported.Endpoint), Born: reported.Born}
 	at := now.Add(-age(reported.AgeMs))
+	if reported.ReturnedAgeMs > 0 {
+		t.ledger.RecordReturn(lifetime, now.Add(-age(reported.ReturnedAgeMs)))
+	}
 	t.ledger.RecordCrash(lifetime, at, decodeAccused(reported))
-	var own []crashcause.Accusation
-	if known := t.endpoints[lifetime]; known != nil && !known.confirming {
-		if known.brokenAt.IsZero() {
-			known.brokenAt = at
-		}
-		own = t.accuse(known, now)
+	if len(t.endpoints) >= maxEndpoints && t.endpoints[lifetime] == nil {
+		return
+	}
+	known := t.endpoint(lifetime)
+	known.record.ID, known.record.Born = lifetime.Endpoint, lifetime.Born
+	if known.confirming || known.returnedAt.After(at) {
+		return
+	}
+	if known.brokenAt.IsZero() || !known.unclearAt.IsZero() {
+		known.brokenAt = at
 	}
-	if len(own) > 0 {
-		t.ledger.RecordCrash(lifetime, at, own)
-		t.notify(&peerpb.Notice{Crashes: []*peerpb.EndpointCrash{encodeCrash(lifetime, now.Sub(at), own)}})
+	if own := t.accuse(known, now); len(own) > 0 {
+		t.ledger.RecordCrash(lifetime, known.brokenAt, own)
+		t.notify(&peerpb.Notice{Crashes: []*peerpb.EndpointCrash{known.encodeCrash(now, own)}})
 	}
+	known.recordCrashed(at)
 }
 
 // Fill implements cluster.Gossip.
@@ -123,11 +130,17 @@
 	return trials
 }
 
-func encodeCrash(lifetime crashcause.Lifetime, age time.Duration, accused []crashcause.Accusation) *peerpb.EndpointCrash {
-	encoded := &peerpb.EndpointCrash{Endpoint: string(lifetime.Endpoint), Born: lifetime.Born, AgeMs: ageMillis(age)}
-	for _, a := range slices.Clip(accused)[:min(len(accused), maxPerNotice)] {
+// encodeCrash encodes this instance's report of the crash at brokenAt.
+func (at *endpoint) encodeCrash(now time.Time, accused []crashcause.Accusation) *peerpb.EndpointCrash {
+	encoded := &peerpb.EndpointCrash{
+		Endpoint: string(at.record.ID), Born: at.record.Born, AgeMs: ageMillis(now.Sub(at.brokenAt)),
+	}
+	if !at.returnedAt.IsZero() {
+		encoded.ReturnedAgeMs = max(1, ageMillis(now.Sub(at.returnedAt)))
+	}
+	for _, a := range accused[:min(len(accused), maxPerNotice)] {
 		encoded.Accused = append(encoded.Accused, &peerpb.FeatureAccusation{
-			Feature: uint64(a.Feature), Depth: uint32(a.Depth), Begun: a.Begun, Survived: a.Survived,
+			Feature: uint64(a.Feature), Depth: uint32(a.Depth), Begun: a.Begun, Survived: a.Survived, HeldMs: ageMillis(a.Held), Late: a.Late,
 		})
 	}
 	return encoded
@@ -138,7 +151,7 @@
 	for _, a := range bounded(reported.Accused) {
 		accused = append(accused, crashcause.Accusation{
 			Use:   crashcause.Use{Feature: crashcause.Feature(a.Feature), Depth: uint8(min(a.Depth, crashcause.WholeRequest))},
-			Begun: a.Begun, Survived: a.Survived,
+			Begun: a.Begun, Survived: a.Survived, Held: age(a.HeldMs), Late: a.Late,
 		})
 	}
 	return accused
--- a/node/crashes/repeated_test.go
+++ b/node/crashes/repeated_test.go
@@ -121,8 +121,10 @@
 		},
 	} {
 		for _, c := range []simulationCase{
-			{size: 9, engines: 18, soundRate: 100, badRate: 6}, {size: 78, engines: 112, soundRate: 300, badRate: 6},
-			{size: 380, engines: 400, soundRate: 400, badRate: 10}, {size: 9, engines: 3, soundRate: 20, badRate: 4},
+			{size: 9, engines: 18, soundRate: 100, badRate: 6},
+			{size: 78, engines: 112, soundRate: 300, badRate: 6},
+			{size: 380, engines: 400, soundRate: 400, badRate: 10},
+			{size: 9, engines: 3, soundRate: 20, badRate: 4},
 		} {
 			t.Run(fmt.Sprintf("%s, %d instances, %d endpoints", name, c.size, c.engines), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/node/crashes/simulation_test.go
+++ b/node/crashes/simulation_test.go
@@ -112,6 +112,10 @@
 		tracker, cutOff := from.tracker, from.cutOff
 		s.mu.Unlock()
 		decision := tracker.Admit(uses)
+		for decision.Permission == crashcause.Undecided {
+			time.Sleep(10 * time.Millisecond)
+			decision = tracker.Admit(uses)
+		}
 		if decision.Permission == crashcause.Refused || decision.Permission == crashcause.Pending {
 			return true
 		}
--- a/node/crashes/sound_test.go
+++ b/node/crashes/sound_test.go
@@ -48,7 +48,7 @@
 		select {
 		case <-down:
 			watch.End(relay.AttemptBroken)
-		case <-time.After(s.end.Sub(time.Now())):
+		case <-time.After(time.Until(s.end)):
 			watch.End(relay.AttemptCanceled)
 		}
 	})
@@ -161,7 +161,7 @@
 					watch.RecordHead()
 					watch.End(relay.AttemptFailed)
 					if n%6 == 0 {
-						f.crash(f.trackers[(n+1)%size], endpointAt(n%8), request("route"))
+						f.crash(f.trackers[(n+1)%size], endpointAt(n%8), request("other"+strconv.Itoa(n)))
 						f.prober.set(endpointAt(n%8).Address, relay.ProbeReached)
 					}
 				}
--- a/node/pool/probe.go
+++ b/node/pool/probe.go
@@ -73,3 +73,41 @@
 	addresses := append(usable, paused...)
 	return addresses[:min(most, len(addresses))]
 }
+
+// Lookup returns the last record of an endpoint. It reports false if the endpoint is not listed.
+func (p *Pool) Lookup(id platform.EndpointID) (Record, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[id]
+	if m == nil {
+		return Record{}, false
+	}
+	return m.record, true
+}
+
+// ActiveSince reports whether an endpoint of any service, other than the given one, has sent
+// something to this instance since the given time.
+func (p *Pools) ActiveSince(other platform.EndpointID, since time.Time) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, service := range p.services {
+		if service.ActiveSince(other, since) {
+			return true
+		}
+	}
+	return false
+}
+
+// Addresses returns the addresses of up to the given number of endpoints of the services to
+// which the given endpoint does not belong.
+func (p *Pools) Addresses(other platform.EndpointID, most int) []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var addresses []string
+	for _, service := range p.services {
+		if service != p.poolByEndpoint[other] {
+			addresses = append(addresses, service.Addresses(other, most-len(addresses))...)
+		}
+	}
+	return addresses
+}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -408,9 +408,9 @@
 	switch {
 	case a.crashed:
 		return AttemptBroken
-	case a.verdict == verdictDelivered:
+	case a.verdict == verdictDelivered && a.answer.Status < http.StatusBadRequest:
 		return AttemptComplete
-	case a.verdict == verdictFailure:
+	case a.verdict == verdictDelivered, a.verdict == verdictFailure:
 		return AttemptFailed
 	case !a.mayHaveRun():
 		return AttemptNotRun
--- a/node/relay/pooled.go
+++ b/node/relay/pooled.go
@@ -93,9 +93,9 @@
 	AttemptCanceled AttemptEnd = iota
 	// AttemptNotRun: the endpoint did not run the request.
 	AttemptNotRun
-	// AttemptComplete: the endpoint sent the whole answer.
+	// AttemptComplete: the endpoint sent the whole answer to a request that it ran to its end.
 	AttemptComplete
-	// AttemptFailed: the endpoint answered with a failure.
+	// AttemptFailed: the endpoint answered with a failure, and may not have run the request.
 	AttemptFailed
 	// AttemptBroken: the endpoint broke the connection. It may have crashed, or lost the
 	// answer.
@@ -137,11 +137,11 @@
 func (p *PooledPicker) Pick(ctx context.Context, query *Query) (Lease, *Refusal) {
 	request := query.Request
 	uses := request.Features(query.Permission.Account)
-	decision := p.Suspects.Admit(uses)
+	decision := p.admit(ctx, uses)
 	switch decision.Permission {
 	case crashcause.Refused:
 		return nil, &Refusal{Reason: CrashSuspect, Cause: newSuspectError(decision)}
-	case crashcause.Pending:
+	case crashcause.Pending, crashcause.Undecided:
 		return nil, &Refusal{Reason: SuspectPending, RetryAfter: request.retryAfter(), Cause: newSuspectError(decision)}
 	case crashcause.Normal, crashcause.Alone:
 	}
@@ -164,6 +164,22 @@
 	return lease, nil
 }
 
+// A request that is undecided asks again each decisionPause, up to maxDecisionPauses times.
+const (
+	decisionPause     = 10 * time.Millisecond
+	maxDecisionPauses = 20
+)
+
+// admit decides whether the request may be sent, and waits a moment if that is not known yet.
+func (p *PooledPicker) admit(ctx context.Context, uses []crashcause.Use) crashcause.Decision {
+	decision := p.Suspects.Admit(uses)
+	for n := 0; decision.Permission == crashcause.Undecided && n < maxDecisionPauses && ctx.Err() == nil; n++ {
+		time.Sleep(decisionPause)
+		decision = p.Suspects.Admit(uses)
+	}
+	return decision
+}
+
 // maxUnreached is the number of endpoints that one request tries to reach before it counts
 // as cut off from them, and maxPeerTries the number of peers that it is forwarded to in vain: if
 // the endpoints themselves are down, no peer reaches them.
