Crash evidence: trials tell two requests apart that are always together

A sound request that was at the same three endpoints as one that crashes them was found guilty by the order of the hashes, and its callers got 502 for minutes. Requests that explain the same crashes are both suspected now until a trial separates them.

--- a/coord/crashcause/decide.go
+++ b/coord/crashcause/decide.go
@@ -169,14 +169,19 @@
 // the crashes that no guilty one explains.
 func (l *Ledger) explain(now time.Time, suspicions map[Feature]*suspicion, guilty map[Feature]bool) {
 	bySelf := make(map[Feature]time.Time)
+	undecided := make(map[*crash]bool)
 	// Early accusations decide first: an answer that has gone on for a while is rarely the cause.
 	for _, withLate := range []bool{false, true} {
 		for {
-			l.countUnexplained(suspicions, guilty, withLate)
+			l.countUnexplained(suspicions, guilty, undecided, withLate)
 			worst := worstGuilty(now, suspicions, guilty)
 			if worst == nil {
 				break
 			}
+			if l.hasDouble(worst, suspicions, guilty, undecided) {
+				l.setAside(worst, undecided)
+				continue
+			}
 			feature := worst.use.Feature
 			guilty[feature] = true
 			bySelf[feature] = now
@@ -186,7 +191,7 @@
 			l.guiltyUse[feature] = worst.use
 		}
 	}
-	l.countUnexplained(suspicions, guilty, false)
+	l.countUnexplained(suspicions, guilty, undecided, false)
 	l.guiltySince = bySelf
 	for feature := range l.guiltyUse {
 		if _, ok := bySelf[feature]; !ok {
@@ -207,6 +212,43 @@
 	return worst
 }
 
+// hasDouble reports whether another request was at all endpoints whose crashes the given one would
+// explain. Only trials can tell them apart.
+func (l *Ledger) hasDouble(worst *suspicion, suspicions map[Feature]*suspicion, guilty map[Feature]bool, undecided map[*crash]bool) bool {
+	if !worst.use.isRequest() {
+		return false
+	}
+	together := make(map[Feature]int)
+	crashes := 0
+	for _, c := range l.crashes {
+		if _, ok := c.accused[worst.use.Feature]; !ok || undecided[c] || isExplained(c, guilty) {
+			continue
+		}
+		crashes++
+		for feature, accusation := range c.accused {
+			other := suspicions[feature]
+			if accusation.isRequest() && other != worst && !other.survived && other.early >= worst.early {
+				together[feature]++
+			}
+		}
+	}
+	for _, number := range together {
+		if number == crashes {
+			return true
+		}
+	}
+	return false
+}
+
+// setAside leaves the crashes that accuse the feature undecided.
+func (l *Ledger) setAside(s *suspicion, undecided map[*crash]bool) {
+	for _, c := range l.crashes {
+		if _, ok := c.accused[s.use.Feature]; ok {
+			undecided[c] = true
+		}
+	}
+}
+
 // suspicions adds up the accusations against each feature.
 func (l *Ledger) suspicions(now time.Time) map[Feature]*suspicion {
 	all := make(map[Feature]*suspicion)
@@ -225,12 +267,12 @@
 	return all
 }
 
-func (l *Ledger) countUnexplained(suspicions map[Feature]*suspicion, guilty map[Feature]bool, withLate bool) {
+func (l *Ledger) countUnexplained(suspicions map[Feature]*suspicion, guilty map[Feature]bool, undecided map[*crash]bool, withLate bool) {
 	for _, s := range suspicions {
 		s.unexplained, s.early, s.independent, s.lastEventAt = 0, 0, 0, time.Time{}
 	}
 	for _, c := range l.crashes {
-		if isExplained(c, guilty) {
+		if undecided[c] || isExplained(c, guilty) {
 			continue
 		}
 		for feature, accusation := range c.accused {
