Crash evidence: an endpoint that is back counts again, though its lifetime is not known

While the registry is away, an endpoint that returns keeps its lifetime as far as instances know, and all its crashes counted as one: a service with one or two endpoints could lose them for as long as the outage lasted. An endpoint that is reached again after a crash may crash again; reports say so.

--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -198,6 +198,7 @@
 	lifetime := crashcause.Lifetime{Endpoint: record.ID, Born: record.Born}
 	at := t.endpoint(lifetime)
 	at.record = record
+	t.watchReturn(at)
 	a := &attempt{tracker: t, endpoint: at, uses: uses, sentAt: time.Now()}
 	if decision.Permission == crashcause.Alone {
 		a.trial = decision.Features
--- a/node/crashes/ends.go
+++ b/node/crashes/ends.go
@@ -241,6 +241,25 @@
 	}
 }
 
+// watchReturn finds out whether an endpoint that has crashed is back, though the registry lists no
+// new lifetime of it: it may crash again. The caller holds the lock.
+func (t *Tracker) watchReturn(at *endpoint) {
+	if at.crashedAt.IsZero() || !at.returnedAt.IsZero() {
+		return
+	}
+	go func() {
+		if t.config.Prober.Probe(context.Background(), at.record.Address) != relay.ProbeReached {
+			return
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if at.returnedAt.IsZero() {
+			at.returnedAt, at.brokenAt = time.Now(), time.Time{}
+			t.ledger.RecordReturn(at.lifetime(), at.returnedAt)
+		}
+	}()
+}
+
 // recordCrashed remembers a crash of this lifetime.
 func (at *endpoint) recordCrashed(crashedAt time.Time) {
 	at.crashedAt, at.returnedAt, at.unclearAt = crashedAt, time.Time{}, time.Time{}
