Streams: what does not go on with a stream ends it

A stream had begun and broke off, and the next endpoint answered with status 200 and an error, or with the stream from its start. Clients found the error's text, or the head of an answer that the endpoint wrote into its body, in the middle of their stream, which then ended as if it were complete.

Cause: an answer was taken for the continuation by its status and media type alone, and a missing type was enough. Now it must have the status and media type of the stream that the client has begun, and its first event an ID after the last one that the client has; comments before it are skipped. A head in place of an event ends any stream. The next endpoint is asked, or the stream is broken off visibly.

An empty 200 is still taken for the end: an endpoint that has nothing left to send answers so.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -60,7 +60,7 @@
 	EndedByDeadline EndedBy = "deadline"
 	// EndedBySuspicion: this instance canceled the attempt, see [ErrSuspected].
 	EndedBySuspicion EndedBy = "suspicion"
-	// EndedByProofCheck: this instance rejected the answer, see [Answer.Authentic].
+	// EndedByProofCheck: this instance rejected the answer, see [Answer.Authentic], or events of it.
 	EndedByProofCheck EndedBy = "proof check"
 	// EndedBySize: the relay stopped reading an answer that was too large.
 	EndedBySize EndedBy = "size"
@@ -109,7 +109,10 @@
 	events      int
 	// partialEvent is the number of bytes received after the last complete event.
 	partialEvent int
-	firstEvent   time.Duration
+	// continues reports that the answer must go on with a stream of which the client has a part,
+	// and has not shown yet that it does.
+	continues  bool
+	firstEvent time.Duration
 	// usualFirstEvent is the usual time to the first event, as known at the start.
 	usualFirstEvent time.Duration
 	headAfter       time.Duration
@@ -189,7 +192,7 @@
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
 	case !answer.Authentic:
 		a.verdict, a.err = verdictBroken, errNoProof
-	case answer.Status >= http.StatusInternalServerError, a.run.headSent && !a.isStream():
+	case answer.Status >= http.StatusInternalServerError, a.run.headSent && !a.mayContinue():
 		a.readFailure(ctx)
 	case a.shouldEscalate():
 		a.verdict = verdictLowConfidence
@@ -358,7 +361,7 @@
 		return
 	}
 	a.run.headSent = true
-	a.run.status = a.answer.Status
+	a.run.status, a.run.contentType = a.answer.Status, a.answer.Header.Get("Content-Type")
 	a.run.client.Begin(Head{Status: a.answer.Status, Header: a.answer.Header})
 }
 
@@ -457,7 +460,7 @@
 		return EndedByWatchdog
 	case errors.Is(a.err, ErrSuspected):
 		return EndedBySuspicion
-	case errors.Is(a.err, errNoProof):
+	case errors.Is(a.err, errNoProof), errors.Is(a.err, errNotContinued), errors.Is(a.err, errHeadInStream):
 		return EndedByProofCheck
 	case a.crashed:
 		return EndedByEndpoint
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -54,8 +54,10 @@
 	// firstEvent is the time from the arrival to the first event sent to the client, 0 before.
 	firstEvent time.Duration
 	backoff    backoff
-	status     int
 	refusal    *Refusal
+	// status and contentType are those of the answer that the client gets.
+	status      int
+	contentType string
 	// complete reports that the whole answer was sent to the client, and aborted that no
 	// endpoint could complete it.
 	complete, aborted bool
@@ -180,6 +182,7 @@
 	}
 	a := &attempt{run: r, lease: lease, endpoint: endpoint, model: r.model, started: time.Now(), usualFirstEvent: lease.UsualFirstEvent()}
 	a.peer, _ = lease.(PeerLease)
+	a.continues = r.headSent
 	a.lastActivity.Store(a.started.UnixNano())
 	return a
 }
--- a/node/relay/stream.go
+++ b/node/relay/stream.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
@@ -38,6 +41,80 @@
 	return contentType == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// Errors of answers that this instance rejects in the middle of a stream.
+var (
+	errNotContinued = eris.New("answer does not continue the stream")
+	errHeadInStream = eris.New("stream contains the head of an answer")
+)
+
+// mayContinue reports whether the answer may go on with the stream that the client has begun to
+// receive: an answer of another status or media type is something else, such as an error.
+func (a *attempt) mayContinue() bool {
+	return a.isStream() && a.answer.Status == a.run.status && a.answer.Header.Get("Content-Type") == a.run.contentType
+}
+
+// checkEvents returns why complete events must not be forwarded, nil if they may. If the attempt
+// continues a stream whose events have IDs, its first event must have a later one than the last that
+// the client has.
+func (a *attempt) checkEvents(events []byte) error {
+	if containsHead(events) {
+		return errHeadInStream
+	}
+	if !a.continues || !a.run.gotEventID.Load() {
+		return nil
+	}
+	if !follows(firstEventID(events), a.run.lastEvent) {
+		return errNotContinued
+	}
+	a.continues = false
+	return nil
+}
+
+// containsHead reports whether one of the events begins like the head of an answer: an engine in
+// trouble may write one into its stream.
+func containsHead(events []byte) bool {
+	head := []byte("HTTP/1.")
+	for _, end := range eventEnds {
+		if bytes.Contains(events, append(bytes.Clone(end), head...)) {
+			return true
+		}
+	}
+	return bytes.HasPrefix(events, head)
+}
+
+// firstEventID returns the ID of the first event, empty if it has none.
+func firstEventID(events []byte) string {
+	end := len(events)
+	for _, mark := range eventEnds {
+		if at := bytes.Index(events, mark); at >= 0 {
+			end = min(end, at)
+		}
+	}
+	return lastEventID(events[:end])
+}
+
+// follows reports whether an event ID comes after another one. IDs that are no numbers only differ.
+func follows(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != "" && id != last
+	}
+	return number > lastNumber
+}
+
+// skipComments returns what follows the comments at the start of complete events.
+func skipComments(events []byte) []byte {
+	for len(events) > 0 && events[0] == ':' {
+		end := bytes.IndexAny(events, lineEnds)
+		if end < 0 {
+			break
+		}
+		events = bytes.TrimLeft(events[end:], lineEnds)
+	}
+	return events
+}
+
 // copyStream forwards events as they arrive. It forwards complete events only,
 // so that another endpoint can resume the stream after the last one.
 func (a *attempt) copyStream(ctx context.Context) {
@@ -72,8 +149,17 @@
 }
 
 // forwardEvents sends complete events to the client. It reports false if the
-// client is gone.
+// client is gone or the events are rejected.
 func (a *attempt) forwardEvents(events []byte) bool {
+	if a.continues {
+		if events = skipComments(events); len(events) == 0 {
+			return true
+		}
+	}
+	if err := a.checkEvents(events); err != nil {
+		a.verdict, a.err = verdictBroken, err
+		return false
+	}
 	a.recordFirstEvent()
 	a.recordGap()
 	a.sendHead()
