Crash evidence: a connection that breaks while its endpoint is examined is examined again

An endpoint is examined after an attempt that ended on this side. If it crashed while the port was being probed, the probe told that it goes on, and the attempt that broke was forgotten with its request. Found by reading the new code; TestCrashDuringACheckIsNotSeen failed before.

--- a/node/crashes/crashes.go
+++ b/node/crashes/crashes.go
@@ -94,8 +94,10 @@
 	running, ended map[*attempt]struct{}
 	// brokenAt is when an attempt broke first or the endpoint was first found gone, zero if neither
 	// has happened.
-	brokenAt   time.Time
-	confirming bool
+	brokenAt time.Time
+	// confirming reports that it is being found out whether the endpoint has crashed, isExamined that
+	// its port is probed, and isExaminedAgain that an attempt broke since.
+	confirming, isExamined, isExaminedAgain bool
 	// settled is closed when it is known whether the endpoint has crashed.
 	settled chan struct{}
 	// checkAt is when to check next whether the endpoint ends after attempts that have ended on this
--- a/node/crashes/ends.go
+++ b/node/crashes/ends.go
@@ -56,6 +56,7 @@
 	if at.brokenAt.IsZero() {
 		at.brokenAt = now
 	}
+	at.isExaminedAgain = at.isExamined
 	t.settle(at, probeDelay)
 }
 
@@ -66,11 +67,15 @@
 	}
 	at.confirming, at.settled = true, make(chan struct{})
 	go func() {
-		time.Sleep(delay)
-		end, probe := t.examine(at.record)
+		end, probe := t.examineAfter(at, delay)
 		t.mu.Lock()
+		if at.isExaminedAgain { // the connection broke while the endpoint was examined
+			t.mu.Unlock()
+			end, probe = t.examineAfter(at, probeDelay)
+			t.mu.Lock()
+		}
 		defer t.mu.Unlock()
-		at.confirming = false
+		at.confirming, at.isExamined = false, false
 		settled := at.settled
 		if t.conclude(at, end, probe) == hasCrashed {
 			time.AfterFunc(noticeTime, func() { close(settled) })
@@ -80,6 +85,15 @@
 	}()
 }
 
+func (t *Tracker) examineAfter(at *endpoint, delay time.Duration) (ending, relay.ProbeOutcome) {
+	time.Sleep(delay)
+	t.mu.Lock()
+	at.isExamined, at.isExaminedAgain = true, false
+	record := at.record
+	t.mu.Unlock()
+	return t.examine(record)
+}
+
 // examine finds out whether an endpoint has ended. The registry may tell; otherwise its port does, as
 // far as this instance reaches any.
 func (t *Tracker) examine(record pool.Record) (ending, relay.ProbeOutcome) {
--- a/node/crashes/evidence_test.go
+++ b/node/crashes/evidence_test.go
@@ -262,3 +262,40 @@
 		assert.Equal(t, f.trackers[0].permission(whole), crashcause.Normal)
 	})
 }
+
+// slowProber tells what an address did when the probe began.
+type slowProber struct{ relay.Prober }
+
+func (p slowProber) Probe(ctx context.Context, address string) relay.ProbeOutcome {
+	outcome := p.Prober.Probe(ctx, address)
+	time.Sleep(10 * time.Millisecond)
+	return outcome
+}
+
+// A check after an attempt that has ended here begins just before the endpoint crashes.
+func TestCrashDuringACheckIsNotSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 8)
+		tracker := f.trackers[0]
+		tracker.config.Prober = slowProber{tracker.config.Prober}
+		whole := crashcause.PartUses(4711, nil)
+		for n := range 3 {
+			endpoint := endpointAt(n)
+			tracker.Begin(endpoint, request(), crashcause.Decision{}).End(relay.AttemptCanceled)
+			watch := tracker.Begin(endpoint, whole, crashcause.Decision{})
+			for !isExamined(tracker, endpoint) {
+				time.Sleep(time.Millisecond)
+			}
+			f.prober.set(endpoint.Address, relay.ProbeRefused)
+			watch.End(relay.AttemptBroken)
+			time.Sleep(2 * time.Second)
+		}
+		assert.Assert(t, isRefused(tracker, whole))
+	})
+}
+
+func isExamined(tracker *Tracker, endpoint pool.Record) bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return tracker.endpoints[crashcause.Lifetime{Endpoint: endpoint.ID, Born: endpoint.Born}].confirming
+}
