--- a/node/crashes/ends.go
+++ b/node/crashes/ends.go
@@ -42,11 +42,13 @@
 type ending int
 
 const (
-	// goesOn: the endpoint accepts connections, or had announced that it leaves.
+	// goesOn: the endpoint accepts connections.
 	goesOn ending = iota
+	// hasLeft: it had announced that it leaves, or is not listed any more.
 	hasLeft
 	// isUnclear: the endpoint is not reached, and the path of this instance may be the reason.
 	isUnclear
+	// hasCrashed: it has ended without that.
 	hasCrashed
 )
 
@@ -147,8 +149,9 @@
 // conclude acts on the end of an endpoint. A silent one that broke no connection remains
 // unclear: only its registration can tell that it has ended. The caller holds the lock.
 func (t *Tracker) conclude(at *endpoint, end ending, probe relay.ProbeOutcome) ending {
+	reason := "no other endpoint reached"
 	if end == hasCrashed && probe == relay.ProbeTimedOut && !at.hasBroken() {
-		end = isUnclear
+		end, reason = isUnclear, "endpoint is silent and broke no connection"
 	}
 	now := time.Now()
 	if at.brokenAt.IsZero() && end != goesOn {
@@ -160,7 +163,7 @@
 	case isUnclear:
 		if at.unclearAt.IsZero() {
 			at.unclearAt = now
-			t.logUncounted(at, probe, "no other endpoint reached")
+			t.logUncounted(at, probe, reason)
 		}
 		t.endTrials(at)
 	case hasLeft:
@@ -261,8 +264,9 @@
 	if at.crashedAt.IsZero() || !at.returnedAt.IsZero() {
 		return
 	}
+	address := at.record.Address
 	go func() {
-		if t.config.Prober.Probe(context.Background(), at.record.Address) != relay.ProbeReached {
+		if t.config.Prober.Probe(context.Background(), address) != relay.ProbeReached {
 			return
 		}
 		t.mu.Lock()
