--- a/node/crashes/sound_test.go
+++ b/node/crashes/sound_test.go
@@ -84,6 +84,7 @@
 }
 
 func TestPopularRequestIsNotRefusedWhenItsEndpointsEnd(t *testing.T) {
+	t.Parallel()
 	const number = 3
 	leave := func(s *simulation, e *engine) {
 		s.mu.Lock()
@@ -139,6 +140,7 @@
 		for _, c := range soundSizes {
 			c.seed = 1
 			t.Run(fmt.Sprintf("%s, %d instances", name, c.size), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					refused, sent := playSound(t, c, faults)
 					t.Logf("%d of %d refused", refused, sent)
@@ -175,8 +177,10 @@
 
 // Requests with the parts of the bad one go on, and the evidence stays small.
 func TestRequestsThatShareAllPartsWithABadOneAreServed(t *testing.T) {
+	t.Parallel()
 	for _, c := range soundSizes {
 		t.Run(strconv.Itoa(c.size), func(t *testing.T) {
+			t.Parallel()
 			c.seed = 3
 			synctest.Test(t, func(t *testing.T) {
 				s := startSimulation(t, c)
