Review case 6: a full machine closes kept channels whose requests engines run

Cause: when the connection table is full, a newcomer makes Table.choose close a channel with a request in progress of the address that has most channels.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # disruption. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/stage ] && [ -x target/wigeonusherd ] || { echo "not built" >&2; exit 2; }
-exec target/stage sessions review/6/record.txt
+exec target/stage crowd review/6/record.txt
--- a/review/stage/engine.go
+++ b/review/stage/engine.go
@@ -30,6 +30,8 @@
 	sequence          int64
 	// Work is how long a request takes.
 	Work time.Duration
+	// FirstEvent is how long a stream waits for its first event beyond that.
+	FirstEvent time.Duration
 	// Behave, if set, may answer a request itself; it reports whether it has, and whether the request ran.
 	Behave func(w http.ResponseWriter, r *http.Request) (done, ran bool)
 
@@ -119,6 +121,13 @@
 	}
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Wigeonusher-Confidence", "100")
+	if e.FirstEvent > 0 {
+		select {
+		case <-time.After(e.FirstEvent):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := after + 1; n <= 6; n++ {
 		time.Sleep(e.Work)
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -88,9 +88,9 @@
 	mu                                sync.Mutex
 	peakMB                            float64
 	// ends counts how often the process has ended by itself or for its memory.
-	ends     int
-	stopping bool
-	done     chan struct{}
+	ends           int
+	stopping, lost bool
+	done           chan struct{}
 }
 
 func (s *Stage) Log(format string, args ...any) {
@@ -234,6 +234,20 @@
 	}
 }
 
+// lose ends the machine for good.
+func (i *Instance) lose() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopping, i.lost = true, true
+	_ = i.cmd.Process.Kill()
+}
+
+func (i *Instance) isLost() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.lost
+}
+
 // Ends returns how often the process has ended, and the most memory that it has had.
 func (i *Instance) Ends() (ends int, peakMB float64) {
 	i.mu.Lock()
@@ -333,7 +347,7 @@
 }
 
 func main() {
-	cases := map[string]func(*Stage, bool) bool{"lockout": lockout, "sessions": sessions}
+	cases := map[string]func(*Stage, bool) bool{"lockout": lockout, "sessions": sessions, "crowd": crowd}
 	run, ok := cases[os.Args[1]]
 	if !ok || len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, "usage: stage CASE RECORD")
