--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -388,7 +389,24 @@
 		s.Close()
 		os.Exit(2)
 	})
-	if run(s, trouble) {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupts
+		s.Close()
+		os.Exit(2)
+	}()
+	broken := run(s, trouble)
+	for _, e := range s.engines {
+		arrivals, ran := e.Arrivals(), 0
+		for _, a := range arrivals {
+			if a.Ran {
+				ran++
+			}
+		}
+		s.Log("engine %s: %d requests arrived, %d ran", e.ID, len(arrivals), ran)
+	}
+	if broken {
 		s.Log("rule BROKEN")
 		fmt.Println("rule broken")
 		return 1
