--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -137,33 +137,38 @@
 	return longest > 3*time.Second && tried >= 12
 }
 
+// perMachine is how many requests with sessions a machine gets at most, in a time of sessionsTime.
+const (
+	perMachine   = 26_000
+	sessionsTime = 92 * time.Second
+)
+
 // sessions: each of many requests belongs to a session of its own. The IDs of the sessions are long, inside
-// the limit on heads. Two machines get such requests, 36,000 each at most.
+// the limit on heads. Two machines get such requests, 283 a second each.
 func sessions(s *Stage, trouble bool) bool {
 	s.Setup(3)
 	stop := make(chan struct{})
 	sent, good, wait := s.ordinary(s.instances[0].Front, stop)
 	size := 40
 	if trouble {
-		size = 12000
+		size = 15500
 	}
 	var group sync.WaitGroup
-	until := time.Now().Add(70 * time.Second)
+	began := time.Now()
 	for at, target := range s.instances[:2] {
 		var next, served atomic.Int64
-		for n := range 16 {
+		for n := range 24 {
 			group.Go(func() {
 				client := newKept(target.Front, fmt.Sprintf("127.0.30.%d", 100*at+n+1))
-				for time.Now().Before(until) {
+				for {
 					number := next.Add(1)
-					if ends, _ := target.Ends(); number > 36000 || ends >= 3 {
+					if ends, _ := target.Ends(); number > perMachine || ends >= 3 {
 						return
 					}
+					time.Sleep(time.Until(began.Add(time.Duration(number) * sessionsTime / perMachine)))
 					id := fmt.Sprintf("session-%d-%d", at, number)
 					if client.lookup(id, id+"-"+strings.Repeat("s", size)) {
 						served.Add(1)
-					} else {
-						time.Sleep(20 * time.Millisecond)
 					}
 					if number%2000 == 0 {
 						_, peak := target.Ends()
@@ -180,7 +185,7 @@
 	machines := 0
 	for _, i := range s.instances {
 		ends, peak := i.Ends()
-		s.Log("%s: ended %d times, peak %.0f MB of %d MB", i.Name, ends, peak, s.memoryMB)
+		s.Log("%s: killed for its memory %d times, peak %.0f MB of %d MB", i.Name, ends, peak, s.memoryMB)
 		if ends >= 3 {
 			machines++
 		}
--- a/review/stage/engine.go
+++ b/review/stage/engine.go
@@ -30,8 +30,6 @@
 	sequence          int64
 	// Work is how long a request takes.
 	Work time.Duration
-	// FirstEvent is how long a stream waits for its first event beyond that.
-	FirstEvent time.Duration
 	// Behave, if set, may answer a request itself; it reports whether it has, and whether the request ran.
 	Behave func(w http.ResponseWriter, r *http.Request) (done, ran bool)
 
@@ -42,7 +40,7 @@
 }
 
 func NewEngine(store *Store, id, service, zone string) *Engine {
-	e := &Engine{ID: id, Service: service, Zone: zone, store: store, born: time.Now().UnixMilli(), Work: 20 * time.Millisecond, state: "ready"}
+	e := &Engine{ID: id, Service: service, Zone: zone, store: store, born: time.Now().UnixMilli(), Work: 60 * time.Millisecond, state: "ready"}
 	e.listener = mustListen("127.0.0.1:0")
 	go func() { _ = http.Serve(e.listener, http.HandlerFunc(e.serve)) }()
 	e.Register()
@@ -65,7 +63,7 @@
 	e.gone = false
 	e.sequence++
 	e.store.Put("keyed.servers", e.ID, map[string]any{
-		"service": e.Service, "address": e.listener.Addr().String(), "zone": e.Zone, "version": "v1", "slots": 64,
+		"service": e.Service, "address": e.listener.Addr().String(), "zone": e.Zone, "version": "v1", "slots": 48,
 		"state": e.state, "cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born,
 	})
 }
@@ -92,7 +90,7 @@
 		return
 	}
 	header.Set("Wigeonusher-Attempt-Id", id)
-	header.Set("Wigeonusher-Server-Load", "1,0,64")
+	header.Set("Wigeonusher-Server-Load", "1,0,48")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -121,16 +119,22 @@
 	}
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Wigeonusher-Confidence", "100")
-	if e.FirstEvent > 0 {
+	// The times to the first event and the numbers of events of the kinds of streams; all are on time by the sheet.
+	wait, events := 1500*time.Millisecond, 55
+	switch {
+	case strings.HasPrefix(r.URL.Path, pathNote):
+		wait, events = 2*time.Second, 42
+	case strings.HasPrefix(r.URL.Path, pathTag):
+		wait, events = 3*time.Second, 3
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := after + 1; n <= events; n++ {
 		select {
-		case <-time.After(e.FirstEvent):
+		case <-time.After(wait):
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
-	}
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := after + 1; n <= 6; n++ {
-		time.Sleep(e.Work)
+		wait = 40 * time.Millisecond
 		fmt.Fprintf(w, "id: %d\ndata: %s of %s\n\n", n, strings.Repeat("x", 20), id)
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -34,7 +34,9 @@
 const (
 	host         = "ficu95.example"
 	key          = "n2ctnfzs989anu6wsjnb"
-	pathStream   = "/lohu930/"
+	pathDossier  = "/lohu930/"
+	pathNote     = "/lohu931/"
+	pathTag      = "/lohu932/"
 	pathLookup   = "/puxa403/"
 	pathBooking  = "/pufi791/"
 	modelService = "huvo11a"
@@ -51,16 +53,19 @@
 		}
 		return r
 	}
+	stream := map[string]any{"sizes": []string{"m0", "m1"}, "session_affinity": true, "stream_resume": true, "target_gap_ms": 1200}
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			rt("r-stream", pathStream, "stream", modelService, 25000, 2000, map[string]any{"sizes": []string{"m0", "m1"}, "session_affinity": true, "stream_resume": true, "target_gap_ms": 1200}),
-			rt("r-lookup", pathLookup, "idempotent", plainService, 4000, 300, nil),
-			rt("r-booking", pathBooking, "non_idempotent", plainService, 4000, 300, nil),
+			rt("r-dossier", pathDossier, "stream", modelService, 20000, 2000, stream),
+			rt("r-note", pathNote, "stream", modelService, 15000, 3000, stream),
+			rt("r-tag", pathTag, "stream", modelService, 5000, 4000, stream),
+			rt("r-lookup", pathLookup, "idempotent", plainService, 1500, 300, nil),
+			rt("r-booking", pathBooking, "non_idempotent", plainService, 1500, 300, nil),
 		},
 		"services": []any{
-			map[string]any{"name": modelService, "health_path": "/health", "max_connections": 370, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 64, "kv_capacity_tokens": 787049, "models": []any{map[string]any{"name": "m0", "cost": 0.016}, map[string]any{"name": "m1", "cost": 0.24}}}},
+			map[string]any{"name": modelService, "health_path": "/health", "max_connections": 310, "protocol": "h1", "tls": false,
+				"engine": map[string]any{"slots": 48, "kv_capacity_tokens": 543974, "models": []any{map[string]any{"name": "m0", "cost": 0.016}, map[string]any{"name": "m1", "cost": 0.24}}}},
 			map[string]any{"name": plainService, "health_path": "/health", "max_connections": 1100, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -88,8 +93,8 @@
 	log                               string
 	mu                                sync.Mutex
 	peakMB                            float64
-	// ends counts how often the process has ended by itself or for its memory.
-	ends           int
+	// memoryEnds counts how often the process was killed for its memory.
+	memoryEnds     int
 	stopping, lost bool
 	done           chan struct{}
 }
@@ -163,8 +168,7 @@
 		i.mu.Lock()
 		stopping := i.stopping
 		if !stopping {
-			i.ends++
-			s.Log("process %s ended, for the %d. time: %v", i.Name, i.ends, i.cmd.ProcessState)
+			s.Log("process %s ended: %v; processor time %v", i.Name, i.cmd.ProcessState, i.cmd.ProcessState.UserTime()+i.cmd.ProcessState.SystemTime())
 		}
 		i.mu.Unlock()
 		if stopping {
@@ -188,7 +192,10 @@
 		i.peakMB = max(i.peakMB, resident)
 		i.mu.Unlock()
 		if resident > float64(s.memoryMB) {
-			s.Log("process %s exceeds its memory: %.0f MB of %d MB; the platform kills it", i.Name, resident, s.memoryMB)
+			i.mu.Lock()
+			i.memoryEnds++
+			s.Log("process %s exceeds its memory: %.0f MB of %d MB; the platform kills it, for the %d. time", i.Name, resident, s.memoryMB, i.memoryEnds)
+			i.mu.Unlock()
 			_ = process.Kill()
 			return
 		}
@@ -249,11 +256,11 @@
 	return i.lost
 }
 
-// Ends returns how often the process has ended, and the most memory that it has had.
+// Ends returns how often the process was killed for its memory, and the most memory that it has had.
 func (i *Instance) Ends() (ends int, peakMB float64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.ends, i.peakMB
+	return i.memoryEnds, i.peakMB
 }
 
 // kept is a client that keeps its channel.
@@ -384,9 +391,10 @@
 			code = 2
 		}
 	}()
-	time.AfterFunc(110*time.Second, func() {
+	time.AfterFunc(116*time.Second, func() {
 		s.Log("time is up; the case could not run")
 		s.Close()
+		os.RemoveAll(dir)
 		os.Exit(2)
 	})
 	interrupts := make(chan os.Signal, 1)
@@ -394,6 +402,7 @@
 	go func() {
 		<-interrupts
 		s.Close()
+		os.RemoveAll(dir)
 		os.Exit(2)
 	}()
 	broken := run(s, trouble)
@@ -419,10 +428,12 @@
 // Setup starts the store's content, engines and instances of a small installation of three zones.
 func (s *Stage) Setup(instances int) {
 	s.store.Put("keyed.op", "config", config(7))
-	zones := []string{"bagmati-a", "bagmati-b", "bagmati-c"}
+	zones := []string{"munnar", "vagamon", "ponmudi"}
 	for n, zone := range zones {
-		s.engines = append(s.engines, NewEngine(s.store, fmt.Sprintf("i-plain%d", n), plainService, zone),
-			NewEngine(s.store, fmt.Sprintf("i-model%d", n), modelService, zone))
+		s.engines = append(s.engines, NewEngine(s.store, fmt.Sprintf("i-plain%d", n), plainService, zone))
+		for k := range 6 { // 18 model engines, as the site has
+			s.engines = append(s.engines, NewEngine(s.store, fmt.Sprintf("i-model%d%d", n, k), modelService, zone))
+		}
 	}
 	for n := range instances {
 		s.StartInstance(fmt.Sprintf("front-%s-%d", zones[n%3], n/3+1), zones[n%3])
