--- a/review/crew/main.go
+++ b/review/crew/main.go
@@ -11,11 +11,12 @@
 
 // plays are the cases by name. Each reports whether the rule was broken.
 var plays = map[string]func(*Stage) bool{
-	"refused": playRefused,
-	"table":   playTable,
-	"interim": playInterim,
-	"memory":  playMemory,
-	"stale":   playStale,
+	"refused":  playRefused,
+	"table":    playTable,
+	"interim":  playInterim,
+	"memory":   playMemory,
+	"stale":    playStale,
+	"sessions": playSessions,
 }
 
 func main() {
--- a/review/crew/refused.go
+++ b/review/crew/refused.go
@@ -6,13 +6,17 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	failingShare = 0.45
-	bookings     = 360
-	clump        = 12
+	// failingFrom and failingFor are the time of the disruption since the first booking.
+	failingFrom = 2 * time.Second
+	failingFor  = 6500 * time.Millisecond
+	bookings    = 240
+	clump       = 12
 )
 
 // isPromise reports whether a status says that the request has not run and never will.
@@ -28,13 +32,18 @@
 // Its failures have its stamp and no Not-Executed. Clients keep to the promises of the pages.
 func playRefused(s *Stage) bool {
 	s.PutConfig(3, Route("r-book", "/puxa403/", "non_idempotent", "wuno96b", 4000, 300))
+	var began atomic.Int64
+	isFailing := func() bool {
+		since := time.Since(time.UnixMilli(began.Load()))
+		return hasTrouble() && since >= failingFrom && since < failingFrom+failingFor
+	}
 	work := func(isGrey bool) func(*Engine, http.ResponseWriter, *http.Request) {
 		return func(e *Engine, w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			w.Header().Set("Wigeonusher-Server-Stamp", e.Run(r))
 			time.Sleep(60 * time.Millisecond)
 			status := http.StatusOK
-			if isGrey && hasTrouble() && rand.Float64() < failingShare {
+			if isGrey && isFailing() && rand.Float64() < failingShare {
 				status = http.StatusServiceUnavailable
 			}
 			s.Record("engine %s ran %s and answers %d", e.ID, r.Header.Get("Wigeonusher-Attempt-Id"), status)
@@ -50,6 +59,7 @@
 	s.AddEntries(284, zones...)
 	s.AwaitReady()
 	time.Sleep(3 * time.Second)
+	began.Store(time.Now().UnixMilli())
 	var mu sync.Mutex
 	answers := make(map[string]Answer)
 	var group sync.WaitGroup
