--- a/review/crew/engine.go
+++ b/review/crew/engine.go
@@ -21,8 +21,6 @@
 
 	mu       sync.Mutex
 	sequence int64
-	state    string
-	stop     chan struct{}
 	arrivals []Arrival
 }
 
@@ -42,7 +40,7 @@
 	}
 	e := &Engine{
 		ID: id, Service: service, Zone: zone, Address: listener.Addr().String(), Slots: slots, store: store, Handle: handle,
-		born: time.Now().UnixMilli(), state: "ready", stop: make(chan struct{}),
+		born: time.Now().UnixMilli(),
 	}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(listener) }()
@@ -50,38 +48,25 @@
 	go func() {
 		ticker := time.NewTicker(1200 * time.Millisecond)
 		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				e.register()
-			case <-e.stop:
-				return
-			}
+		for range ticker.C {
+			e.register()
 		}
 	}()
 	return e
 }
 
-// register writes the engine's entry. While the store is down it has no effect.
+// register writes the engine's entry.
 func (e *Engine) register() {
 	e.mu.Lock()
 	e.sequence++
 	entry := map[string]any{
-		"service": e.Service, "address": e.Address, "zone": e.Zone, "version": "v1", "slots": e.Slots, "state": e.state,
+		"service": e.Service, "address": e.Address, "zone": e.Zone, "version": "v1", "slots": e.Slots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": e.sequence, "born": e.born,
 	}
 	e.mu.Unlock()
 	e.store.Put("keyed.servers", e.ID, entry)
 }
 
-// SetState changes the state that the engine registers.
-func (e *Engine) SetState(state string) {
-	e.mu.Lock()
-	e.state = state
-	e.mu.Unlock()
-	e.register()
-}
-
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.Header().Set("Wigeonusher-Instance-Id", e.ID)
--- a/review/crew/main.go
+++ b/review/crew/main.go
@@ -11,12 +11,8 @@
 
 // plays are the cases by name. Each reports whether the rule was broken.
 var plays = map[string]func(*Stage) bool{
-	"refused":  playRefused,
-	"table":    playTable,
-	"interim":  playInterim,
-	"memory":   playMemory,
-	"stale":    playStale,
-	"sessions": playSessions,
+	"memory":  playMemory,
+	"refused": playRefused,
 }
 
 func main() {
--- a/review/crew/memory.go
+++ b/review/crew/memory.go
@@ -40,6 +40,18 @@
 	return 0
 }
 
+// processorTime returns the processor time that a process has used.
+func processorTime(pid int) time.Duration {
+	body, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	fields := strings.Fields(string(body))
+	if len(fields) < 15 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[13])
+	system, _ := strconv.Atoi(fields[14])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
 // watchMemory does what the platform does: it kills a process that exceeds its memory, and starts it
 // again after a short delay.
 func (s *Stage) watchMemory(e *Entry, ends *atomic.Int32, peak *atomic.Int32, stop <-chan struct{}) {
@@ -55,7 +67,7 @@
 		if !isOver && !e.HasEnded() {
 			continue
 		}
-		s.Record("%s: %d MiB of %d, its process ends", e.Name, used, machineMemoryMB)
+		s.Record("%s: %d MiB of %d, its process ends; it has used %v of processor time", e.Name, used, machineMemoryMB, processorTime(e.command.Process.Pid))
 		e.Kill()
 		ends.Add(1)
 		time.Sleep(500 * time.Millisecond)
--- a/review/crew/stage.go
+++ b/review/crew/stage.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,7 +24,9 @@
 	folder  string
 	record  *os.File
 	started time.Time
-	mu      sync.Mutex
+
+	mu       sync.Mutex
+	isClosed bool
 }
 
 // Entry is one entry instance.
@@ -37,7 +38,7 @@
 	done                            chan struct{}
 }
 
-// exit ends the program after it has ended what it has started.
+// current is the stage that cannotRun ends.
 var current *Stage
 
 func cannotRun(format string, args ...any) {
@@ -72,6 +73,9 @@
 
 // Close ends all processes that the stage has started.
 func (s *Stage) Close() {
+	s.mu.Lock()
+	s.isClosed = true
+	s.mu.Unlock()
 	for _, e := range s.Entries {
 		e.Signal(syscall.SIGCONT)
 		e.Kill()
@@ -135,18 +139,27 @@
 	}
 }
 
-// Start starts the process of an instance with the command of the deploy file.
+// Start starts the process of an instance with the command of the deploy file, unless the stage is
+// closed.
 func (s *Stage) Start(e *Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		return
+	}
 	log, err := os.OpenFile(e.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		cannotRun("%v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return
 	}
 	defer log.Close()
 	e.command = exec.Command("target/wigeonusherd", "entry")
 	e.command.Env = append(os.Environ(), "WIGEONUSHER_SETTINGS="+e.settings)
 	e.command.Stdout, e.command.Stderr = log, log
 	if err := e.command.Start(); err != nil {
-		cannotRun("%v", err)
+		fmt.Fprintln(os.Stderr, err)
+		e.command = nil
+		return
 	}
 	e.done = make(chan struct{})
 	command, done := e.command, e.done
@@ -174,6 +187,9 @@
 
 // HasEnded reports whether the process has ended.
 func (e *Entry) HasEnded() bool {
+	if e.command == nil {
+		return true
+	}
 	select {
 	case <-e.done:
 		return true
@@ -226,11 +242,8 @@
 type Request struct {
 	ID, Method, Path, Body string
 	Timeout                time.Duration
-	Header                 map[string]string
 	// From is the client's own address, empty for any.
 	From string
-	// OnHead is called when the head of the answer has arrived.
-	OnHead func()
 }
 
 const (
@@ -242,9 +255,6 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nWigeonusher-Attempt-Id: %s\r\nWigeonusher-Credential: %s\r\nWigeonusher-Deadline-Remaining-Ms: %d\r\n",
 		r.Method, r.Path, host, r.ID, key, r.Timeout.Milliseconds())
-	for name, value := range r.Header {
-		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
-	}
 	if r.Method != http.MethodGet {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
@@ -284,9 +294,6 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	if r.OnHead != nil {
-		r.OnHead()
-	}
 	body, err := io.ReadAll(response.Body)
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: string(body), Complete: err == nil, Err: err}
 }
@@ -322,11 +329,3 @@
 
 // hasTrouble reports whether the case runs with its disruption.
 func hasTrouble() bool { return os.Getenv("TROUBLE") != "0" }
-
-// envInt returns a number from the environment.
-func envInt(name string, otherwise int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return otherwise
-}
--- a/review/crew/store.go
+++ b/review/crew/store.go
@@ -34,9 +34,6 @@
 	mu      sync.Mutex
 	topics  map[string]*storeTopic
 	changed chan struct{}
-	down    bool
-	// readers holds when each caller last read a topic.
-	readers map[string]map[string]time.Time
 }
 
 // NewStore starts a store.
@@ -47,20 +44,12 @@
 	}
 	s := &Store{
 		Address: listener.Addr().String(), topics: make(map[string]*storeTopic), changed: make(chan struct{}),
-		readers: make(map[string]map[string]time.Time),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/log-newest", s.serveNewest)
 	mux.HandleFunc("GET /api/log-read", s.serveRead)
 	mux.HandleFunc("POST /api/log-append", s.serveAppend)
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down
-		s.mu.Unlock()
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		w.Header().Set("Store-Era", "1")
 		mux.ServeHTTP(w, r)
 	})}
@@ -68,14 +57,6 @@
 	return s
 }
 
-// SetDown makes the store answer each call with 503, also the reads that wait, or ends that.
-func (s *Store) SetDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	s.wake()
-}
-
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -90,20 +71,15 @@
 	return t
 }
 
-// Put writes a record as the operator or an engine does; an empty value removes the key. It
-// reports false if the store is down.
-func (s *Store) Put(topic, key string, value any) bool {
+// Put writes a record as the operator or an engine does; nil removes the key.
+func (s *Store) Put(topic, key string, value any) {
 	var encoded []byte
 	if value != nil {
 		encoded, _ = json.Marshal(value)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		return false
-	}
 	s.append(s.topic(topic), append(append([]byte{byte(len(key))}, key...), encoded...))
-	return true
 }
 
 func (s *Store) append(t *storeTopic, record []byte) {
@@ -155,11 +131,6 @@
 	defer timer.Stop()
 	for isOver := false; ; {
 		s.mu.Lock()
-		if s.down {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		t, changed := s.topic(query.Get("topic")), s.changed
 		if from > len(t.records) {
 			s.mu.Unlock()
