--- a/review/crew/memory.go
+++ b/review/crew/memory.go
@@ -53,7 +53,7 @@
 }
 
 // watchMemory does what the platform does: it kills a process that exceeds its memory, and starts it
-// again after a short delay.
+// again after a short delay. Only ends for memory count; one that ends by itself is started again too.
 func (s *Stage) watchMemory(e *Entry, ends *atomic.Int32, peak *atomic.Int32, stop <-chan struct{}) {
 	for {
 		select {
@@ -63,8 +63,13 @@
 		}
 		used := int32(anonymousMB(e.command.Process.Pid))
 		peak.Store(max(peak.Load(), used))
-		isOver := used > machineMemoryMB
-		if !isOver && !e.HasEnded() {
+		if e.HasEnded() {
+			s.Record("%s: its process has ended by itself, which is not counted", e.Name)
+			time.Sleep(500 * time.Millisecond)
+			s.Start(e)
+			continue
+		}
+		if used <= machineMemoryMB {
 			continue
 		}
 		s.Record("%s: %d MiB of %d, its process ends; it has used %v of processor time", e.Name, used, machineMemoryMB, processorTime(e.command.Process.Pid))
@@ -93,6 +98,7 @@
 	book := func(e *Engine, w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Wigeonusher-Server-Stamp", e.Run(r))
+		s.Record("engine %s runs %s", e.ID, r.Header.Get("Wigeonusher-Attempt-Id"))
 		time.Sleep(60 * time.Millisecond)
 		_, _ = io.WriteString(w, "booked\n")
 	}
@@ -120,6 +126,7 @@
 				}
 				answer := Send(e.Client, Request{ID: fmt.Sprintf("c%d-%d", i, n), Method: http.MethodPost, Path: "/puxa403/2f", Body: "one coil", Timeout: 4 * time.Second, From: fmt.Sprintf("127.0.0.%d", 20+i)})
 				asked.Add(1)
+				s.Record("ordinary caller: c%d-%d to %s got %v", i, n, e.Name, answer)
 				switch answer.Status {
 				case http.StatusOK:
 					served.Add(1)
@@ -193,6 +200,7 @@
 			senders.Wait()
 			mu.Lock()
 			defer mu.Unlock()
+			s.Record("%s: wave %d opened %d channels, each sent a head of %d bytes in its two long lines and up to %d bytes of a body without its end", e.Name, wave+1, len(conns), len(longHeader()), bodyChunks*4096)
 			for _, conn := range conns {
 				conn.Close()
 			}
--- a/review/crew/stage.go
+++ b/review/crew/stage.go
@@ -81,11 +81,7 @@
 		e.Kill()
 	}
 	s.record.Close()
-	if os.Getenv("KEEP_LOGS") == "" {
-		_ = os.RemoveAll(s.folder)
-	} else {
-		fmt.Println("logs in", s.folder)
-	}
+	_ = os.RemoveAll(s.folder)
 }
 
 func freeAddress(ip string) string {
@@ -154,7 +150,7 @@
 	}
 	defer log.Close()
 	e.command = exec.Command("target/wigeonusherd", "entry")
-	e.command.Env = append(os.Environ(), "WIGEONUSHER_SETTINGS="+e.settings)
+	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "WIGEONUSHER_SETTINGS=" + e.settings}
 	e.command.Stdout, e.command.Stderr = log, log
 	if err := e.command.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
