Entry: a part of a backlog does not prove that the configuration is current

Cause: a read of the log returns at most 1 MB. When more configurations wait, Store.Read dropped the end of the topic that the answer names, and the tailer dated each page as a proof that its state is that of the topic at the time of the read. The gate then admitted requests with a key by the first, old page, and the same proof was told to the followers in the zone.

Change: keyed.Page names the end; a page that does not reach it is applied, but proves nothing: its batch carries the time of the last proof, so the gate, the registry's view and the replies to followers keep the older one. The rest is read at once, also of topics whose reads are paced. A page without records before the end is followed by a pause. One log line when a backlog begins and one when it is read, with offset and end; unread_records in the status and wigeonusher_topic_unread_records{topic}.

Why it holds: the only places that make a proof are readLog, which now needs the end, and applyReply, which dates it by the peer's own.

--- a/coord/keyed/keyed.go
+++ b/coord/keyed/keyed.go
@@ -44,8 +44,15 @@
 	Records []Record
 	// Next is the position to read from after this page.
 	Next Position
+	// End is the offset after the topic's last record at the time of the read, 0 if the page is known
+	// to end there.
+	End Offset
 }
 
+// ReachesEnd reports whether the page goes to the end of the topic. One that does not is only a part
+// of what was to be read, and does not show that the state after it is the topic's.
+func (p Page) ReachesEnd() bool { return p.Next.Offset >= p.End }
+
 // ErrTruncated reports that the records at a position are no longer retained, or that
 // the era of the position has ended. The reader must start again from [Log.Newest].
 var ErrTruncated = eris.New("keyed: records are no longer retained")
@@ -61,8 +68,9 @@
 	// misses no record that is appended during or after the call.
 	Newest(ctx context.Context, topic Topic) (Page, error)
 	// Read returns the records from the given position on. If there is none, it waits
-	// for one up to the given time, and then returns a page without records. It
-	// returns [ErrTruncated] if it cannot read from the position.
+	// for one up to the given time, and then returns a page without records. A page may
+	// hold only the first of the records, see [Page.ReachesEnd]. It returns
+	// [ErrTruncated] if it cannot read from the position.
 	Read(ctx context.Context, topic Topic, from Position, wait time.Duration) (Page, error)
 	// AppendAt appends a record at the given position if the topic ends there, and
 	// returns [ErrConflict] otherwise. An append that is executed late, after the end of
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// registerTopic registers the gauges of a topic: whether this instance reads it from the log, and how
-// old its knowledge is.
+// registerTopic registers the gauges of a topic: whether this instance reads it from the log, how old
+// its knowledge is, and how much its last read of the log has left there.
 func (o *observer) registerTopic(followed *tailer.Tailer) {
 	o.RegisterGauge(fmt.Sprintf(`wigeonusher_topic_reads_log{topic=%q}`, followed.Topic()), func() float64 {
 		if followed.Status().ReadsLog {
@@ -88,6 +88,9 @@
 	o.RegisterGauge(fmt.Sprintf(`wigeonusher_topic_proof_age_seconds{topic=%q}`, followed.Topic()), func() float64 {
 		return float64(followed.Status().ProofAgeMillis) / 1000
 	})
+	o.RegisterGauge(fmt.Sprintf(`wigeonusher_topic_unread_records{topic=%q}`, followed.Topic()), func() float64 {
+		return float64(followed.Status().UnreadRecords)
+	})
 }
 
 // Done implements [relay.Observer].
--- a/node/entry/tailers.go
+++ b/node/entry/tailers.go
@@ -104,8 +104,11 @@
 			e.versions.Order(*order)
 		}
 	}
-	if int64(batch.Sent) > e.verifiedAt.Load() {
+	isProof := int64(batch.Sent) > e.verifiedAt.Load()
+	if isProof {
 		e.verifiedAt.Store(int64(batch.Sent))
+	}
+	if isProof || batch.Partial { // a part of a backlog proves nothing, but the store answers
 		e.operatorAnsweredAt.Store(int64(boottime.Now()))
 	}
 }
--- a/node/tailer/follow.go
+++ b/node/tailer/follow.go
@@ -134,7 +134,10 @@
 		Sent: max(proved, t.proved), Snapshot: reply.Snapshot, Grace: reply.Grace,
 		Restored: reply.Snapshot && t.state.Loaded() && reply.Page.Next.Era != t.state.Next().Era,
 	})
-	t.isDoubtful = t.isDoubtful && !isRenewed
+	if isRenewed {
+		t.recordRest(reply.Page)
+		t.isDoubtful = false
+	}
 }
 
 // seenProofs returns the number of proofs of a source that this instance has seen, 0 if unknown.
--- a/node/tailer/follow_test.go
+++ b/node/tailer/follow_test.go
@@ -41,6 +41,8 @@
 	refuses   map[int]bool
 	// Until staleUntil, no records are retained, and snapshots lack the last five.
 	staleUntil time.Time
+	// pageRecords is the largest number of records in an answer, 0 for no bound.
+	pageRecords int
 }
 
 func newSharedLog() *sharedLog {
@@ -127,7 +129,12 @@
 		case refused:
 			return keyed.Page{}, errDown
 		case int(from.Offset) < len(records):
-			return keyed.Page{Records: records[from.Offset:], Next: keyed.Position{Era: from.Era, Offset: keyed.Offset(len(records))}}, nil
+			page := records[from.Offset:]
+			if l.pageRecords > 0 {
+				page = page[:min(len(page), l.pageRecords)]
+			}
+			next := from.Offset + keyed.Offset(len(page))
+			return keyed.Page{Records: page, Next: keyed.Position{Era: from.Era, Offset: next}, End: keyed.Offset(len(records))}, nil
 		}
 		select {
 		case <-changed:
--- a/node/tailer/tailer.go
+++ b/node/tailer/tailer.go
@@ -48,6 +48,9 @@
 	Next keyed.Position
 	// Snapshot reports that the changes are those to a new snapshot of the topic.
 	Snapshot bool
+	// Partial reports that the read did not reach the end of the topic, so it proves nothing: Sent is the
+	// time of the last proof.
+	Partial bool
 	// Restored reports that the log was restored from an older copy since the last read:
 	// the snapshot may lack records that were read before.
 	Restored bool
@@ -109,6 +112,8 @@
 	changed chan struct{}
 	// proofs counts the proofs.
 	proofs uint64
+	// unread is the number of records that the last read of the log has left there.
+	unread uint64
 	// recent holds the records since recentFrom.
 	recent     []keyed.Record
 	recentFrom keyed.Offset
@@ -165,13 +170,15 @@
 	Source   platform.InstanceID `json:"source,omitempty"`
 	// ProofAgeMillis is the time since the topic was last known to be as this instance has it.
 	ProofAgeMillis int64 `json:"proof_age_ms"`
+	// UnreadRecords is the number of records that the last read of the log has left there.
+	UnreadRecords uint64 `json:"unread_records"`
 }
 
 // Status returns the current status.
 func (t *Tailer) Status() Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	status := Status{Topic: t.config.Topic, ReadsLog: t.isReader, ProofAgeMillis: time.Duration(t.now() - t.proved).Milliseconds()}
+	status := Status{Topic: t.config.Topic, ReadsLog: t.isReader, ProofAgeMillis: time.Duration(t.now() - t.proved).Milliseconds(), UnreadRecords: t.unread}
 	if !t.isReader {
 		status.Source = t.lastSource
 	}
@@ -191,6 +198,9 @@
 	if t.reloads > 1 {
 		loop.Sleep(ctx, backoff(t.reloads-1)) // the log does not retain what follows its own snapshot
 	}
+	if t.unread > 0 {
+		return // the rest is read at once
+	}
 	if t.config.MinInterval != nil {
 		loop.Sleep(ctx, t.config.MinInterval()-time.Since(started))
 	}
@@ -246,14 +256,41 @@
 		t.reloads = 0
 	}
 	isNew := batch.Snapshot || len(page.Records) > 0
+	isStuck := !page.ReachesEnd() && t.state.Loaded() && page.Next == t.state.Next()
+	t.recordRest(page)
+	if batch.Partial = !page.ReachesEnd(); batch.Partial {
+		batch.Sent = t.proved
+	}
 	t.apply(page, batch)
 	t.ownReadAt = 0
 	if isNew && t.isReader && t.config.Peers != nil {
 		t.config.Peers.Advanced(t.config.Topic, t.state.Next())
 	}
+	if isStuck {
+		loop.Sleep(ctx, initialRetryDelay) // rather than asking again at once for records that are not returned
+	}
 	return nil
 }
 
+// recordRest records how much of the topic follows a page, and logs when reading a backlog begins and
+// ends.
+func (t *Tailer) recordRest(page keyed.Page) {
+	unread := uint64(0)
+	if !page.ReachesEnd() {
+		unread = uint64(page.End - page.Next.Offset)
+	}
+	fields := logrus.Fields{"topic": t.config.Topic, "offset": page.Next.Offset, "end": page.End, "proof_age_ms": time.Duration(t.now() - t.proved).Milliseconds()}
+	switch {
+	case t.unread == 0 && unread > 0:
+		t.config.Logger.WithFields(fields).Warn("topic was not read to its end, its state is not known to be current")
+	case t.unread > 0 && unread == 0:
+		t.config.Logger.WithFields(fields).Info("topic is read to its end again")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unread = unread
+}
+
 // apply applies a page to the state, handles the batch and wakes the followers, which must not see
 // the records before they are applied here.
 func (t *Tailer) apply(page keyed.Page, batch Batch) {
