Relay: a failure after a run does not promise that the request has not run

Cause: the relay passed an endpoint's failure on with its status, 503 by sendFailure and 408 and 429 by copyPlain, whatever the status promises to the client. An endpoint's own statement that it has not run the request is another thing, and was not among them.

Change: the codec says which statuses clients take as that promise (relay.Config.PromisesNotRun). For a request that may run once, such a status without the statement ends as a failure of the relay's own, without the promise and without the endpoint's proof (502, "endpoint failed and may have run the request"). A request that may be repeated gets the endpoint's status unchanged, as before. Refusals of the relay's own pass one place (run.refuse), which withdraws the promise once an attempt may have run, also one made by the instance that has forwarded the request. A request that may run once is not given to a second model after a run: no planner of today does so for such routes, but nothing forbade it.

The project's own interface is unchanged: there the promise is the outcome field of a refusal, not a status, and a service's status is passed on.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -61,6 +61,9 @@
 	DialEndpoint(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 	// Handler returns the handler that serves clients through the relay.
 	Handler(server *relay.Relay, limits func() route.Limits, guard *memory.Guard) http.Handler
+	// PromisesNotRun reports whether clients take a status as the promise that the request has not
+	// run and never will.
+	PromisesNotRun(status int) bool
 	// DecodeTable decodes a routing configuration. It returns nil if the change
 	// does not hold one.
 	DecodeTable(change keyed.Change) (*route.Table, error)
@@ -190,16 +193,17 @@
 	e.initAdmission()
 	e.planner = &relay.SizePlanner{Pools: e.pools, Accept: e.acceptConfidence}
 	e.relay = relay.New(relay.Config{
-		Admission:   e.admission,
-		Gate:        &relay.TableGate{Tables: e, MaxAge: e.configMaxAge},
-		Planner:     e.planner,
-		Picker:      &relay.PooledPicker{Pools: e.pools, Versions: e.versions, Suspects: e.crashes, Forwarder: e.forwardClient},
-		Endpoints:   platform.Endpoints(e.dialEndpoint),
-		Budgets:     e.budgets,
-		Prober:      e.prober,
-		Observer:    e.observer,
-		DialTimeout: e.dialTimeout,
-		Memory:      e.memory,
+		Admission:      e.admission,
+		Gate:           &relay.TableGate{Tables: e, MaxAge: e.configMaxAge},
+		Planner:        e.planner,
+		Picker:         &relay.PooledPicker{Pools: e.pools, Versions: e.versions, Suspects: e.crashes, Forwarder: e.forwardClient},
+		Endpoints:      platform.Endpoints(e.dialEndpoint),
+		Budgets:        e.budgets,
+		Prober:         e.prober,
+		Observer:       e.observer,
+		DialTimeout:    e.dialTimeout,
+		PromisesNotRun: platform.PromisesNotRun,
+		Memory:         e.memory,
 	})
 	e.forwardServer = forward.NewServer(forward.ServerConfig{
 		Peers: e.cluster, Relay: e.relay, Memory: e.memory, MaxBody: func() int64 { return e.limits().BodyBytes }, Count: e.observer.Count, Log: log,
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -211,6 +211,8 @@
 		a.verdict, a.misdirected = verdictNotExecuted, answer.Misdirected
 	case !answer.Authentic:
 		a.verdict, a.err = verdictBroken, errNoProof
+	case a.hasFalsePromise():
+		a.verdict = verdictFailure
 	case answer.Status >= http.StatusInternalServerError, a.run.headSent && !a.mayContinue():
 		a.readFailure(ctx)
 	case a.shouldEscalate():
--- a/node/relay/harness_test.go
+++ b/node/relay/harness_test.go
@@ -357,11 +357,16 @@
 		Gate:    &TableGate{Tables: h.tables, MaxAge: func() time.Duration { return 5 * time.Second }},
 		Planner: &SizePlanner{Pools: h.pools, Accept: func() []float64 { return []float64{0.6} }},
 		Picker:  h.picker, Endpoints: h.endpoints, Budgets: singleBudget{h.budget},
-		Prober: probeResult(ProbeReached), Observer: h.observer,
+		Prober: probeResult(ProbeReached), Observer: h.observer, PromisesNotRun: promisesNotRun,
 	})
 	return h
 }
 
+// promisesNotRun is the [Config.PromisesNotRun] of the tests.
+func promisesNotRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 func testRequest() *Request {
 	return &Request{
 		ID: "1", Method: http.MethodPost, Host: "h", Target: "/p/x", Path: "/p/x", Header: http.Header{},
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -176,6 +176,9 @@
 	// DialTimeout returns the connect timeout for an endpoint; nil if the
 	// endpoints' codec sets it.
 	DialTimeout func() time.Duration
+	// PromisesNotRun reports whether clients take a status as the promise that the request has not run and
+	// never will; nil if they take none so.
+	PromisesNotRun func(status int) bool
 	// Memory bounds what is held of answers; nil for no bound.
 	Memory *memory.Guard
 }
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -355,6 +355,8 @@
 	EndpointsLimited Reason = "endpoints take no more requests"
 	ZonesEvacuated   Reason = "all zones with endpoints are evacuated"
 	EndpointsFailed  Reason = "endpoints failed"
+	// FalsePromise: the endpoint's status promises that the request has not run, and it may have run.
+	FalsePromise     Reason = "endpoint failed and may have run the request"
 	NotAllowed       Reason = "not allowed any more"
 	Overloaded       Reason = "no room before the deadline"
 	OverShare        Reason = "account over its share of scarce room"
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -397,10 +397,13 @@
 		return true
 	}
 	r.stopped = stop
-	if a.verdict == verdictFailure && !r.headSent && r.fallback == nil {
-		a.sendFailure()
-	} else {
+	switch {
+	case a.verdict != verdictFailure || r.headSent || r.fallback != nil:
 		r.finish(ctx, refusal)
+	case a.hasFalsePromise():
+		r.finish(ctx, &Refusal{Reason: FalsePromise})
+	default:
+		a.sendFailure()
 	}
 	return false
 }
@@ -413,6 +416,9 @@
 	if r.last != nil && r.last.ViaPeer {
 		return false // the peer has tried what the request allows
 	}
+	if r.runs > 0 && !r.permission.Route.Repeatable() {
+		return false
+	}
 	if r.headSent || ctx.Err() != nil || refusal.Reason == CrashSuspect || refusal.Reason == SuspectPending {
 		return false
 	}
@@ -439,7 +445,7 @@
 		refusal = &Refusal{Reason: DeadlineExceeded}
 	}
 	final := *refusal
-	final.NotRun = r.runs == 0
+	final.NotRun = true // unless an attempt may have run it
 	r.refuse(&final)
 }
 
@@ -470,9 +476,13 @@
 	}
 }
 
+// refuse sends a refusal. It promises that the request has not run only if no attempt may have run it,
+// here or at the instance that has forwarded it.
 func (r *run) refuse(refusal *Refusal) {
-	r.refusal = refusal
-	r.client.Refuse(refusal)
+	final := *refusal
+	final.NotRun = final.NotRun && max(r.runs, r.request.RunsBefore) == 0
+	r.refusal = &final
+	r.client.Refuse(&final)
 }
 
 // spreadRetryAfter returns a retry delay between 0.5 and 1.5 times the base delay,
