Clients: a connection whose request is run is not closed for another one

Cause: connections.Table counted a request that is still arriving and one that an endpoint runs as the same phase, and closed the oldest of the address with the most of them for an address that had none.

Change: a phase for a request that is run, set when it has arrived whole and before it is passed on. Such a connection is never chosen; the newcomer is refused, which it can repeat. A request that is still arriving may lose its connection as before. One that arrives whole just when its connection is closed is not run (clients.BeginRun). New gauge wigeonusher_client_connections_running.

--- a/node/clients/server.go
+++ b/node/clients/server.go
@@ -73,6 +73,13 @@
 	return s.table.Count(), s.table.Limit()
 }
 
+// RunningRequests returns the number of connections whose request is run.
+func (s *Server) RunningRequests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Running()
+}
+
 // Serve accepts connections until the server is shut down or closed, or the listener fails.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
@@ -177,6 +184,9 @@
 		WriteTimeout:      noWriteTimeout,
 		MaxHeaderBytes:    headerBytes,
 		ConnState:         s.recordState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	go func() { _ = l.server.Serve(l) }() // it returns only when it is shut down or closed
 	return l
@@ -210,17 +220,51 @@
 	}
 	phase := connections.Idle
 	switch state {
-	case http.StateActive, http.StateHijacked:
-		phase = connections.Active
+	case http.StateActive:
+		phase = connections.Receiving
 	case http.StateIdle:
 	default:
-		return // a new connection is fresh, and a closed one removes itself
+		return // a new connection is fresh, a closed one removes itself, and a hijacked one is being closed
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.SetPhase(time.Now(), tracked.entry, phase)
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Errors of [BeginRun].
+var (
+	// ErrRemoved: the connection was closed for another client's, so no answer would reach the client.
+	ErrRemoved = eris.New("clients: connection was closed for another one")
+	// ErrOverShare: the client's address runs requests on most of the connections.
+	ErrOverShare = eris.New("clients: address runs too many requests")
+)
+
+// BeginRun is called with a request's context when the request has arrived whole and is about to be run.
+// From then on its connection is not closed for another client's. After an error the request must not
+// run. A request whose connection is not one of a [Server] may always run.
+func BeginRun(ctx context.Context) error {
+	tracked, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return nil
+	}
+	s := tracked.server
+	s.mu.Lock()
+	decision := s.table.Run(time.Now(), tracked.entry)
+	s.mu.Unlock()
+	switch decision {
+	case connections.Removed:
+		return ErrRemoved
+	case connections.OverShare:
+		s.config.Guard.Record("over share", policymemory.Connection)
+		return ErrOverShare
+	default:
+		return nil
+	}
+}
+
 // remove removes a connection that is closed.
 func (s *Server) remove(c *trackedConn) {
 	s.mu.Lock()
--- a/node/clients/server_test.go
+++ b/node/clients/server_test.go
@@ -18,12 +18,19 @@
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// start serves requests with the given limits. The path /wait waits until release is closed.
+// start serves requests with the given limits. The path /wait waits until release is closed, and the path
+// /arrive does so before the request counts as complete.
 func start(t *testing.T, limit int, limits func() route.Limits) (server *clients.Server, address string, release chan struct{}) {
 	t.Helper()
 	release = make(chan struct{})
 	server = clients.NewServer(clients.Config{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/arrive" {
+				<-release
+			}
+			if err := clients.BeginRun(r.Context()); err != nil {
+				panic(http.ErrAbortHandler)
+			}
 			if r.URL.Path == "/wait" {
 				<-release
 			}
@@ -173,3 +180,61 @@
 	close(release)
 	assert.NilError(t, <-answered)
 }
+
+// TestRunningRequestsKeepTheirConnections guards against a full server that closed connections whose
+// requests were at work at endpoints, for clients that had none yet.
+func TestRunningRequestsKeepTheirConnections(t *testing.T) {
+	const limit = 8
+	server, address, release := start(t, limit, func() route.Limits { return route.Limits{} })
+	answered := make(chan error, limit)
+	for range limit {
+		conn := dialFrom(t, 1, address)
+		go func() { answered <- exchange(conn, "/wait") }()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.RunningRequests() == limit {
+			return poll.Success()
+		}
+		return poll.Continue("not running")
+	})
+	for n := range byte(20) {
+		assert.Assert(t, exchange(dialFrom(t, 2+n, address), "/") != nil, "the server is full")
+	}
+	close(release)
+	for range limit {
+		assert.NilError(t, <-answered)
+	}
+	assert.NilError(t, exchange(dialFrom(t, 2, address), "/"))
+}
+
+// TestRequestOfAClosedConnectionIsNotRun guards against a request that arrives whole just when its
+// connection is closed for another client's: its answer could not be delivered.
+func TestRequestOfAClosedConnectionIsNotRun(t *testing.T) {
+	const limit = 8
+	server, address, release := start(t, limit, func() route.Limits { return route.Limits{} })
+	answered := make(chan error, limit)
+	for range limit {
+		conn := dialFrom(t, 1, address)
+		_, err := io.WriteString(conn, "GET /arrive HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		go func() {
+			_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			answered <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond) // until the requests have reached the handler
+	newcomer := make(chan error, 1)
+	go func() { newcomer <- exchange(dialFrom(t, 2, address), "/wait") }()
+	assert.Assert(t, <-answered != nil, "the one that was closed")
+	close(release)
+	for range limit - 1 {
+		assert.NilError(t, <-answered)
+	}
+	assert.NilError(t, <-newcomer)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if server.RunningRequests() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("still counted as running")
+	})
+}
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -64,6 +64,7 @@
 		_, limit := e.clientServer.Connections()
 		return float64(limit)
 	})
+	o.RegisterGauge(`wigeonusher_client_connections_running`, func() float64 { return float64(e.clientServer.RunningRequests()) })
 	o.RegisterGauge(`wigeonusher_endpoints`, func() float64 { return float64(e.pools.Count()) })
 }
 
