--- a/cmd/wigeonusherd/clienttest/harness_test.go
+++ b/cmd/wigeonusherd/clienttest/harness_test.go
@@ -69,6 +69,7 @@
 	t               *testing.T
 	client, health  string
 	process         *os.Process
+	store           *platformtest.Store
 	engines         []*platformtest.Engine
 	ended           chan struct{}
 	maxDescriptors  atomic.Int64
@@ -84,7 +85,7 @@
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
 	store.PutConfigLimits(1, map[string]int{"max_body_bytes": maxBodyBytes}, platformtest.Key)
-	d := &daemon{t: t, ended: make(chan struct{}), stopSampling: make(chan struct{})}
+	d := &daemon{t: t, store: store, ended: make(chan struct{}), stopSampling: make(chan struct{})}
 	for i, service := range []string{platformtest.PlainService, platformtest.PlainService, platformtest.ModelService} {
 		engine := platformtest.NewEngine(store, "engine-"+strconv.Itoa(i), service)
 		t.Cleanup(engine.Close)
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -27,6 +27,9 @@
 	HeaderNotRun    = "X-Not-Run"
 )
 
+// maxHeadBytes bounds the head of an answer, with the interim answers before it.
+const maxHeadBytes = 64 << 10
+
 // Config holds the timeouts and limits of a [Client].
 type Config struct {
 	// DialTimeout bounds the time to establish a connection.
@@ -56,6 +59,8 @@
 		MaxIdleConnsPerHost: config.MaxIdlePerEndpoint,
 		IdleConnTimeout:     config.IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{config: config, http: &http.Client{
 		Transport:     transport,
--- a/wire/engine/stream.go
+++ b/wire/engine/stream.go
@@ -10,8 +10,12 @@
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 )
 
-// MaxFrameBytes bounds one frame of a streamed answer.
-const MaxFrameBytes = 256 << 10
+// MaxFrameBytes bounds one frame of a streamed answer, and MaxAnswerBytes all of it: the answer is kept
+// until its bill is recorded.
+const (
+	MaxFrameBytes  = 256 << 10
+	MaxAnswerBytes = 16 << 20
+)
 
 const frameBufferBytes = 4 << 10
 
@@ -30,6 +34,7 @@
 	watch     *watchdog
 	answer    Answer
 	frames    int
+	size      int
 }
 
 func newStream(body io.ReadCloser, attemptID string, started time.Time, watch *watchdog) *Stream {
@@ -50,11 +55,14 @@
 func (s *Stream) Answer() *Answer { return &s.answer }
 
 // Next returns the next frame. It returns io.EOF at the end marker, and
-// [ErrIncomplete] if a frame is malformed or too large or if the marker or the
-// finish reason is missing.
+// [ErrIncomplete] if a frame is malformed or too large, if the answer is too large, or if
+// the marker or the finish reason is missing.
 func (s *Stream) Next() (*openai.Chunk, error) {
 	for s.scanner.Scan() {
 		s.watch.recordProgress()
+		if s.size += len(s.scanner.Bytes()) + 1; s.size > MaxAnswerBytes {
+			return nil, ErrIncomplete
+		}
 		data, ok := bytes.CutPrefix(s.scanner.Bytes(), dataPrefix)
 		if !ok {
 			continue
