Drain: what cannot be answered before the end of a stop is not run

Reported by another operator: requests that came late in the grace of a planned stop were passed on and cut off at its end, among them requests that may not be repeated.

It can happen here, though net/http closes new requests unread once the server shuts down: a request whose body arrives slowly, one that waits for an endpoint, a second attempt, and one that a peer has forwarded were passed on at any time, and all that ran at the end lost their connections without an answer.

Change: before each attempt the relay asks whether the instance stops before the answer would be complete (policy/drain, pure). While the balancer still sends clients, all is run as before. After that a request is run if its route's usual time (mean and three deviations of complete answers), at least its objective, fits into what is left; without known answers twice the objective, and a stream not at all. Otherwise it is refused at once as not run (503), and its client or the peer that forwarded it goes elsewhere. What has no answer 300 ms before the connections are closed gets a final one (502 if it may have run). An answer that has begun goes on to the end. The endpoint of an attempt that is ended so does not count as failed.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -154,7 +154,7 @@
 	observer     *observer
 	planner      *relay.SizePlanner
 	relay        *relay.Relay
-	stopping     atomic.Bool
+	stopping     *stopping
 	clientServer *clients.Server
 	// memory and sockets bound what is held for clients and endpoints.
 	memory  *memory.Guard
@@ -175,7 +175,8 @@
 	e.pools = pool.New(settings.Zone, log)
 	e.prober = newDialProber(platform.DialEndpoint)
 	e.budgets = newBudgets(settings.Bounds, time.Now())
-	e.observer = newObserver(log)
+	e.stopping = newStopping()
+	e.observer = newObserver(log, e.stopping)
 	e.initClients()
 	e.initPeers()
 	e.cluster.AddGossip(limitGossip{e.pools}, loadGossip{e.pools}, statisticsGossip{e.pools}, coldGossip{e.pools},
@@ -203,6 +204,7 @@
 		Observer:       e.observer,
 		DialTimeout:    e.dialTimeout,
 		PromisesNotRun: platform.PromisesNotRun,
+		Stop:           e.stopping,
 		Memory:         e.memory,
 	})
 	e.forwardServer = forward.NewServer(forward.ServerConfig{
@@ -284,7 +286,7 @@
 // Ready reports whether the instance can serve requests.
 func (e *Entry) Ready() bool {
 	table, verifiedAt := e.Table()
-	if table == nil || e.stopping.Load() || e.pools.Count() == 0 || !e.reachesEndpoints() {
+	if table == nil || e.stopping.hasBegun() || e.pools.Count() == 0 || !e.reachesEndpoints() {
 		return false
 	}
 	maxAge := e.configMaxAge()
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -34,7 +34,7 @@
 		{answeredAgo: maxOperatorWait + 100*time.Millisecond, verifiedAgo: 2*maxOperatorWait + 100*time.Millisecond, unresponsive: false},
 		{answeredAgo: 3 * time.Second, verifiedAgo: 3 * time.Second, unresponsive: true},
 	} {
-		e := &Entry{}
+		e := &Entry{stopping: newStopping()}
 		e.currentSettings.Store(&Settings{})
 		now := boottime.Now()
 		e.operatorAnsweredAt.Store(int64(now) - int64(c.answeredAgo))
@@ -49,7 +49,7 @@
 	for _, revocation := range []float64{2500, 5000, 9000} {
 		settings := DefaultSettings()
 		settings.Bounds.StrictRevocation, settings.Bounds.RevocationMillis = true, revocation
-		e := &Entry{}
+		e := &Entry{stopping: newStopping()}
 		e.currentSettings.Store(&settings)
 		oldestProof := 2 * e.operatorWait()
 		if outlasted := e.configMaxAge() - oldestProof; outlasted < millis(outageFraction*revocation) {
@@ -115,7 +115,7 @@
 func newEntryWithEndpoint() *Entry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	e := &Entry{pools: pool.New("z", logrus.NewEntry(logger))}
+	e := &Entry{stopping: newStopping(), pools: pool.New("z", logrus.NewEntry(logger))}
 	e.operatorAnsweredAt.Store(int64(boottime.Now()))
 	e.pools.Put(pool.Record{ID: "e", Service: "s", Address: "127.0.0.1:1", Zone: "z", Version: "v1", Slots: 1})
 	e.currentSettings.Store(&Settings{})
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -16,11 +16,12 @@
 // observer records metrics and logs of requests.
 type observer struct {
 	*telemetry.Telemetry
-	log *logrus.Entry
+	log      *logrus.Entry
+	stopping *stopping
 }
 
-func newObserver(log *logrus.Entry) *observer {
-	return &observer{Telemetry: telemetry.New(log), log: log}
+func newObserver(log *logrus.Entry, stopping *stopping) *observer {
+	return &observer{Telemetry: telemetry.New(log), log: log, stopping: stopping}
 }
 
 func (o *observer) registerGauges(e *Entry) {
@@ -96,6 +97,7 @@
 
 // Done implements [relay.Observer].
 func (o *observer) Done(event *relay.DoneEvent) {
+	o.stopping.recordEnd(event)
 	outcome := "answered"
 	switch {
 	case event.Refusal != nil:
--- a/node/entry/observer_test.go
+++ b/node/entry/observer_test.go
@@ -20,7 +20,7 @@
 	logger := logrus.New()
 	logger.SetOutput(&log)
 	logger.SetFormatter(&logrus.JSONFormatter{})
-	return newObserver(logrus.NewEntry(logger)), &log
+	return newObserver(logrus.NewEntry(logger), newStopping()), &log
 }
 
 // parseLine returns the fields of a log's only line without its level and time.
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/node/memory"
 	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/policy/drain"
 	policymemory "github.com/wigeonusher/wigeonusher/policy/memory"
 )
 
@@ -118,7 +119,7 @@
 // connections, and a request in transit on one of them would be lost.
 func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.Load() {
+		if e.stopping.hasBegun() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -136,15 +137,17 @@
 
 // drain stops gracefully: the instance reports not ready at once, serves until
 // the balancer has had time to remove it, then refuses new connections and closes
-// existing ones when they become idle.
+// existing ones when they become idle. Requests that cannot be answered before the end are refused
+// (package drain), and those that have no answer shortly before it get a final one.
 func (e *Entry) drain(work context.Context) {
 	started := time.Now()
-	e.stopping.Store(true)
-	e.log.Info("instance drains")
 	bounds := e.currentSettings.Load().Bounds
 	grace := millis(bounds.StopGraceMillis) - shutdownReserve
+	lag := min(millis(bounds.BalancerLagMillis), grace/2)
+	e.stopping.begin(drain.Window{LagEnds: started.Add(lag), Ends: started.Add(grace - finalAnswerReserve)})
+	e.log.WithFields(logrus.Fields{"lag_ms": lag.Milliseconds(), "grace_ms": grace.Milliseconds()}).Info("instance drains")
 	select {
-	case <-time.After(min(millis(bounds.BalancerLagMillis), grace/2)):
+	case <-time.After(lag):
 	case <-work.Done():
 		return
 	}
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -262,7 +262,7 @@
 // isUnable reports whether another instance may run what this one has refused.
 func isUnable(reason relay.Reason) bool {
 	switch reason {
-	case relay.NoConfig, relay.ConfigTooOld, relay.NoEndpoint, relay.EndpointsFailed, relay.Overloaded, relay.NoMemory:
+	case relay.NoConfig, relay.ConfigTooOld, relay.NoEndpoint, relay.EndpointsFailed, relay.Overloaded, relay.NoMemory, relay.Stopping:
 		return true
 	default:
 		return false
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -69,6 +69,8 @@
 	EndedByMemory EndedBy = "memory"
 	// EndedByClient: the client disconnected.
 	EndedByClient EndedBy = "client"
+	// EndedByStop: this instance stops.
+	EndedByStop EndedBy = "stop"
 )
 
 var errNoProof = eris.New("answer does not carry the endpoint's proof for this call")
@@ -343,7 +345,7 @@
 	switch {
 	case cause == nil:
 		a.crashed = !errors.Is(err, os.ErrDeadlineExceeded) && !isTooLarge(err)
-	case errors.As(cause, new(*watchdogError)), errors.Is(cause, ErrSuspected):
+	case errors.As(cause, new(*watchdogError)), errors.Is(cause, ErrSuspected), errors.Is(cause, errStopping):
 		a.err = cause
 	case errors.Is(cause, context.Canceled):
 		a.verdict = verdictClientGone
@@ -357,7 +359,7 @@
 // an event usually takes. After a longer silence the endpoint may well be dead.
 func (a *attempt) isInconclusive(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	if errors.Is(cause, ErrSuspected) {
+	if errors.Is(cause, ErrSuspected) || errors.Is(cause, errStopping) {
 		return true
 	}
 	if isMove(cause) {
@@ -401,6 +403,7 @@
 		return
 	}
 	a.run.headSent = true
+	a.run.hasBegun.Store(true)
 	a.run.status, a.run.contentType = a.answer.Status, a.answer.Header.Get("Content-Type")
 	a.run.dropUnneededBody(false)
 	a.run.client.Begin(Head{Status: a.answer.Status, Header: a.answer.Header})
@@ -501,6 +504,8 @@
 		return EndedByWatchdog
 	case errors.Is(a.err, ErrSuspected):
 		return EndedBySuspicion
+	case errors.Is(a.err, errStopping):
+		return EndedByStop
 	case errors.Is(a.err, errNoProof), errors.Is(a.err, errNotContinued), errors.Is(a.err, errHeadInStream):
 		return EndedByProofCheck
 	case a.crashed:
--- a/node/relay/fallback.go
+++ b/node/relay/fallback.go
@@ -20,6 +20,7 @@
 		return
 	}
 	r.headSent, r.status = true, answer.Status
+	r.hasBegun.Store(true)
 	r.client.Begin(Head{Status: answer.Status, Header: answer.Header, Fallback: true})
 	r.complete = r.writeParts(body) == nil // otherwise the client has disconnected
 }
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -176,6 +176,8 @@
 	// DialTimeout returns the connect timeout for an endpoint; nil if the
 	// endpoints' codec sets it.
 	DialTimeout func() time.Duration
+	// Stop decides what is still run while the instance stops; nil if all is.
+	Stop Stop
 	// PromisesNotRun reports whether clients take a status as the promise that the request has not run and
 	// never will; nil if they take none so.
 	PromisesNotRun func(status int) bool
--- a/node/relay/request.go
+++ b/node/relay/request.go
@@ -355,6 +355,8 @@
 	EndpointsLimited Reason = "endpoints take no more requests"
 	ZonesEvacuated   Reason = "all zones with endpoints are evacuated"
 	EndpointsFailed  Reason = "endpoints failed"
+	// Stopping: the instance stops before the answer would be complete.
+	Stopping Reason = "instance stops"
 	// FalsePromise: the endpoint's status promises that the request has not run, and it may have run.
 	FalsePromise     Reason = "endpoint failed and may have run the request"
 	NotAllowed       Reason = "not allowed any more"
--- a/node/relay/run.go
+++ b/node/relay/run.go
@@ -50,8 +50,10 @@
 	moved atomic.Bool
 	// brittleRejections counts the brittle endpoints that had no room.
 	brittleRejections int
-	// headSent reports that the head of an answer was sent to the client.
+	// headSent reports that the head of an answer was sent to the client; hasBegun is the same for other
+	// goroutines.
 	headSent bool
+	hasBegun atomic.Bool
 	// lastEvent is the ID of the last event that the client has. gotEventID reports that
 	// an event of this answer had one.
 	lastEvent  string
@@ -79,6 +81,10 @@
 		r.refuse(refusal)
 		return
 	}
+	if refusal := r.checkStop(); refusal != nil {
+		r.refuse(refusal)
+		return
+	}
 	if refusal := r.offer(); refusal != nil {
 		r.refuse(refusal)
 		return
@@ -89,6 +95,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	ctx, release := r.withStop(ctx)
+	defer release()
 	r.runAttempts(ctx)
 	r.endAdmission()
 }
@@ -219,6 +227,9 @@
 	}
 	previous := r.permission.Route
 	r.permission = permission
+	if refusal := r.checkStop(); refusal != nil {
+		return refusal
+	}
 	if !permission.Route.Allows(r.service) {
 		service, ok := permission.Route.Pick(r.draw)
 		if !ok {
@@ -441,7 +452,10 @@
 		r.sendFallback()
 		return
 	}
-	if ctx.Err() != nil && refusal.Reason != DeadlineExceeded {
+	switch {
+	case isStopped(ctx):
+		refusal = stopRefusal()
+	case ctx.Err() != nil && refusal.Reason != DeadlineExceeded:
 		refusal = &Refusal{Reason: DeadlineExceeded}
 	}
 	final := *refusal
@@ -465,6 +479,8 @@
 // picker.
 func (r *run) stopReason(ctx context.Context, refusal *Refusal) StopReason {
 	switch {
+	case isStopped(ctx):
+		return StopReason(Stopping)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return StopClientGone
 	case r.isTimeUp(ctx):
