Drain: the project's own interface answers what outlasts a stop

The same cause on the related path: at the end of the drain period the own interface cut off unfinished requests without an answer. Its relays now use the same decision (node/stop, shared with the entry instance): late requests that cannot end in time are refused as not run, and what has no answer 300 ms before the end gets "outcome unknown" (502).

--- a/node/assemble.go
+++ b/node/assemble.go
@@ -310,6 +310,7 @@
 		Budgets:    retryBudgets,
 		Scheduler:  scheduler,
 		Telemetry:  c.telemetry,
+		Stop:       n.stop,
 	})
 	n.addGauges(c)
 	n.callerServer = &http.Server{
--- a/node/caller/server.go
+++ b/node/caller/server.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/outcome"
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/billing"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/document"
 	"github.com/wigeonusher/wigeonusher/policy/placement"
@@ -63,6 +64,8 @@
 	Budgets    Budgets
 	Scheduler  *placement.Scheduler
 	Telemetry  *telemetry.Telemetry
+	// Stop decides what is still run while the instance stops; nil for one that never does.
+	Stop *stop.Stop
 }
 
 // Server serves the callers' API of one instance.
@@ -74,7 +77,12 @@
 }
 
 // New returns a server.
-func New(config Config) *Server { return &Server{Config: config, speeds: newSpeeds()} }
+func New(config Config) *Server {
+	if config.Stop == nil {
+		config.Stop = stop.New()
+	}
+	return &Server{Config: config, speeds: newSpeeds()}
+}
 
 // attemptID returns a new ID for one dispatch.
 func (s *Server) attemptID() string {
--- a/node/caller/service.go
+++ b/node/caller/service.go
@@ -116,7 +116,8 @@
 		Picker:    c,
 		Endpoints: c,
 		Budgets:   c,
-		Observer:  attemptLog{c.server.Telemetry},
+		Observer:  attemptLog{c.server.Telemetry, c.server.Stop},
+		Stop:      c.server.Stop,
 	})
 	core.Serve(ctx, &relay.Request{
 		ID:       c.id,
--- a/node/caller/work.go
+++ b/node/caller/work.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonusher/wigeonusher/node/memory"
 	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 	"github.com/wigeonusher/wigeonusher/policy/cascade"
 	"github.com/wigeonusher/wigeonusher/policy/document"
@@ -73,7 +74,8 @@
 		Picker:    &w.picker,
 		Endpoints: &chatEndpoints{work: w},
 		Budgets:   &w.picker,
-		Observer:  attemptLog{w.server.Telemetry},
+		Observer:  attemptLog{w.server.Telemetry, w.server.Stop},
+		Stop:      w.server.Stop,
 	})
 	core.Serve(ctx, &relay.Request{
 		ID:       w.request.id,
@@ -150,9 +152,12 @@
 	return relay.Permission(g), nil
 }
 
-// attemptLog is the [relay.Observer] of the callers' API. It reports attempts
-// only: the server's middleware reports requests, with their HTTP status.
-type attemptLog struct{ telemetry *telemetry.Telemetry }
+// attemptLog is the [relay.Observer] of the callers' API. Its telemetry has the
+// attempts only: the server's middleware reports requests, with their HTTP status.
+type attemptLog struct {
+	telemetry *telemetry.Telemetry
+	stop      *stop.Stop
+}
 
 // RecordAttempt implements [relay.Observer].
 func (l attemptLog) RecordAttempt(event *relay.AttemptEvent) {
@@ -162,4 +167,4 @@
 }
 
 // Done implements [relay.Observer].
-func (attemptLog) Done(*relay.DoneEvent) {}
+func (l attemptLog) Done(event *relay.DoneEvent) { l.stop.RecordEnd(event) }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/wigeonusher/wigeonusher/node/memory"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 	"github.com/wigeonusher/wigeonusher/node/versions"
 	"github.com/wigeonusher/wigeonusher/policy/canary"
 	"github.com/wigeonusher/wigeonusher/policy/route"
@@ -154,7 +155,7 @@
 	observer     *observer
 	planner      *relay.SizePlanner
 	relay        *relay.Relay
-	stopping     *stopping
+	stopping     *stop.Stop
 	clientServer *clients.Server
 	// memory and sockets bound what is held for clients and endpoints.
 	memory  *memory.Guard
@@ -175,7 +176,7 @@
 	e.pools = pool.New(settings.Zone, log)
 	e.prober = newDialProber(platform.DialEndpoint)
 	e.budgets = newBudgets(settings.Bounds, time.Now())
-	e.stopping = newStopping()
+	e.stopping = stop.New()
 	e.observer = newObserver(log, e.stopping)
 	e.initClients()
 	e.initPeers()
@@ -286,7 +287,7 @@
 // Ready reports whether the instance can serve requests.
 func (e *Entry) Ready() bool {
 	table, verifiedAt := e.Table()
-	if table == nil || e.stopping.hasBegun() || e.pools.Count() == 0 || !e.reachesEndpoints() {
+	if table == nil || e.stopping.HasBegun() || e.pools.Count() == 0 || !e.reachesEndpoints() {
 		return false
 	}
 	maxAge := e.configMaxAge()
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/pool"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 	"github.com/wigeonusher/wigeonusher/node/tailer"
 )
 
@@ -34,7 +35,7 @@
 		{answeredAgo: maxOperatorWait + 100*time.Millisecond, verifiedAgo: 2*maxOperatorWait + 100*time.Millisecond, unresponsive: false},
 		{answeredAgo: 3 * time.Second, verifiedAgo: 3 * time.Second, unresponsive: true},
 	} {
-		e := &Entry{stopping: newStopping()}
+		e := &Entry{stopping: stop.New()}
 		e.currentSettings.Store(&Settings{})
 		now := boottime.Now()
 		e.operatorAnsweredAt.Store(int64(now) - int64(c.answeredAgo))
@@ -49,7 +50,7 @@
 	for _, revocation := range []float64{2500, 5000, 9000} {
 		settings := DefaultSettings()
 		settings.Bounds.StrictRevocation, settings.Bounds.RevocationMillis = true, revocation
-		e := &Entry{stopping: newStopping()}
+		e := &Entry{stopping: stop.New()}
 		e.currentSettings.Store(&settings)
 		oldestProof := 2 * e.operatorWait()
 		if outlasted := e.configMaxAge() - oldestProof; outlasted < millis(outageFraction*revocation) {
@@ -115,7 +116,7 @@
 func newEntryWithEndpoint() *Entry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	e := &Entry{stopping: newStopping(), pools: pool.New("z", logrus.NewEntry(logger))}
+	e := &Entry{stopping: stop.New(), pools: pool.New("z", logrus.NewEntry(logger))}
 	e.operatorAnsweredAt.Store(int64(boottime.Now()))
 	e.pools.Put(pool.Record{ID: "e", Service: "s", Address: "127.0.0.1:1", Zone: "z", Version: "v1", Slots: 1})
 	e.currentSettings.Store(&Settings{})
--- a/node/entry/observer.go
+++ b/node/entry/observer.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonusher/wigeonusher/node/boottime"
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 	"github.com/wigeonusher/wigeonusher/node/tailer"
 	"github.com/wigeonusher/wigeonusher/node/telemetry"
 )
@@ -17,10 +18,10 @@
 type observer struct {
 	*telemetry.Telemetry
 	log      *logrus.Entry
-	stopping *stopping
+	stopping *stop.Stop
 }
 
-func newObserver(log *logrus.Entry, stopping *stopping) *observer {
+func newObserver(log *logrus.Entry, stopping *stop.Stop) *observer {
 	return &observer{Telemetry: telemetry.New(log), log: log, stopping: stopping}
 }
 
@@ -97,7 +98,7 @@
 
 // Done implements [relay.Observer].
 func (o *observer) Done(event *relay.DoneEvent) {
-	o.stopping.recordEnd(event)
+	o.stopping.RecordEnd(event)
 	outcome := "answered"
 	switch {
 	case event.Refusal != nil:
--- a/node/entry/observer_test.go
+++ b/node/entry/observer_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/wigeonusher/wigeonusher/node/relay"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 )
 
 // newTestObserver returns an observer and the buffer that receives its log lines.
@@ -20,7 +21,7 @@
 	logger := logrus.New()
 	logger.SetOutput(&log)
 	logger.SetFormatter(&logrus.JSONFormatter{})
-	return newObserver(logrus.NewEntry(logger), newStopping()), &log
+	return newObserver(logrus.NewEntry(logger), stop.New()), &log
 }
 
 // parseLine returns the fields of a log's only line without its level and time.
--- a/node/entry/serve.go
+++ b/node/entry/serve.go
@@ -17,7 +17,6 @@
 	"github.com/wigeonusher/wigeonusher/node/loop"
 	"github.com/wigeonusher/wigeonusher/node/memory"
 	"github.com/wigeonusher/wigeonusher/node/relay"
-	"github.com/wigeonusher/wigeonusher/policy/drain"
 	policymemory "github.com/wigeonusher/wigeonusher/policy/memory"
 )
 
@@ -119,7 +118,7 @@
 // connections, and a request in transit on one of them would be lost.
 func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.hasBegun() {
+		if e.stopping.HasBegun() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -144,7 +143,7 @@
 	bounds := e.currentSettings.Load().Bounds
 	grace := millis(bounds.StopGraceMillis) - shutdownReserve
 	lag := min(millis(bounds.BalancerLagMillis), grace/2)
-	e.stopping.begin(drain.Window{LagEnds: started.Add(lag), Ends: started.Add(grace - finalAnswerReserve)})
+	e.stopping.Begin(started.Add(lag), started.Add(grace))
 	e.log.WithFields(logrus.Fields{"lag_ms": lag.Milliseconds(), "grace_ms": grace.Milliseconds()}).Info("instance drains")
 	select {
 	case <-time.After(lag):
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -55,7 +55,7 @@
 		Instance:       e.settings.Name,
 		Zone:           e.settings.Zone,
 		Ready:          e.Ready(),
-		Stopping:       e.stopping.hasBegun(),
+		Stopping:       e.stopping.HasBegun(),
 		Endpoints:      e.pools.Snapshots(),
 		EvacuatedZones: e.pools.EvacuatedZones(),
 		ColdEndpoints:  e.pools.ColdCount(time.Now()),
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -76,6 +76,28 @@
 	})
 }
 
+// TestRequestThatOutlastsAPlannedStopIsAnswered guards against a connection that ends without an answer to a
+// request that still runs at the end of the drain period.
+func TestRequestThatOutlastsAPlannedStopIsAnswered(t *testing.T) {
+	f, nodes := newModelFleet(t, 2, func(s *settings.Settings) { s.Timing.DrainLagMillis, s.Timing.DrainMillis = 100, 1500 })
+	body := strings.Replace(chatBody("small", false), `"max_tokens":12`, `"max_tokens":3000`, 1)
+	type result struct {
+		answer answer
+		err    error
+	}
+	results := make(chan result, 1)
+	go func() {
+		got, err := f.tryCall(nodes[0].Node, http.MethodPost, "/v1/chat/completions", body)
+		results <- result{got, err}
+	}()
+	f.eventually("the request runs", func() bool { return f.runningRequests() > 0 })
+	nodes[0].stop()
+	got := <-results
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.answer.status, http.StatusBadGateway, got.answer.body)
+	assert.Assert(t, strings.Contains(got.answer.body, `"outcome":"unknown"`), got.answer.body)
+}
+
 // TestPlannedStopOfTheLastInstanceSettlesItsBills stops an instance without
 // peers while the log is down. It has to stay until the log has its bill, because
 // nobody else has a copy.
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -16,6 +15,7 @@
 
 	"github.com/wigeonusher/wigeonusher/coord/platform"
 	"github.com/wigeonusher/wigeonusher/node/settings"
+	"github.com/wigeonusher/wigeonusher/node/stop"
 	"github.com/wigeonusher/wigeonusher/node/tlsconfig"
 )
 
@@ -48,7 +48,7 @@
 
 	ready     chan struct{}
 	readyOnce sync.Once
-	stopping  atomic.Bool
+	stop      *stop.Stop
 	// killed is the context that kill cancels. All actors end when it is cancelled.
 	killed context.Context
 	kill   context.CancelFunc
@@ -60,7 +60,7 @@
 	if err := s.Check().Err(); err != nil {
 		return nil, eris.Wrap(err, "node: settings")
 	}
-	n := &Node{settings: s, id: newInstanceID(s.Name), ready: make(chan struct{})}
+	n := &Node{settings: s, id: newInstanceID(s.Name), ready: make(chan struct{}), stop: stop.New()}
 	n.killed, n.kill = context.WithCancel(context.Background())
 	n.log = newLogger(options.Logger, n.id, s.Zone)
 	if err := n.listen(); err != nil {
--- a/node/run.go
+++ b/node/run.go
@@ -109,11 +109,12 @@
 // claims of engine orders, appends the pending entries to the log and leaves the
 // cluster.
 func (n *Node) drain() {
-	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(n.killed, millis(n.settings.Timing.DrainMillis))
+	started, lag, grace := time.Now(), millis(n.settings.Timing.DrainLagMillis), millis(n.settings.Timing.DrainMillis)
+	n.stop.Begin(started.Add(lag), started.Add(grace))
+	ctx, cancel := context.WithDeadline(n.killed, started.Add(grace))
 	defer cancel()
 	select {
-	case <-time.After(millis(n.settings.Timing.DrainLagMillis)):
+	case <-time.After(lag):
 	case <-ctx.Done():
 	}
 	if err := n.callerServer.Shutdown(ctx); err != nil {
@@ -143,7 +144,7 @@
 
 // announce keeps the instance listed until the context ends.
 func (n *Node) announce(ctx context.Context) error {
-	return loop.Every(ctx, announceInterval, func(time.Time) { n.announceOnce(ctx, n.stopping.Load()) })
+	return loop.Every(ctx, announceInterval, func(time.Time) { n.announceOnce(ctx, n.stop.HasBegun()) })
 }
 
 func (n *Node) announceOnce(ctx context.Context, leaving bool) {
@@ -213,7 +214,7 @@
 	status := admin.Status{
 		Instance:      n.id,
 		Zone:          n.settings.Zone,
-		Stopping:      n.stopping.Load(),
+		Stopping:      n.stop.HasBegun(),
 		ControlNext:   c.controlTail.Next(),
 		IntentsNext:   c.intentTail.Next(),
 		BillsHeld:     c.billWriter.Len(),
--- a/node/entry/stopping.go
+++ b/node/stop/stop.go
@@ -1,4 +1,6 @@
-package entry
+// Package stop tells the relay what an instance that stops still runs. The decisions are those of
+// policy/drain.
+package stop
 
 import (
 	"context"
@@ -11,16 +13,16 @@
 	"github.com/wigeonusher/wigeonusher/policy/route"
 )
 
-// finalAnswerReserve is the time before the connections are closed at which requests without an answer
-// get a final one.
-const finalAnswerReserve = 300 * time.Millisecond
+// answerReserve is the time before the connections are closed at which requests without an answer get a
+// final one.
+const answerReserve = 300 * time.Millisecond
 
 // maxRoutes bounds the routes whose usual times are remembered.
 const maxRoutes = 4096
 
-// stopping implements [relay.Stop]: it knows when the instance stops, and how long answers usually take.
-// It is safe for concurrent use.
-type stopping struct {
+// Stop implements [relay.Stop]: it knows when the instance stops, and how long answers usually take. It is
+// safe for concurrent use.
+type Stop struct {
 	// ending ends when the requests without an answer get a final one.
 	ending context.Context
 	end    context.CancelFunc
@@ -31,29 +33,31 @@
 	usual  map[string]*latency.Spread
 }
 
-func newStopping() *stopping {
-	s := &stopping{usual: make(map[string]*latency.Spread)}
+// New returns the stop of an instance that runs.
+func New() *Stop {
+	s := &Stop{usual: make(map[string]*latency.Spread)}
 	s.ending, s.end = context.WithCancel(context.Background())
 	return s
 }
 
-// begin begins the stop.
-func (s *stopping) begin(window drain.Window) {
+// Begin begins the stop. lagEnds is when the balancer has stopped sending clients, and closes when the
+// connections are closed.
+func (s *Stop) Begin(lagEnds, closes time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.window = window
-	time.AfterFunc(time.Until(window.Ends), s.end)
+	s.window = drain.Window{LagEnds: lagEnds, Ends: closes.Add(-answerReserve)}
+	time.AfterFunc(time.Until(s.window.Ends), s.end)
 }
 
-// hasBegun reports whether the stop has begun.
-func (s *stopping) hasBegun() bool {
+// HasBegun reports whether the stop has begun.
+func (s *Stop) HasBegun() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.window != drain.Window{}
 }
 
 // Admits implements [relay.Stop].
-func (s *stopping) Admits(rt *route.Route, remaining time.Duration) bool {
+func (s *Stop) Admits(rt *route.Route, remaining time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if (s.window == drain.Window{}) {
@@ -67,10 +71,10 @@
 }
 
 // Ending implements [relay.Stop].
-func (s *stopping) Ending() context.Context { return s.ending }
+func (s *Stop) Ending() context.Context { return s.ending }
 
-// recordEnd records how long an answer took that is complete.
-func (s *stopping) recordEnd(event *relay.DoneEvent) {
+// RecordEnd records how long an answer took that is complete.
+func (s *Stop) RecordEnd(event *relay.DoneEvent) {
 	if event.Refusal != nil || event.Aborted || event.CutOff || event.ClientGone {
 		return
 	}
