--- a/node/relay/promise_test.go
+++ b/node/relay/promise_test.go
@@ -52,9 +52,18 @@
 // against a second run, at another endpoint or of another model.
 func TestNoSequenceOfAttemptsEndsInAFalsePromise(t *testing.T) {
 	ends := []behavior{
-		{refused: true}, {notExecuted: true}, {notExecuted: true, misdirected: true}, {reset: true}, {foreign: true, events: -1}, {events: -1}, {events: 1},
-		{status: http.StatusServiceUnavailable, events: -1}, {status: http.StatusTooManyRequests, events: -1}, {status: http.StatusInternalServerError, events: -1},
-		{status: http.StatusServiceUnavailable, events: 1}, {status: http.StatusNotFound, events: -1},
+		{refused: true},
+		{notExecuted: true},
+		{notExecuted: true, misdirected: true},
+		{reset: true},
+		{foreign: true, events: -1},
+		{events: -1},
+		{events: 1},
+		{status: http.StatusServiceUnavailable, events: -1},
+		{status: http.StatusTooManyRequests, events: -1},
+		{status: http.StatusInternalServerError, events: -1},
+		{status: http.StatusServiceUnavailable, events: 1},
+		{status: http.StatusNotFound, events: -1},
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		rt := testRoute(rapid.SampledFrom([]route.Kind{route.AtMostOnce, route.Stream, route.Idempotent}).Draw(t, "kind"))
--- a/wire/engine/stream.go
+++ b/wire/engine/stream.go
@@ -34,7 +34,8 @@
 	watch     *watchdog
 	answer    Answer
 	frames    int
-	size      int
+	// size is the number of bytes of all lines.
+	size int
 }
 
 func newStream(body io.ReadCloser, attemptID string, started time.Time, watch *watchdog) *Stream {
