--- a/cmd/wigeonusherd/clienttest/endless_test.go
+++ b/cmd/wigeonusherd/clienttest/endless_test.go
@@ -23,19 +23,14 @@
 	{"HTTP/1.1 200 ", "O"},
 	{"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
 	{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	{proven("200 OK") + "\r\n", "data"},
-	{proven("200 OK") + "Content-Length: 1099511627776\r\n\r\n", "data"},
-	{proven("200 OK") + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
-	{proven("200 OK") + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
-	{proven("200 OK") + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"},
-	{proven("500 Failed") + "\r\n", "data"},
-	{proven("200 OK") + "Content-Type: text/event-stream\r\n\r\n", "data"},
-	{proven("200 OK") + "Content-Type: text/event-stream\r\n\r\n", "id: 1\ndata: x\n\n"},
-}
-
-// proven returns the start of a head that belongs to its request.
-func proven(status string) string {
-	return "HTTP/1.1 " + status + "\r\nWigeonusher-Attempt-Id: %s\r\nWigeonusher-Server-Stamp: stamp\r\n"
+	{platformtest.StartHead("200 OK") + "\r\n", "data"},
+	{platformtest.StartHead("200 OK") + "Content-Length: 1099511627776\r\n\r\n", "data"},
+	{platformtest.StartHead("200 OK") + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	{platformtest.StartHead("200 OK") + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+	{platformtest.StartHead("200 OK") + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: value\r\n"},
+	{platformtest.StartHead("500 Failed") + "\r\n", "data"},
+	{platformtest.StartHead("200 OK") + "Content-Type: text/event-stream\r\n\r\n", "data"},
+	{platformtest.StartHead("200 OK") + "Content-Type: text/event-stream\r\n\r\n", "id: 1\ndata: x\n\n"},
 }
 
 // sendSeveral sends requests one after the other and reads what comes back, slowly if its number is odd.
