A reset between two parts of an answer is not its end

Callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got the part as a complete answer, from an instance and through a peer.

Cause: a long request is written by a goroutine of its own while the answer is read, and the error of that write was dropped. On Linux a socket reports an error once. If the write gets the reset, the next read returns the end of the connection, which is also the end of an answer without a length. The own interface has the same race in net/http's transport, which ignores the write once the head of the answer is there.

Change: wire/httpanswer.Conn, used by both clients of endpoints, knows how the writes of its connection ended. At the end of the connection it interrupts a write in progress and waits for its result: a write that has got the error returns it, also if it had not recorded it yet. Any error but the interruption and EPIPE makes the end an error. Failures' bodies, streams and answers passed on by a peer read through the same connection.

EPIPE is not a failure: the engine had closed its side before the reset came.

--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wigeonusher/wigeonusher/wire/httpanswer"
 	"github.com/wigeonusher/wigeonusher/wire/openai"
 )
 
@@ -55,7 +56,13 @@
 func NewClient(config Config) *Client {
 	dialer := &net.Dialer{Timeout: config.DialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return httpanswer.NewConn(conn), nil
+		},
 		MaxIdleConnsPerHost: config.MaxIdlePerEndpoint,
 		IdleConnTimeout:     config.IdleTimeout,
 		DisableCompression:  true,
