An answer with a status that none has is no answer

Callers saw: an engine in trouble sent the status 000. Its client got the answer that followed the head as the engine's, and a client of the own interface got the status 000 itself.

Cause: net/http parses the three characters of a status as a number. 000, 099 and +99 are below 200, so that readFinalHead took them for the status of an interim answer, and what followed for the answer. net/http's transport, in wire/engine, takes them for final ones; and also 101, which no request asks for.

Change: httpanswer.Conn checks the status line of each head that is read from an endpoint, before net/http parses it: three digits, not below 100, not 101. It reads interim heads too. A status of 600 or more is passed on as a failure of the endpoint, as before: RFC 9110 (section 15) has a client take it for a 5xx, and the users' pages want an engine's status unchanged.

Handled before, tests kept: a status 000 with a body alone (an error in platform), -99, other than three characters, letters, no status line. Load reports, orders and chat requests of the own interface refused other statuses than 2xx before.

--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -70,7 +70,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{config: config, http: &http.Client{
-		Transport:     transport,
+		Transport:     checkedTransport{transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -154,6 +154,21 @@
 	})
 }
 
+// checkedTransport makes the connections check the head of each answer.
+type checkedTransport struct{ *http.Transport }
+
+// RoundTrip implements [http.RoundTripper].
+func (t checkedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*httpanswer.Conn); ok {
+				conn.ExpectAnswer()
+			}
+		},
+	})
+	return t.Transport.RoundTrip(request.WithContext(ctx))
+}
+
 // errorFromStatus returns [ErrRefused] for a status of 503 or 409 whose header
 // says that the request did not run, and a [StatusError] otherwise.
 func errorFromStatus(response *http.Response) error {
--- a/wire/engine/service.go
+++ b/wire/engine/service.go
@@ -77,10 +77,10 @@
 // newUnpooledTransport returns a transport that opens a new connection for each
 // request. It never retries a request by itself, because net/http does so only
 // if a reused connection fails.
-func (c *Client) newUnpooledTransport() *http.Transport {
-	transport := c.http.Transport.(*http.Transport).Clone()
+func (c *Client) newUnpooledTransport() checkedTransport {
+	transport := c.http.Transport.(checkedTransport).Clone()
 	transport.DisableKeepAlives = true
-	return transport
+	return checkedTransport{transport}
 }
 
 func setServiceHeaders(request *http.Request, call ServiceCall) {
--- a/wire/httpanswer/conn.go
+++ b/wire/httpanswer/conn.go
@@ -19,20 +19,33 @@
 
 // Conn is a connection to an endpoint. Its Read returns io.EOF only if the endpoint closed its side
 // before the connection failed: such an end may be the end of an answer that has no length (RFC 9112,
-// section 8).
+// section 8). It returns [ErrMalformedHead] instead of the end of a malformed head.
 //
 // One goroutine may read while another one writes.
 type Conn struct {
 	net.Conn
 
+	// mu guards head, the head of the answer that is read, and malformed, its error.
+	mu        sync.Mutex
+	head      headScanner
+	malformed error
+
 	// writing is held during a write. writeErr is the first error of one.
 	writing  sync.Mutex
 	writeErr error
 }
 
-// NewConn returns a connection that checks the answers on conn.
+// NewConn returns a connection that checks the first answer on conn, and a further one after each [Conn.ExpectAnswer].
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
+// ExpectAnswer announces that the bytes that are read from now on are those of an answer. It must be called before
+// the request is written.
+func (c *Conn) ExpectAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headScanner{}
+}
+
 // Write implements [net.Conn].
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
@@ -60,6 +73,9 @@
 // Read implements [net.Conn]. At the end of the connection it ends a write that is in progress.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n, malformed := c.scan(p[:n]); malformed != nil {
+		return n, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		if failure := c.failure(); failure != nil {
 			return n, failure
@@ -68,6 +84,17 @@
 	return n, err
 }
 
+func (c *Conn) scan(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
+	var n int
+	n, c.malformed = c.head.scan(p)
+	return n, c.malformed
+}
+
 // failure returns an error if the connection failed before the endpoint closed its side. The system
 // reports the failure of a connection once: if a write got it, a read finds the end of the connection.
 func (c *Conn) failure() error {
