An answer with a field name that holds a blank is no answer

Callers saw: an engine in trouble sent a head with a blank inside, behind or before the name of a field. The client got an answer without that line or, if it was the length or the encoding, with a body that ended with the connection or held the sizes of chunks.

Cause: net/textproto accepts a blank in a name and keeps the name as it is, so that the field means nothing to net/http, and http.Header.Write leaves it out. A line that begins with a blank becomes part of the value before it. RFC 9112 wants a proxy to remove a blank before the colon (section 5.1) and allows it to reject folded lines (5.2); here the engine is in trouble, and how its body ends cannot be trusted.

Change: httpanswer.Conn requires names of token characters (RFC 9110, section 5.1) and no folded lines, of final and interim heads. httpanswer.Body checks the names of the trailer after the last chunk. golang.org/x/net/http/httpguts, which node uses already, knows the characters.

Handled before, tests kept: control bytes, a tab, a carriage return or a byte above 127 in a name, an empty name, no colon, a blank before the first name, control bytes and a bare carriage return in a value; the same in trailers and interim answers.

--- a/wire/engine/malformed_head_test.go
+++ b/wire/engine/malformed_head_test.go
@@ -32,6 +32,15 @@
 	"status of two digits":       withHead("20 OK", ""),
 	"status 000, then an answer": "HTTP/1.1 000 Odd\r\n\r\n" + withHead("200 OK", ""),
 	"status 099, then an answer": "HTTP/1.1 099 Odd\r\n\r\n" + withHead("200 OK", ""),
+	"blank behind a name":        withHead("200 OK", "Odd : 1\r\n"),
+	"blank inside a name":        withHead("200 OK", "Odd Name: 1\r\n"),
+	"blank before a name":        withHead("200 OK", "Odd: 1\r\n Odd: 2\r\n"),
+	"control byte in a name":     withHead("200 OK", "Odd\x01Name: 1\r\n"),
+	"empty name":                 withHead("200 OK", ": 1\r\n"),
+	"control byte in a value":    withHead("200 OK", "Odd: 1\x012\r\n"),
+	"name of the length":         "HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n" + loadReport,
+	"name of the encoding":       "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\nc\r\n" + loadReport + "\r\n0\r\n\r\n",
+	"name of an interim answer":  "HTTP/1.1 103 Early Hints\r\nOdd Name: 1\r\n\r\n" + withHead("200 OK", ""),
 	"another protocol":           "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\nConnection: Upgrade\r\n\r\n" + withHead("200 OK", ""),
 }
 
@@ -79,8 +88,8 @@
 	}
 }
 
-// TestMalformedHeadIsNoAnswer guards against an endpoint in trouble whose head has a status that none has: its
-// caller got it as an answer.
+// TestMalformedHeadIsNoAnswer guards against an endpoint in trouble whose head has a status that none has, or a name of
+// a field with a blank: its caller got it as an answer.
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
 	for name, answer := range malformedAnswers {
 		t.Run(name, func(t *testing.T) {
@@ -99,6 +108,15 @@
 	}
 }
 
+// TestMalformedTrailerIsNoAnswer guards against a service's answer whose trailer has a name with a blank.
+func TestMalformedTrailerIsNoAnswer(t *testing.T) {
+	for trailer, isWhole := range map[string]bool{"Odd-Name: 1\r\n": true, "Odd Name: 1\r\n": false, "Odd : 1\r\n": false, "Odd\x01: 1\r\n": false} {
+		address := serveAnswers(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n")
+		_, err := callService(newRawClient(t), address)
+		assert.Equal(t, err == nil, isWhole, "%q: %v", trailer, err)
+	}
+}
+
 // TestConnectionCarriesManyAnswers guards against the body of an answer, or a further answer, that is taken for a
 // malformed head.
 func TestConnectionCarriesManyAnswers(t *testing.T) {
--- a/wire/engine/service.go
+++ b/wire/engine/service.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/wigeonusher/wigeonusher/wire/httpanswer"
 )
 
 // MaxServiceAnswerBytes bounds the body of a plain service's answer.
@@ -64,7 +66,7 @@
 	if response.Header.Get(HeaderNotRun) == "true" {
 		return nil, errorFromStatus(response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxServiceAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(httpanswer.Body(response), MaxServiceAnswerBytes+1))
 	if err != nil {
 		return nil, watch.classify(err)
 	}
--- a/wire/httpanswer/head.go
+++ b/wire/httpanswer/head.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedHead reports that the head of an answer, or of an interim answer before it, is malformed.
@@ -19,7 +20,7 @@
 var statusLine = regexp.MustCompile(`^HTTP/[0-9]\.[0-9] +([0-9]{3})( |\r?$)`)
 
 // headScanner checks the head of an answer, with the interim answers before it, byte by byte. What it checks is
-// not visible any more in a [http.Response].
+// not visible any more in a [http.Response]. net/http checks the values of the fields itself.
 type headScanner struct {
 	state scanState
 	// line is the begin of the status line.
@@ -34,7 +35,8 @@
 	inStatusLine scanState = iota
 	// atLineStart: at the first byte of a field line, or of the blank line that ends the head.
 	atLineStart
-	inFieldLine
+	inFieldName
+	inFieldValue
 	inBlankLine
 	// afterHead: at the body, which is not checked.
 	afterHead
@@ -63,15 +65,25 @@
 			s.line = append(s.line, b)
 		}
 	case atLineStart:
-		switch b {
-		case '\n':
+		switch {
+		case b == '\n':
 			s.endHead()
-		case '\r':
+		case b == '\r':
 			s.state = inBlankLine
+		case httpguts.IsTokenRune(rune(b)):
+			s.state = inFieldName
 		default:
-			s.state = inFieldLine
+			// A blank continues the line before (RFC 9112, section 5.2). net/http would append it there.
+			return eris.Wrapf(ErrMalformedHead, "field line begins with %q", b)
 		}
-	case inFieldLine:
+	case inFieldName:
+		switch {
+		case b == ':':
+			s.state = inFieldValue
+		case !httpguts.IsTokenRune(rune(b)):
+			return eris.Wrapf(ErrMalformedHead, "field name contains %q", b)
+		}
+	case inFieldValue:
 		if b == '\n' {
 			s.state = atLineStart
 		}
