Heads that a peer passes on are checked too

Callers could see: while instances of an earlier build run beside this one, such a peer passes on the malformed head of an endpoint in trouble.

Cause: a forwarded answer arrives as fields of a message, and its status and names were used as they came.

Change: forward.Client checks them with httpanswer.CheckHead. A folded line is part of a value by then and cannot be seen.

Measured: TestMalformedHeadOfAPeerIsNoAnswer failed without the check at its first head (status 0) and passes with it.

--- a/node/forward/client.go
+++ b/node/forward/client.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonusher/wigeonusher/node/pool"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/route"
+	"github.com/wigeonusher/wigeonusher/wire/httpanswer"
 	"github.com/wigeonusher/wigeonusher/wire/peer"
 	"github.com/wigeonusher/wigeonusher/wire/peer/peerpb"
 )
@@ -209,8 +210,13 @@
 		}
 		return nil, &relay.SendError{MayBeSent: true, Err: err}
 	}
+	header := decodeHeader(head.Header)
+	if err := httpanswer.CheckHead(int(head.Status), header); err != nil {
+		_ = answer.Close() // the answer is not used
+		return nil, &relay.SendError{MayBeSent: true, Err: eris.Wrap(err, "forward: answer of the peer")}
+	}
 	return &relay.Answer{
-		Status: int(head.Status), Header: decodeHeader(head.Header), Authentic: true, Runs: answer.runCount, Body: answer,
+		Status: int(head.Status), Header: header, Authentic: true, Runs: answer.runCount, Body: answer,
 	}, nil
 }
 
--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -149,6 +149,29 @@
 
 // A call without an answer may have run; only a connection that was not made shows that it
 // has not.
+// TestMalformedHeadOfAPeerIsNoAnswer guards against a peer of an earlier build, which passes on heads that an
+// endpoint in trouble has sent.
+func TestMalformedHeadOfAPeerIsNoAnswer(t *testing.T) {
+	for _, head := range []relay.Head{
+		{Status: 0},
+		{Status: 99},
+		{Status: 103},
+		{Status: 1000},
+		{Status: -1},
+		{Status: 200, Header: http.Header{"Content-Length ": {"4"}}},
+		{Status: 200, Header: http.Header{"Odd Name": {"1"}}},
+		{Status: 200, Header: http.Header{"": {"1"}}},
+	} {
+		client, _ := start(t, func(_ context.Context, _ *relay.Request, c relay.Client) {
+			c.Begin(head)
+			c.End(relay.AnswerComplete)
+		})
+		_, err := send(t, client, request(nil))
+		sendErr := new(relay.SendError)
+		assert.Assert(t, errors.As(err, &sendErr) && sendErr.MayBeSent, "%+v: %v", head, err)
+	}
+}
+
 func TestOutcomeAcrossTheHopIsTrue(t *testing.T) {
 	client, _ := start(t, func(_ context.Context, _ *relay.Request, c relay.Client) {
 		c.(relay.RunRecorder).RecordRuns(2)
--- a/wire/httpanswer/body.go
+++ b/wire/httpanswer/body.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedTrailer reports that the trailer of an answer is malformed.
@@ -33,12 +32,3 @@
 	}
 	return n, err
 }
-
-func invalidName(header http.Header) (name string, ok bool) {
-	for name := range header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return name, true
-		}
-	}
-	return "", false
-}
--- a/wire/httpanswer/head.go
+++ b/wire/httpanswer/head.go
@@ -134,3 +134,27 @@
 	}
 	s.state = afterHead
 }
+
+// maxStatus is the highest status of three digits.
+const maxStatus = 999
+
+// CheckHead returns [ErrMalformedHead] if no answer has the status or one of the names of the fields. It is for heads
+// that arrive decoded, from an instance that may not have checked them.
+func CheckHead(status int, header http.Header) error {
+	if status < http.StatusOK || status > maxStatus {
+		return eris.Wrapf(ErrMalformedHead, "status %03d", status)
+	}
+	if name, ok := invalidName(header); ok {
+		return eris.Wrapf(ErrMalformedHead, "field name %q", name)
+	}
+	return nil
+}
+
+func invalidName(header http.Header) (name string, ok bool) {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return name, true
+		}
+	}
+	return "", false
+}
