A failure of the instance list or of the rating service is no answer

Callers of the own interface could see: the instance list fails with a JSON body, whatever its status (000, 500, 404), and the instance takes it for a listing without endpoints, which then expire; from the rating service it takes the cursor 0, and the ratings begin anew.

Cause: both clients decoded the body and did not look at the status. A 304 that was not asked for counted as an empty listing.

Change: 200 alone is an answer, and 304 only to a request with an ETag.

--- a/wire/platformhttp/services.go
+++ b/wire/platformhttp/services.go
@@ -38,8 +38,11 @@
 	if err != nil {
 		return platform.InstanceListing{}, eris.Wrap(platform.ErrUnavailable, err.Error())
 	}
-	if response.StatusCode == http.StatusNotModified {
+	switch {
+	case response.StatusCode == http.StatusNotModified && l.etag != "":
 		return l.cached, nil
+	case response.StatusCode != http.StatusOK:
+		return platform.InstanceListing{}, eris.Wrapf(platform.ErrUnavailable, "status %d", response.StatusCode)
 	}
 	var listing platform.InstanceListing
 	if err := json.Unmarshal(body, &listing); err != nil {
@@ -91,8 +94,12 @@
 		"cursor":    {strconv.FormatUint(cursor, 10)},
 	}
 	var response ratingsResponse
-	if _, err := r.get(ctx, "/v1/ratings", query, &response); err != nil {
+	status, err := r.get(ctx, "/v1/ratings", query, &response)
+	switch {
+	case err != nil:
 		return nil, cursor, err
+	case status != http.StatusOK:
+		return nil, cursor, eris.Wrapf(platform.ErrUnavailable, "status %d", status)
 	}
 	return response.Ratings, response.Next, nil
 }
