Operators can tell answers that were rejected from other broken attempts

Cause: an answer that net/http takes for one and this instance does not was a broken attempt like any other.

--- a/node/telemetry/telemetry.go
+++ b/node/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 package telemetry
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -14,6 +15,7 @@
 	"github.com/wigeonusher/wigeonusher/coord/config"
 	"github.com/wigeonusher/wigeonusher/node/relay"
 	"github.com/wigeonusher/wigeonusher/policy/document"
+	"github.com/wigeonusher/wigeonusher/wire/httpanswer"
 )
 
 // Path is a kind of request, the value of the path label in metrics.
@@ -101,6 +103,7 @@
 	}
 	t.countRequests(event)
 	t.countExpectation(event)
+	t.countBrokenAnswer(event)
 	if event.InvalidLimit != "" {
 		t.Count(fmt.Sprintf(`wigeonusher_invalid_limits_total{service=%q}`, event.Service))
 	}
@@ -188,6 +191,16 @@
 	}
 }
 
+// countBrokenAnswer counts answers that are rejected though net/http finds no fault in them.
+func (t *Telemetry) countBrokenAnswer(event *relay.AttemptEvent) {
+	switch {
+	case errors.Is(event.Err, httpanswer.ErrMalformedHead), errors.Is(event.Err, httpanswer.ErrMalformedTrailer):
+		t.Count(fmt.Sprintf(`wigeonusher_rejected_answers_total{service=%q,reason="malformed"}`, event.Service))
+	case errors.Is(event.Err, httpanswer.ErrConnectionFailed):
+		t.Count(fmt.Sprintf(`wigeonusher_rejected_answers_total{service=%q,reason="connection failed"}`, event.Service))
+	}
+}
+
 // countExpectation counts why endpoints of services that report paces were chosen, and paces that have no
 // effect. Attempts that were moved early are counted as canceled, by cause.
 func (t *Telemetry) countExpectation(event *relay.AttemptEvent) {
--- a/wire/httpanswer/conn.go
+++ b/wire/httpanswer/conn.go
@@ -19,7 +19,7 @@
 
 // Conn is a connection to an endpoint. Its Read returns io.EOF only if the endpoint closed its side
 // before the connection failed: such an end may be the end of an answer that has no length (RFC 9112,
-// section 8). It returns [ErrMalformedHead] instead of the end of a malformed head.
+// section 8). It returns [ErrMalformedHead] before the end of a malformed head.
 //
 // One goroutine may read while another one writes.
 type Conn struct {
@@ -95,6 +95,14 @@
 	return n, c.malformed
 }
 
+// Malformed returns the [ErrMalformedHead] that the reads have found, nil if there is none. The error of net/http,
+// which gets the start of a malformed line, may say less.
+func (c *Conn) Malformed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
 // failure returns an error if the connection failed before the endpoint closed its side. The system
 // reports the failure of a connection once: if a write got it, a read finds the end of the connection.
 func (c *Conn) failure() error {
