--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -147,8 +147,6 @@
 	}
 }
 
-// A call without an answer may have run; only a connection that was not made shows that it
-// has not.
 // TestMalformedHeadOfAPeerIsNoAnswer guards against a peer of an earlier build, which passes on heads that an
 // endpoint in trouble has sent.
 func TestMalformedHeadOfAPeerIsNoAnswer(t *testing.T) {
@@ -172,6 +170,8 @@
 	}
 }
 
+// A call without an answer may have run; only a connection that was not made shows that it
+// has not.
 func TestOutcomeAcrossTheHopIsTrue(t *testing.T) {
 	client, _ := start(t, func(_ context.Context, _ *relay.Request, c relay.Client) {
 		c.(relay.RunRecorder).RecordRuns(2)
--- a/wire/httpanswer/conn.go
+++ b/wire/httpanswer/conn.go
@@ -1,5 +1,6 @@
-// Package httpanswer checks the HTTP answers of endpoints while net/http reads them. It rejects what
-// net/http accepts and what no whole answer can contain.
+// Package httpanswer checks the HTTP answers of endpoints while net/http reads them. It rejects malformed
+// heads and trailers that net/http accepts, and does not take the failure of a connection for the end of
+// an answer.
 package httpanswer
 
 import (
--- a/wire/httpanswer/head.go
+++ b/wire/httpanswer/head.go
@@ -13,7 +13,7 @@
 // The rest of the answer means nothing: net/http may have missed how its body ends.
 var ErrMalformedHead = eris.New("head of the answer is malformed")
 
-// maxStatusLineBytes is the number of bytes of a status line that are checked, more than those up to the status.
+// maxStatusLineBytes bounds what is kept of a status line: its version and its status.
 const maxStatusLineBytes = 32
 
 // statusLine matches the start of a status line (RFC 9112, section 4).
@@ -23,7 +23,7 @@
 // not visible any more in a [http.Response]. net/http checks the values of the fields itself.
 type headScanner struct {
 	state scanState
-	// line is the begin of the status line.
+	// line is the start of the status line.
 	line []byte
 	// isInterim reports that the head is that of an interim answer: another one follows it.
 	isInterim bool
@@ -102,10 +102,7 @@
 	if match == nil {
 		return eris.Wrapf(ErrMalformedHead, "status line %q", s.line)
 	}
-	status, err := strconv.Atoi(string(match[1]))
-	if err != nil {
-		return eris.Wrap(ErrMalformedHead, err.Error())
-	}
+	status, _ := strconv.Atoi(string(match[1])) // three digits
 	if err := checkStatus(status); err != nil {
 		return err
 	}
