--- a/review/cast/stage.go
+++ b/review/cast/stage.go
@@ -330,7 +330,7 @@
 		cannotRun(err)
 	}
 	note("case %s, trouble %v", os.Args[1], trouble)
-	run, ok := map[string]func(){"uploads": uploads, "sessions": sessions, "storms": storms, "heads": heads}[os.Args[1]]
+	run, ok := map[string]func(){"storms": storms, "heads": heads}[os.Args[1]]
 	if !ok {
 		cannotRun(fmt.Errorf("no case %q", os.Args[1]))
 	}
