--- a/review/cast/stage.go
+++ b/review/cast/stage.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -314,6 +316,9 @@
 	}()
 }
 
+// The children end with the thread that has started them, which must not end before.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "cast CASE FOLDER")
@@ -334,9 +339,15 @@
 	if !ok {
 		cannotRun(fmt.Errorf("no case %q", os.Args[1]))
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
-		time.Sleep(115 * time.Second)
-		cannotRun(fmt.Errorf("not over in time"))
+		select {
+		case <-time.After(115 * time.Second):
+			cannotRun(fmt.Errorf("not over in time"))
+		case <-signals:
+			cannotRun(fmt.Errorf("stopped by a signal"))
+		}
 	}()
 	run()
 }
