--- a/review/cast/cases.go
+++ b/review/cast/cases.go
@@ -149,7 +149,7 @@
 	for _, other := range all {
 		other.enforceMemory()
 	}
-	k := keep(m, 12, engines)
+	k := keep(m, 60, engines)
 	time.Sleep(2 * time.Second)
 	version := 7
 	areAllOver := func() bool {
--- a/review/cast/stage.go
+++ b/review/cast/stage.go
@@ -142,10 +142,27 @@
 		"routes":   []any{route("hold", "/hold/", "non_idempotent", 1), route("check", "/check/", "idempotent", 2)},
 		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 310, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "hule930", "api_keys": []any{key}, "priority": 1}},
+		"tenants":  tenants(),
 	}
 }
 
+// tenants are the ten of the installation. The first one has the key of all clients.
+func tenants() []any {
+	const count, keys = 10, 55
+	var all []any
+	for n := range count {
+		list := []string{}
+		for i := range keys {
+			list = append(list, fmt.Sprintf("anfqasnmgkcuyj%02d%04d", n, i))
+		}
+		if n == 0 {
+			list[0] = key
+		}
+		all = append(all, map[string]any{"name": fmt.Sprintf("hule%03d", 930+n), "api_keys": list, "priority": 1})
+	}
+	return all
+}
+
 // machine is one process of the system.
 type machine struct {
 	name, front, ready, control string
@@ -285,13 +302,14 @@
 	}
 }
 
+// residentKB returns the resident anonymous memory, without the pages of the program's file.
 func (m *machine) residentKB() int64 {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.command.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for _, line := range strings.Split(string(status), "\n") {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 			return n
 		}
