--- a/review/cast/cases.go
+++ b/review/cast/cases.go
@@ -123,6 +123,12 @@
 // judge ends the case: the rule LOST allows three requests.
 func (k *keepers) judge(m *machine) {
 	const allowed = 3
+	if k.served.Load() == 0 {
+		cannotRun(errors.New("nothing was served"))
+	}
+	if m.hasEnded() && !m.overLimit.Load() {
+		cannotRun(errors.New("the machine has ended, and not for its memory"))
+	}
 	say("kept channels: %d served, %d passed on to a sound engine and closed without an answer; peak %d KB of %d; killed for memory: %v",
 		k.served.Load(), k.lost.Load(), m.peakKB.Load(), m.memoryMB*1024, m.overLimit.Load())
 	isBroken := k.lost.Load() > allowed
