--- a/review/cast/cases.go
+++ b/review/cast/cases.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -348,10 +349,16 @@
 		count  = 26
 	)
 	s, engines, m := set(guildMemoryMB)
-	m.enforceMemory()
+	all := []*machine{m, start("front-2", guildMemoryMB, s), start("front-3", guildMemoryMB, s)}
+	for _, other := range all {
+		other.enforceMemory()
+	}
 	k := keep(m, 12, engines)
 	time.Sleep(2 * time.Second)
 	version := 7
+	areAllOver := func() bool {
+		return !slices.ContainsFunc(all, func(m *machine) bool { return !m.hasEnded() })
+	}
 	change := func() {
 		version++
 		c := config()
@@ -374,20 +381,23 @@
 	change()
 	for n := range count {
 		began := time.Now()
-		for i := 0; time.Since(began) < length && !m.hasEnded(); i++ {
+		for i := 0; time.Since(began) < length && !areAllOver(); i++ {
 			if trouble {
 				change()
 			}
 			time.Sleep(time.Until(began.Add(time.Duration(i+1) * gap)))
 		}
-		note("storm %d is over, %d KB resident", n+1, m.residentKB())
-		if m.hasEnded() {
+		note("storm %d is over, %d, %d and %d KB resident", n+1, all[0].residentKB(), all[1].residentKB(), all[2].residentKB())
+		if areAllOver() {
 			break
 		}
 		time.Sleep(pause)
 	}
 	time.Sleep(500 * time.Millisecond)
 	k.stop()
+	for _, m := range all {
+		say("machine %s: peak %d KB, killed for memory: %v", m.name, m.peakKB.Load(), m.overLimit.Load())
+	}
 	k.judge(m)
 }
 
--- a/review/cast/stage.go
+++ b/review/cast/stage.go
@@ -167,7 +167,7 @@
 	machinesMu.Lock()
 	defer machinesMu.Unlock()
 	for _, m := range machines {
-		if m.command.Process != nil {
+		if m.command != nil && m.command.Process != nil {
 			m.command.Process.Kill()
 			<-m.ended
 		}
@@ -190,7 +190,7 @@
 // the Guild in the example of `fleetbench wire`.
 func fields(m *machine, storeAddress string) map[string]any {
 	return map[string]any{
-		"node": m.name, "zone": zone, "region": "region", "seeds": []string{m.control},
+		"node": m.name, "zone": zone, "region": "region", "seeds": []string{machines[0].control},
 		"listen":    map[string]any{"front": m.front, "ready": m.ready, "control": m.control},
 		"limits":    map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": m.memoryMB, "max_fds": 4100},
 		"platform":  map[string]any{"address": storeAddress},
@@ -221,6 +221,9 @@
 // start starts a machine with the command of the deploy file.
 func start(name string, memoryMB int, s *store) *machine {
 	m := &machine{name: name, memoryMB: memoryMB, ended: make(chan struct{}), front: freeAddress(), ready: freeAddress(), control: freeAddress()}
+	machinesMu.Lock()
+	machines = append(machines, m)
+	machinesMu.Unlock()
 	template, err := os.ReadFile(filepath.Join(root, "deploy/settings.json.tmpl"))
 	if err != nil {
 		cannotRun(err)
@@ -242,9 +245,6 @@
 	if err := m.command.Start(); err != nil {
 		cannotRun(err)
 	}
-	machinesMu.Lock()
-	machines = append(machines, m)
-	machinesMu.Unlock()
 	go func() {
 		m.command.Wait()
 		m.endedAt = time.Now()
